--- /dev/null
+++ b/crates/amaranthgw/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,29 @@
+//! Identifiers, sizes, rates, tables and the tick that every part of amaranthgw shares.
+//!
+//! Nothing in this crate performs input or output. Entities live in an [`EntityTable`]; a
+//! [`TickSchedule`] runs a fixed list of [`TickSystem`]s over the tables of one world.
+
+mod ids;
+mod macros;
+mod numbers;
+mod parse;
+mod rates;
+mod sizes;
+mod spans;
+mod system;
+mod table;
+
+pub use ids::{
+    AdapterId, CallerId, DomainId, GroupId, IdempotencyKey, ModelId, OperatorId, PlanId, RegionId,
+    RequestId, ServiceId, TargetId, VmId, WorkspaceId,
+};
+pub use numbers::{
+    AttemptNumber, ChangeNumber, ChunkSequence, ExpertId, FencingNumber, GroupGeneration, LayerId,
+    MapVersion, RankId, StartMark, StepNumber, StoreRevision,
+};
+pub use parse::{ParseError, Result};
+pub use rates::{ByteRate, RequestRate, TokenRate};
+pub use sizes::{ByteCount, SlotCount, TokenCount};
+pub use spans::MilliSpan;
+pub use system::{TickSchedule, TickSystem};
+pub use table::EntityTable;
--- /dev/null
+++ b/crates/core/src/numbers.rs
@@ -0,0 +1,52 @@
+//! Number types: versions, sequences and positions.
+
+use crate::macros::number_type;
+
+number_type!(
+    /// Revision that the key-value service gives to a value at each write.
+    StoreRevision, u64
+);
+number_type!(
+    /// Position of a change in the configuration log; the first change has number 1.
+    ChangeNumber, u64
+);
+number_type!(
+    /// Number of an attempt of one request, counted from 0 at the entry.
+    AttemptNumber, u32
+);
+number_type!(
+    /// Position of a chunk in an answer, counted from 0.
+    ChunkSequence, u64
+);
+number_type!(
+    /// Version of an expert map.
+    MapVersion, u64
+);
+number_type!(
+    /// Generation of a rank group; a replaced rank opens a new one.
+    GroupGeneration, u64
+);
+number_type!(
+    /// A step of a rank group.
+    StepNumber, u64
+);
+number_type!(
+    /// Number that orders the holders of a lease; a later holder has a larger one.
+    FencingNumber, u64
+);
+number_type!(
+    /// Mark that a target process changes at each start.
+    StartMark, u64
+);
+number_type!(
+    /// A rank of a rank group, counted from 0.
+    RankId, u16
+);
+number_type!(
+    /// An expert of a layer, counted from 0.
+    ExpertId, u16
+);
+number_type!(
+    /// A layer of a model, counted from 0.
+    LayerId, u16
+);
--- /dev/null
+++ b/crates/core/src/table.rs
@@ -0,0 +1,125 @@
+//! A table of entities of one kind.
+
+use std::hash::Hash;
+
+use indexmap::IndexMap;
+
+/// Rows of one kind, each under its identifier, in order of insertion.
+#[derive(Clone, Debug)]
+pub struct EntityTable<Id, Row> {
+    rows: IndexMap<Id, Row>,
+}
+
+impl<Id, Row> Default for EntityTable<Id, Row> {
+    fn default() -> Self {
+        Self {
+            rows: IndexMap::new(),
+        }
+    }
+}
+
+impl<Id: Hash + Eq, Row> EntityTable<Id, Row> {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Puts `row` under `id` and returns the row it replaces.
+    pub fn insert(&mut self, id: Id, row: Row) -> Option<Row> {
+        self.rows.insert(id, row)
+    }
+
+    /// The row of `id`.
+    #[must_use]
+    pub fn get<Key>(&self, id: &Key) -> Option<&Row>
+    where
+        Key: ?Sized + Hash + indexmap::Equivalent<Id>,
+    {
+        self.rows.get(id)
+    }
+
+    /// The row of `id`, to change it.
+    pub fn get_mut<Key>(&mut self, id: &Key) -> Option<&mut Row>
+    where
+        Key: ?Sized + Hash + indexmap::Equivalent<Id>,
+    {
+        self.rows.get_mut(id)
+    }
+
+    /// The row of `id`, created by `make` where there is none.
+    pub fn get_or_insert_with(&mut self, id: Id, make: impl FnOnce() -> Row) -> &mut Row {
+        self.rows.entry(id).or_insert_with(make)
+    }
+
+    /// Whether `id` has a row.
+    #[must_use]
+    pub fn contains<Key>(&self, id: &Key) -> bool
+    where
+        Key: ?Sized + Hash + indexmap::Equivalent<Id>,
+    {
+        self.rows.contains_key(id)
+    }
+
+    /// Removes the row of `id`; the last row takes its place.
+    pub fn remove<Key>(&mut self, id: &Key) -> Option<Row>
+    where
+        Key: ?Sized + Hash + indexmap::Equivalent<Id>,
+    {
+        self.rows.swap_remove(id)
+    }
+
+    /// Keeps the rows for which `keep` returns `true`.
+    pub fn retain(&mut self, keep: impl FnMut(&Id, &mut Row) -> bool) {
+        self.rows.retain(keep);
+    }
+
+    /// Identifiers and rows in table order.
+    #[must_use]
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = (&Id, &Row)> {
+        self.rows.iter()
+    }
+
+    /// Identifiers and rows in table order, to change the rows.
+    #[must_use]
+    pub fn iter_mut(&mut self) -> impl ExactSizeIterator<Item = (&Id, &mut Row)> {
+        self.rows.iter_mut()
+    }
+
+    /// Rows in table order.
+    #[must_use]
+    pub fn rows(&self) -> impl ExactSizeIterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    /// Identifiers in table order.
+    #[must_use]
+    pub fn ids(&self) -> impl ExactSizeIterator<Item = &Id> {
+        self.rows.keys()
+    }
+
+    /// Number of rows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether the table has no rows.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Removes every row.
+    pub fn clear(&mut self) {
+        self.rows.clear();
+    }
+}
+
+impl<Id: Hash + Eq, Row> FromIterator<(Id, Row)> for EntityTable<Id, Row> {
+    fn from_iter<T: IntoIterator<Item = (Id, Row)>>(iter: T) -> Self {
+        Self {
+            rows: iter.into_iter().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/it/parse.rs
@@ -0,0 +1,58 @@
+use amaranthgw_core::{MapVersion, MilliSpan, RequestRate, VmId};
+use yare::parameterized;
+
+#[parameterized(
+    parse_span_millis = { "250ms", 250 },
+    parse_span_seconds = { "3s", 3_000 },
+    parse_span_minutes = { "2min", 120_000 },
+)]
+fn parse_span(text: &str, millis: u64) {
+    let span = text.parse::<MilliSpan>().expect("valid span");
+    assert_eq!(span.millis(), millis);
+    assert_eq!(span.to_string().parse(), Ok(span));
+}
+
+#[parameterized(
+    parse_span_without_unit = { "250" },
+    parse_span_without_number = { "ms" },
+    parse_span_negative = { "-1s" },
+    parse_span_too_large = { "18446744073709551615min" },
+    parse_span_empty = { "" },
+)]
+fn parse_span_rejected(text: &str) {
+    assert!(text.parse::<MilliSpan>().is_err());
+}
+
+#[parameterized(
+    parse_id_empty = { "" },
+    parse_id_space = { "vm 1" },
+    parse_id_newline = { "vm\n" },
+    parse_id_too_long = { "vvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvvv" },
+)]
+fn parse_id_rejected(text: &str) {
+    let error = text.parse::<VmId>().expect_err("invalid id");
+    assert!(error.to_string().contains("VmId"), "{error}");
+}
+
+#[test]
+fn parse_id_round_trip() {
+    let id: VmId = "tartu-a/vm.1".parse().expect("valid id");
+    let json = serde_json::to_string(&id).expect("serialises");
+    assert_eq!(
+        serde_json::from_str::<VmId>(&json).expect("deserialises"),
+        id
+    );
+}
+
+#[test]
+fn parse_rate_round_trip() {
+    let rate: RequestRate = "200/s".parse().expect("valid rate");
+    assert_eq!(rate.per_second(), 200);
+    assert_eq!(rate.to_string(), "200/s");
+    assert!("200".parse::<RequestRate>().is_err());
+}
+
+#[test]
+fn next_version_saturates() {
+    assert_eq!(MapVersion::new(u64::MAX).next(), MapVersion::new(u64::MAX));
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of amaranthgw.
