--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -5,7 +5,14 @@
 use indexmap::IndexMap;
 
 /// Rows of one kind, each under its identifier, in order of insertion.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(
+    transparent,
+    bound(
+        serialize = "Id: serde::Serialize + Hash + Eq, Row: serde::Serialize",
+        deserialize = "Id: serde::Deserialize<'de> + Hash + Eq, Row: serde::Deserialize<'de>"
+    )
+)]
 pub struct EntityTable<Id, Row> {
     rows: IndexMap<Id, Row>,
 }
@@ -116,6 +123,12 @@
     }
 }
 
+impl<Id: Hash + Eq, Row: PartialEq> PartialEq for EntityTable<Id, Row> {
+    fn eq(&self, other: &Self) -> bool {
+        self.rows == other.rows
+    }
+}
+
 impl<Id: Hash + Eq, Row> FromIterator<(Id, Row)> for EntityTable<Id, Row> {
     fn from_iter<T: IntoIterator<Item = (Id, Row)>>(iter: T) -> Self {
         Self {
--- a/crates/core/tests/it/parse.rs
+++ b/crates/core/tests/it/parse.rs
@@ -20,7 +20,8 @@
     parse_span_empty = { "" },
 )]
 fn parse_span_rejected(text: &str) {
-    assert!(text.parse::<MilliSpan>().is_err());
+    let error = text.parse::<MilliSpan>().expect_err("invalid span");
+    assert!(error.to_string().contains("MilliSpan"), "{error}");
 }
 
 #[parameterized(
@@ -49,7 +50,9 @@
     let rate: RequestRate = "200/s".parse().expect("valid rate");
     assert_eq!(rate.per_second(), 200);
     assert_eq!(rate.to_string(), "200/s");
-    assert!("200".parse::<RequestRate>().is_err());
+    "200"
+        .parse::<RequestRate>()
+        .expect_err("a rate without its unit");
 }
 
 #[test]
--- /dev/null
+++ b/crates/fleet/src/answers/mod.rs
@@ -0,0 +1,1 @@
+//! Whole answers: chunk sequences, late chunks, resumption.
--- /dev/null
+++ b/crates/fleet/src/burn/mod.rs
@@ -0,0 +1,1 @@
+//! Service-level burn per plan and service.
--- /dev/null
+++ b/crates/fleet/src/claims/mod.rs
@@ -0,0 +1,1 @@
+//! At most once: claims on idempotency keys in the key-value service.
--- /dev/null
+++ b/crates/fleet/src/config/mod.rs
@@ -0,0 +1,12 @@
+//! The configuration log, its state and how nodes keep it in force.
+
+mod change;
+mod error;
+mod state;
+
+pub use change::{ConfigBase, ConfigChange, ConfigEdit, ConfigLog, OutScope};
+pub use error::ConfigError;
+pub use state::{ObjectiveShare, PlanRow, ServingState, UseRow, WorkspaceRow};
+
+/// Result of a configuration operation.
+pub type Result<T> = std::result::Result<T, ConfigError>;
--- /dev/null
+++ b/crates/fleet/src/drain/mod.rs
@@ -0,0 +1,1 @@
+//! Leaving and returning VMs and failure domains.
--- /dev/null
+++ b/crates/fleet/src/gate/mod.rs
@@ -0,0 +1,1 @@
+//! The gate of a target: cold start, ramp, bound on work in flight.
--- /dev/null
+++ b/crates/fleet/src/limits/mod.rs
@@ -0,0 +1,1 @@
+//! Plan limits and how entries share them.
--- /dev/null
+++ b/crates/fleet/src/lists/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' two lists.
--- /dev/null
+++ b/crates/fleet/src/retries/mod.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, deadlines and shedding.
--- /dev/null
+++ b/crates/fleet/src/suspects/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that crash the targets that run them.
--- /dev/null
+++ b/crates/fleet/tests/it/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the serving decisions.
+
+mod answers;
+mod burn;
+mod claims;
+mod config;
+mod drain;
+mod gate;
+mod limits;
+mod lists;
+mod retries;
+mod routing;
+mod suspects;
--- /dev/null
+++ b/crates/groups/tests/it/main.rs
@@ -0,0 +1,1 @@
+//! Tests of this crate.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,1 @@
-//! Decisions of amaranthgw.
+//! Small stand-ins for the platform and the targets, described in `docs/STANDINS.md`.
