--- /dev/null
+++ b/crates/amaranthgw/src/link/grpc.rs
@@ -0,0 +1,186 @@
+//! Attempts over gRPC.
+
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use amaranthgw_core::{ChunkSequence, TargetId};
+use amaranthgw_fleet::entry::TargetStatus;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Status};
+
+use super::{AttemptOrder, AttemptStep, AttemptStream, LinkError, Result, TargetLink};
+use crate::wire::node::run_event::Event;
+use crate::wire::node::sidecar_client::SidecarClient;
+use crate::wire::node::{InspectRequest, RunEvent, RunRequest, TargetReport};
+use crate::wire::status_from_report;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const INSPECT_TIMEOUT: Duration = Duration::from_secs(1);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Keeps one connection to each sidecar it talks to.
+#[derive(Debug, Default)]
+pub struct GrpcLink {
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl GrpcLink {
+    /// Creates a link without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Closes the connections to sidecars whose address `keep` rejects.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        channels.retain(|address, _channel| keep(address));
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<SidecarClient<Channel>> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(&address) {
+            return Ok(SidecarClient::new(channel.clone()));
+        }
+        let channel = new_channel(address)?;
+        channels.insert(address, channel.clone());
+        Ok(SidecarClient::new(channel))
+    }
+}
+
+impl TargetLink for GrpcLink {
+    fn open(
+        &self,
+        address: SocketAddr,
+        order: AttemptOrder,
+    ) -> BoxFuture<'_, Result<AttemptStream>> {
+        Box::pin(async move {
+            let mut client = self.client(address)?;
+            let answer = client.run(run_request(order)).await;
+            let events = answer.map_err(|status| error_of(&status))?.into_inner();
+            let steps = events.map(|event| match event {
+                Ok(event) => step_of(event),
+                Err(status) => Err(error_of(&status)),
+            });
+            Ok(steps.boxed())
+        })
+    }
+
+    fn inspect(
+        &self,
+        address: SocketAddr,
+        target: TargetId,
+    ) -> BoxFuture<'_, Result<TargetStatus>> {
+        Box::pin(async move {
+            let mut client = self.client(address)?;
+            let request = InspectRequest {
+                target: target.to_string(),
+            };
+            let answer = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(request)).await;
+            let report = answer
+                .map_err(|_elapsed| LinkError::ConnectionLost)?
+                .map_err(|status| error_of(&status))?;
+            let (reported, status) = read_report(report.get_ref())?;
+            if reported == target {
+                Ok(status)
+            } else {
+                Err(LinkError::Malformed)
+            }
+        })
+    }
+}
+
+fn new_channel(address: SocketAddr) -> Result<Channel> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"));
+    let endpoint = endpoint.map_err(|_invalid| LinkError::Malformed)?;
+    Ok(endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .connect_lazy())
+}
+
+fn run_request(order: AttemptOrder) -> RunRequest {
+    RunRequest {
+        target: order.target.to_string(),
+        service: order.service.to_string(),
+        workspace: order.workspace.to_string(),
+        request: order.request.to_string(),
+        attempt: order.attempt.get(),
+        remaining_ms: order.remaining.millis(),
+        idempotent: order.is_idempotent,
+        refund_weight: order.refund_weight,
+        resume_from: order.resume_from.get(),
+        max_tokens: u32::try_from(order.max_tokens.get()).unwrap_or(u32::MAX),
+        body: order.body,
+        change: order.change.get(),
+        alone: order.alone,
+    }
+}
+
+fn step_of(event: RunEvent) -> Result<AttemptStep> {
+    match event.event.ok_or(LinkError::Malformed)? {
+        Event::Admitted(admitted) => Ok(AttemptStep::Admitted(status_of(admitted.report)?)),
+        Event::Chunk(chunk) => {
+            let sequence = ChunkSequence::new(chunk.sequence);
+            Ok(AttemptStep::Chunk {
+                sequence,
+                data: chunk.data,
+            })
+        }
+        Event::Finished(finished) => {
+            let status = status_of(finished.report)?;
+            Ok(AttemptStep::Finished {
+                chunk_count: finished.chunk_count,
+                status,
+            })
+        }
+        Event::Refused(refused) => {
+            let code = refused.code();
+            Ok(AttemptStep::Refused {
+                code,
+                status: status_of(refused.report)?,
+            })
+        }
+        Event::Broken(broken) => {
+            let code = broken.code();
+            Ok(AttemptStep::Broken {
+                code,
+                status: status_of(broken.report)?,
+            })
+        }
+    }
+}
+
+fn status_of(report: Option<TargetReport>) -> Result<Option<TargetStatus>> {
+    report
+        .map(|report| read_report(&report).map(|(_target, status)| status))
+        .transpose()
+}
+
+fn read_report(report: &TargetReport) -> Result<(TargetId, TargetStatus)> {
+    status_from_report(report).map_err(|_invalid| LinkError::Malformed)
+}
+
+/// Tells a refused connection, over which nothing was sent, from every other failure.
+fn error_of(status: &Status) -> LinkError {
+    if status.code() == Code::InvalidArgument {
+        return LinkError::Malformed;
+    }
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        let io_error = error.downcast_ref::<std::io::Error>();
+        if io_error.is_some_and(|io| io.kind() == ErrorKind::ConnectionRefused) {
+            return LinkError::ConnectRefused;
+        }
+        source = error.source();
+    }
+    LinkError::ConnectionLost
+}
--- /dev/null
+++ b/crates/amaranthgw/src/platform/store.rs
@@ -0,0 +1,149 @@
+//! The key-value service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthgw_core::StoreRevision;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{Method, Response, StatusCode};
+use serde::Deserialize;
+
+use super::{HttpCaller, PlatformError, Result};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const REVISION_HEADER: &str = "x-revision";
+
+/// A value of the key-value service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreValue {
+    /// Revision of the write that made the value.
+    pub revision: StoreRevision,
+    /// The value.
+    pub bytes: Bytes,
+}
+
+/// Answer to a compare-and-swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SwapAnswer {
+    /// The value was written under this revision.
+    Swapped(StoreRevision),
+    /// The value was left alone, as its revision is this one; 0 where it is absent.
+    Conflict(StoreRevision),
+}
+
+/// The calls that the system makes to the key-value service.
+pub trait StoreClient: std::fmt::Debug + Send + Sync {
+    /// Reads the value of `key`, or `None` where it is absent.
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoreValue>>>;
+
+    /// Writes `value` to `key` if its revision is `expected`; revision 0 means absent.
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        expected: StoreRevision,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<SwapAnswer>>;
+
+    /// Waits until the revision of `key` exceeds `after`; `None` where that takes over `wait`.
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<StoreValue>>>;
+}
+
+/// The key-value service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    caller: HttpCaller,
+}
+
+impl HttpStore {
+    /// Creates a client of the service at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            caller: HttpCaller::new(address),
+        }
+    }
+
+    async fn get(&self, path: &str, timeout: Duration) -> Result<Option<StoreValue>> {
+        let response = self
+            .caller
+            .call(Method::GET, path, Bytes::new(), timeout)
+            .await?;
+        match response.status() {
+            StatusCode::OK => value_of(response).map(Some),
+            StatusCode::NOT_FOUND | StatusCode::NO_CONTENT => Ok(None),
+            status => Err(PlatformError::Rejected {
+                status: status.as_u16(),
+            }),
+        }
+    }
+
+    async fn put(&self, key: &str, expected: StoreRevision, value: Bytes) -> Result<SwapAnswer> {
+        let path = format!("/v1/values/{key}?expect={expected}");
+        let response = self
+            .caller
+            .call(Method::PUT, &path, value, CALL_TIMEOUT)
+            .await?;
+        match response.status() {
+            StatusCode::OK => revision_of(&response).map(SwapAnswer::Swapped),
+            StatusCode::CONFLICT => revision_of(&response).map(SwapAnswer::Conflict),
+            status => Err(PlatformError::Rejected {
+                status: status.as_u16(),
+            }),
+        }
+    }
+}
+
+impl StoreClient for HttpStore {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoreValue>>> {
+        Box::pin(async move { self.get(&format!("/v1/values/{key}"), CALL_TIMEOUT).await })
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        expected: StoreRevision,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<SwapAnswer>> {
+        Box::pin(self.put(key, expected, value))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<StoreValue>>> {
+        let path = format!("/v1/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
+        Box::pin(async move { self.get(&path, wait + CALL_TIMEOUT).await })
+    }
+}
+
+#[derive(Deserialize)]
+struct RevisionAnswer {
+    revision: StoreRevision,
+}
+
+fn revision_of(response: &Response<Bytes>) -> Result<StoreRevision> {
+    let answer = serde_json::from_slice::<RevisionAnswer>(response.body());
+    answer
+        .map(|answer| answer.revision)
+        .map_err(|_malformed| PlatformError::Malformed)
+}
+
+fn value_of(response: Response<Bytes>) -> Result<StoreValue> {
+    let header = response.headers().get(REVISION_HEADER);
+    let revision = header
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .ok_or(PlatformError::Malformed)?;
+    Ok(StoreValue {
+        revision,
+        bytes: response.into_body(),
+    })
+}
--- /dev/null
+++ b/crates/amaranthgw/src/platform/vms.rs
@@ -0,0 +1,63 @@
+//! The platform's list of VMs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranthgw_fleet::membership::VmRecord;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{Method, StatusCode};
+use serde::Deserialize;
+
+use super::{HttpCaller, PlatformError, Result};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The calls that the system makes to the VM list.
+pub trait VmListClient: std::fmt::Debug + Send + Sync {
+    /// Reads the whole list.
+    fn list(&self) -> BoxFuture<'_, Result<Vec<VmRecord>>>;
+}
+
+/// The VM list over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    caller: HttpCaller,
+}
+
+#[derive(Deserialize)]
+struct VmListAnswer {
+    vms: Vec<VmRecord>,
+}
+
+impl HttpVmList {
+    /// Creates a client of the list at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            caller: HttpCaller::new(address),
+        }
+    }
+
+    async fn read(&self) -> Result<Vec<VmRecord>> {
+        let call = self
+            .caller
+            .call(Method::GET, "/v1/vms", Bytes::new(), CALL_TIMEOUT);
+        let response = call.await?;
+        if response.status() != StatusCode::OK {
+            return Err(PlatformError::Rejected {
+                status: response.status().as_u16(),
+            });
+        }
+        let answer = serde_json::from_slice::<VmListAnswer>(response.body());
+        answer
+            .map(|answer| answer.vms)
+            .map_err(|_malformed| PlatformError::Malformed)
+    }
+}
+
+impl VmListClient for HttpVmList {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<VmRecord>>> {
+        Box::pin(self.read())
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/runtime/mod.rs
@@ -0,0 +1,14 @@
+//! Threads, listeners and the way a process stops.
+
+mod error;
+mod listen;
+mod stop;
+mod threads;
+
+pub use error::RuntimeError;
+pub use listen::SharedListener;
+pub use stop::{StopPhase, StopSignal, wait_for_termination};
+pub use threads::{ThreadGroup, spawn_thread};
+
+/// Result of starting or joining a process.
+pub type Result<T> = std::result::Result<T, RuntimeError>;
--- /dev/null
+++ b/crates/amaranthgw/src/telemetry/log.rs
@@ -0,0 +1,129 @@
+//! Writes events to the log and the journal.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use serde_json::Value;
+use slog::{Drain, KV, Level, Logger, Record, Serializer, o};
+
+use super::{EventJournal, EventLevel, JournalEntry, NodeEvent};
+
+/// Records events; each clone made by [`EventLog::with_own_journal`] keeps a journal of its own.
+#[derive(Clone, Debug)]
+pub struct EventLog {
+    logger: Logger,
+    journal: Arc<EventJournal>,
+    journals: Arc<Mutex<Vec<Arc<EventJournal>>>>,
+}
+
+impl EventLog {
+    /// Creates a log that writes JSON lines of at least `level` to standard error.
+    #[must_use]
+    pub fn new(level: EventLevel) -> Self {
+        let json = slog_json::Json::default(std::io::stderr()).ignore_res();
+        let filtered = slog::LevelFilter::new(json, slog_level(level)).ignore_res();
+        let drain = slog_async::Async::new(filtered).build().ignore_res();
+        Self::with_logger(Logger::root(drain, o!()))
+    }
+
+    /// Creates a log that writes to `logger`.
+    #[must_use]
+    pub fn with_logger(logger: Logger) -> Self {
+        let journal = Arc::new(EventJournal::default());
+        let journals = Arc::new(Mutex::new(vec![Arc::clone(&journal)]));
+        Self {
+            logger,
+            journal,
+            journals,
+        }
+    }
+
+    /// Creates a log that writes nothing and only keeps its journal.
+    #[must_use]
+    pub fn with_journal_only() -> Self {
+        Self::with_logger(Logger::root(slog::Discard, o!()))
+    }
+
+    /// A log with the same output and a journal of its own, for another thread.
+    #[must_use]
+    pub fn with_own_journal(&self) -> Self {
+        let journal = Arc::new(EventJournal::default());
+        let mut journals = self.journals.lock().unwrap_or_else(PoisonError::into_inner);
+        journals.push(Arc::clone(&journal));
+        drop(journals);
+        Self {
+            logger: self.logger.clone(),
+            journal,
+            journals: Arc::clone(&self.journals),
+        }
+    }
+
+    /// Records `event`.
+    pub fn record(&self, event: NodeEvent) {
+        self.write(&event);
+        self.journal.record(event);
+    }
+
+    /// The kept events of all threads that name `subject`, oldest first.
+    #[must_use]
+    pub fn explain(&self, subject: &str) -> Vec<JournalEntry> {
+        let journals = self
+            .journals
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let mut entries: Vec<_> = journals
+            .iter()
+            .flat_map(|journal| journal.explain(subject))
+            .collect();
+        entries.sort_by_key(|entry| entry.at_unix_ms);
+        entries
+    }
+
+    fn write(&self, event: &NodeEvent) {
+        let fields = EventFields(event);
+        let logger = &self.logger;
+        let (number, message) = (event.number(), event.message());
+        match event.level() {
+            EventLevel::Debug => slog::debug!(logger, "{}", message; "event" => number, fields),
+            EventLevel::Info => slog::info!(logger, "{}", message; "event" => number, fields),
+            EventLevel::Warning => slog::warn!(logger, "{}", message; "event" => number, fields),
+            EventLevel::Error => slog::error!(logger, "{}", message; "event" => number, fields),
+        }
+    }
+}
+
+const fn slog_level(level: EventLevel) -> Level {
+    match level {
+        EventLevel::Debug => Level::Debug,
+        EventLevel::Info => Level::Info,
+        EventLevel::Warning => Level::Warning,
+        EventLevel::Error => Level::Error,
+    }
+}
+
+/// The fields of an event as key-value pairs of a log record.
+struct EventFields<'a>(&'a NodeEvent);
+
+impl KV for EventFields<'_> {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let Ok(Value::Object(fields)) = serde_json::to_value(self.0) else {
+            return Ok(());
+        };
+        for (key, value) in fields {
+            emit(&value, key, serializer)?;
+        }
+        Ok(())
+    }
+}
+
+fn emit(value: &Value, key: String, serializer: &mut dyn Serializer) -> slog::Result {
+    match value {
+        Value::String(text) => serializer.emit_str(key.into(), text),
+        Value::Bool(flag) => serializer.emit_bool(key.into(), *flag),
+        Value::Number(number) if number.is_u64() => {
+            serializer.emit_u64(key.into(), number.as_u64().unwrap_or_default())
+        }
+        Value::Null => serializer.emit_none(key.into()),
+        other => serializer.emit_arguments(key.into(), &format_args!("{other}")),
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/telemetry/mod.rs
@@ -0,0 +1,12 @@
+//! Logs as numbered events, the journal that explains decisions, and metrics.
+
+mod catalogue;
+mod event;
+mod journal;
+mod log;
+mod metrics;
+
+pub use event::{EventLevel, NodeEvent};
+pub use journal::{EventJournal, JournalEntry};
+pub use log::EventLog;
+pub use metrics::MetricsHandle;
--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,3 +1,22 @@
-//! Entry point.
+//! Writes the committed message code of amaranthgw from its proto file.
 
-fn main() {}
+use eyre::WrapErr;
+
+const PROTO_FILE: &str = "node.proto";
+const PROTO_DIR: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../amaranthgw/proto");
+const PACKAGE_FILE: &str = "amaranthgw.node.v1.rs";
+const OUT_DIR: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../amaranthgw/src/wire");
+
+fn main() -> eyre::Result<()> {
+    let files = protox::compile([PROTO_FILE], [PROTO_DIR]).wrap_err("reading the proto file")?;
+    tonic_prost_build::configure()
+        .out_dir(OUT_DIR)
+        .bytes(".")
+        .compile_fds(files)
+        .wrap_err("writing the message code")?;
+    std::fs::rename(
+        format!("{OUT_DIR}/{PACKAGE_FILE}"),
+        format!("{OUT_DIR}/node.rs"),
+    )
+    .wrap_err("naming the message code")
+}
--- /dev/null
+++ b/crates/fleet/src/entry/mod.rs
@@ -0,0 +1,12 @@
+//! The control state of an entry: its tables and the systems of its tick.
+
+mod input;
+mod rows;
+mod schedule;
+mod systems;
+mod world;
+
+pub use input::{EntryInbox, EntryOutput, TargetObservation, TargetStatus};
+pub use rows::{ProbeState, TargetRow};
+pub use schedule::entry_schedule;
+pub use world::{EntryTimings, EntryWorld};
--- /dev/null
+++ b/crates/fleet/src/entry/schedule.rs
@@ -0,0 +1,20 @@
+//! The order of an entry's systems.
+
+use amaranthgw_core::TickSchedule;
+
+use super::EntryWorld;
+use super::systems::{
+    ConfigSystem, MembershipSystem, ObservationSystem, OutsSystem, ProbeSystem, SnapshotSystem,
+};
+
+/// The systems of an entry in the order in which each tick runs them.
+#[must_use]
+pub fn entry_schedule() -> TickSchedule<EntryWorld> {
+    TickSchedule::new()
+        .with_system(ConfigSystem)
+        .with_system(MembershipSystem)
+        .with_system(OutsSystem)
+        .with_system(ObservationSystem)
+        .with_system(ProbeSystem)
+        .with_system(SnapshotSystem)
+}
--- /dev/null
+++ b/crates/fleet/src/entry/systems/mod.rs
@@ -0,0 +1,15 @@
+//! The systems of an entry, one module each.
+
+mod config;
+mod membership;
+mod observation;
+mod outs;
+mod probe;
+mod snapshot;
+
+pub(super) use config::ConfigSystem;
+pub(super) use membership::MembershipSystem;
+pub(super) use observation::ObservationSystem;
+pub(super) use outs::OutsSystem;
+pub(super) use probe::ProbeSystem;
+pub(super) use snapshot::SnapshotSystem;
--- /dev/null
+++ b/crates/fleet/src/entry/systems/outs.rs
@@ -0,0 +1,25 @@
+//! Marks the targets that operators have taken out.
+
+use amaranthgw_core::TickSystem;
+use tokio::time::Instant;
+
+use crate::entry::EntryWorld;
+
+/// Sets each target's mark from the configuration in force.
+#[derive(Debug)]
+pub struct OutsSystem;
+
+impl TickSystem<EntryWorld> for OutsSystem {
+    fn name(&self) -> &'static str {
+        "outs"
+    }
+
+    fn run(&mut self, world: &mut EntryWorld, _now: Instant) {
+        if !world.are_routes_dirty {
+            return;
+        }
+        for (_, row) in world.targets.iter_mut() {
+            row.is_out = world.config.is_out(&row.vm, &row.domain);
+        }
+    }
+}
