--- /dev/null
+++ b/crates/fleet/src/gate/latency.rs
@@ -0,0 +1,110 @@
+//! Detector of a step in the time to the first chunk.
+
+use std::time::Duration;
+
+use amaranthgw_core::SlotCount;
+
+use super::PartPercent;
+
+/// Bands of load, each twice as wide as the one before.
+const BAND_COUNT: usize = 16;
+/// Samples a band needs before it judges others.
+const MIN_BASELINE_SAMPLES: u32 = 8;
+/// Weight of a sample in the baseline of its band.
+const BASELINE_WEIGHT: f64 = 1.0 / 32.0;
+/// A sample moves its baseline at most as if it were this many times as long.
+const MAX_SAMPLE_RATIO: f64 = 1.5;
+/// Recent samples whose median is compared.
+const RECENT_COUNT: usize = 9;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadBand {
+    baseline_ms: f64,
+    samples: u32,
+}
+
+impl LoadBand {
+    /// Ratio of the sample to the baseline, once the baseline is known well enough.
+    fn ratio(&self, sample_ms: f64) -> Option<f64> {
+        (self.samples >= MIN_BASELINE_SAMPLES).then(|| sample_ms / self.baseline_ms)
+    }
+
+    fn learn(&mut self, sample_ms: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let early_weight = 1.0 / f64::from(self.samples);
+        let weight = early_weight.max(BASELINE_WEIGHT);
+        let sample_ms = if self.samples > MIN_BASELINE_SAMPLES {
+            sample_ms.min(self.baseline_ms * MAX_SAMPLE_RATIO)
+        } else {
+            sample_ms
+        };
+        self.baseline_ms += (sample_ms - self.baseline_ms) * weight;
+    }
+}
+
+/// Compares the median of recent samples with the long average at the same load.
+///
+/// Samples are only compared within a band of load, so that a change of load alone is no step,
+/// and a single slow answer does not move the median.
+#[derive(Clone, Debug)]
+pub(super) struct StepDetector {
+    bands: [LoadBand; BAND_COUNT],
+    recent: Vec<f64>,
+    step: PartPercent,
+}
+
+impl StepDetector {
+    pub(super) fn new(step: PartPercent) -> Self {
+        Self {
+            bands: [LoadBand::default(); BAND_COUNT],
+            recent: Vec::with_capacity(RECENT_COUNT),
+            step,
+        }
+    }
+
+    /// Takes a sample and returns the ratio in percent where it completes a step.
+    pub(super) fn observe(&mut self, in_flight: SlotCount, first_chunk: Duration) -> Option<u32> {
+        let sample_ms = first_chunk.as_secs_f64().mul_add(1_000.0, f64::EPSILON);
+        let band = &mut self.bands[band_index(in_flight)];
+        let ratio = band.ratio(sample_ms);
+        band.learn(sample_ms);
+        self.push_recent(ratio?);
+        self.step_percent()
+    }
+
+    /// Forgets everything, to learn the target anew.
+    pub(super) fn reset(&mut self) {
+        *self = Self::new(self.step);
+    }
+
+    fn push_recent(&mut self, ratio: f64) {
+        if self.recent.len() == RECENT_COUNT {
+            self.recent.remove(0);
+        }
+        self.recent.push(ratio);
+    }
+
+    fn step_percent(&self) -> Option<u32> {
+        if self.recent.len() < RECENT_COUNT {
+            return None;
+        }
+        let mut sorted = self.recent.clone();
+        sorted.sort_by(f64::total_cmp);
+        let median_percent = sorted[RECENT_COUNT / 2] * 100.0;
+        if median_percent < f64::from(self.step.get()) {
+            return None;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a positive ratio for a log line; the cast saturates"
+        )]
+        let percent = median_percent as u32;
+        Some(percent)
+    }
+}
+
+fn band_index(in_flight: SlotCount) -> usize {
+    let band = in_flight.get().max(1).ilog2() as usize;
+    band.min(BAND_COUNT - 1)
+}
--- /dev/null
+++ b/crates/fleet/src/gate/row.rs
@@ -0,0 +1,258 @@
+//! The decisions of one gate.
+
+use amaranthgw_core::{SlotCount, StartMark};
+use tokio::time::Instant;
+
+use super::latency::StepDetector;
+use super::leftover::LeftoverWork;
+use super::{
+    AnswerEvidence, ColdCause, GateEvidence, GateSettings, GateShift, GateStage, LoadEvidence,
+    ShiftInputs,
+};
+
+/// Gate of one target, kept by its sidecar.
+#[derive(Clone, Debug)]
+pub struct GateRow {
+    settings: GateSettings,
+    is_settling: bool,
+    opened_at: Instant,
+    /// Limit without regard to calls left over.
+    limit: SlotCount,
+    /// Limit that last proved too high; growth is slow above it.
+    too_high: SlotCount,
+    mark: Option<StartMark>,
+    changed_at: Instant,
+    window_start: Instant,
+    last_answer: Instant,
+    in_time: u32,
+    late: u32,
+    answers: u32,
+    failed: u32,
+    peak_in_flight: SlotCount,
+    detector: StepDetector,
+    leftover: LeftoverWork,
+}
+
+impl GateRow {
+    /// Creates the gate of a target of which nothing is known yet, at the time `now`.
+    ///
+    /// Admissions begin once a load report shows what the target still runs, or after the
+    /// settle time.
+    #[must_use]
+    pub fn new(settings: GateSettings, now: Instant) -> Self {
+        Self {
+            is_settling: true,
+            opened_at: now,
+            limit: settings.cold_limit,
+            too_high: settings.full_limit,
+            mark: None,
+            changed_at: now,
+            window_start: now,
+            last_answer: now,
+            in_time: 0,
+            late: 0,
+            answers: 0,
+            failed: 0,
+            peak_in_flight: SlotCount::new(0),
+            detector: StepDetector::new(settings.latency_step),
+            leftover: LeftoverWork::new(&settings),
+            settings,
+        }
+    }
+
+    /// Takes `evidence` into account.
+    pub fn record(&mut self, evidence: GateEvidence, now: Instant) -> GateShift {
+        match evidence {
+            GateEvidence::Answer(answer) => self.record_answer(&answer, now),
+            GateEvidence::Failed => self.record_failure(now),
+            GateEvidence::Broken => self.go_cold(ColdCause::Broken, now),
+            GateEvidence::Load(load) => self.record_load(&load, now),
+            GateEvidence::Abandoned(count) => {
+                self.leftover.add(count, now);
+                GateShift::Held
+            }
+        }
+    }
+
+    /// Applies what only the passing of time changes.
+    pub fn tick(&mut self, now: Instant) -> GateShift {
+        self.leftover.expire(now);
+        if now >= self.window_start + self.settings.trouble_window.duration() {
+            self.start_window(now);
+        }
+        if self.is_settling && now >= self.opened_at + self.settings.settle_time.duration() {
+            return self.open();
+        }
+        let is_stale = now >= self.last_answer + self.settings.stale_after.duration();
+        if is_stale && self.limit > self.settings.cold_limit {
+            return self.go_cold(ColdCause::Stale, now);
+        }
+        GateShift::Held
+    }
+
+    /// Requests that may be in flight now, without the calls left over at the target.
+    #[must_use]
+    pub fn limit(&self) -> SlotCount {
+        if self.is_settling {
+            return SlotCount::new(0);
+        }
+        let leftover = self.leftover.count().get();
+        SlotCount::new(self.limit.get().saturating_sub(leftover))
+    }
+
+    /// How far the target has warmed up.
+    #[must_use]
+    pub fn stage(&self) -> GateStage {
+        if self.is_settling {
+            GateStage::Settling
+        } else if self.limit <= self.settings.cold_limit {
+            GateStage::Cold
+        } else if self.limit < self.settings.full_limit {
+            GateStage::Ramping
+        } else {
+            GateStage::Full
+        }
+    }
+
+    /// Calls that the target may still run although nobody waits for them.
+    #[must_use]
+    pub fn leftover(&self) -> SlotCount {
+        self.leftover.count()
+    }
+
+    /// The settings.
+    #[must_use]
+    pub fn settings(&self) -> &GateSettings {
+        &self.settings
+    }
+
+    fn record_answer(&mut self, answer: &AnswerEvidence, now: Instant) -> GateShift {
+        self.last_answer = now;
+        if answer.admitted_at < self.changed_at {
+            return GateShift::Held;
+        }
+        self.peak_in_flight = self.peak_in_flight.max(answer.in_flight);
+        self.answers = self.answers.saturating_add(1);
+        if let Some(ratio_percent) = self.detector.observe(answer.in_flight, answer.first_chunk) {
+            return self.go_cold(ColdCause::LatencyStep { ratio_percent }, now);
+        }
+        if answer.is_in_time {
+            self.in_time = self.in_time.saturating_add(1);
+            return self.raise_if_proven(now);
+        }
+        self.late = self.late.saturating_add(1);
+        self.lower_if_late(now)
+    }
+
+    fn record_failure(&mut self, now: Instant) -> GateShift {
+        self.failed = self.failed.saturating_add(1);
+        if self.failed < self.settings.failed_answers {
+            return GateShift::Held;
+        }
+        let failed = self.failed;
+        self.go_cold(ColdCause::Failures { failed }, now)
+    }
+
+    fn record_load(&mut self, load: &LoadEvidence, now: Instant) -> GateShift {
+        self.leftover.apply_report(load);
+        let known = self.mark.replace(load.mark);
+        if let Some(from) = known.filter(|mark| *mark != load.mark) {
+            let to = load.mark;
+            return self.go_cold(ColdCause::MarkChanged { from, to }, now);
+        }
+        let visible_at = self.opened_at + self.settings.report_margin.duration();
+        if self.is_settling && visible_at <= load.sampled_at {
+            self.leftover.add(load.in_flight, load.sampled_at);
+            return self.open();
+        }
+        GateShift::Held
+    }
+
+    fn open(&mut self) -> GateShift {
+        self.is_settling = false;
+        let leftover = self.leftover.count();
+        GateShift::Opened { leftover }
+    }
+
+    fn raise_if_proven(&mut self, now: Instant) -> GateShift {
+        let settings = &self.settings;
+        let needed_answers = settings.growth_answers.max(self.limit.get());
+        let needed_use = settings.growth_use.of(self.limit);
+        let is_proven = self.in_time >= needed_answers
+            && self.peak_in_flight >= needed_use
+            && self.late == 0
+            && self.failed == 0
+            && now >= self.changed_at + settings.growth_window.duration();
+        if !is_proven || self.limit >= settings.full_limit {
+            return GateShift::Held;
+        }
+        let (from, inputs) = (self.limit, self.inputs());
+        let to = self.raised_limit();
+        self.change_limit(to, now);
+        GateShift::Raised { from, to, inputs }
+    }
+
+    fn raised_limit(&self) -> SlotCount {
+        let step = self.settings.growth_step.get();
+        let growth = if self.limit < self.too_high {
+            step.max(self.settings.growth.of(self.limit).get())
+        } else {
+            step
+        };
+        let raised = self.limit.get().saturating_add(growth);
+        SlotCount::new(raised.min(self.settings.full_limit.get()))
+    }
+
+    fn lower_if_late(&mut self, now: Instant) -> GateShift {
+        let late_percent = self.late.saturating_mul(100) / self.answers.max(1);
+        let is_late = late_percent > self.settings.late_share.get();
+        if !is_late || self.limit <= self.settings.cold_limit {
+            return GateShift::Held;
+        }
+        let (from, inputs) = (self.limit, self.inputs());
+        let to = self.settings.late_keep.of(from);
+        let to = to.max(self.settings.cold_limit);
+        self.too_high = to;
+        self.change_limit(to, now);
+        GateShift::Lowered { from, to, inputs }
+    }
+
+    fn go_cold(&mut self, cause: ColdCause, now: Instant) -> GateShift {
+        let (from, inputs) = (self.limit, self.inputs());
+        let to = self.settings.cold_limit;
+        self.too_high = self.settings.full_limit;
+        self.detector.reset();
+        self.change_limit(to, now);
+        GateShift::WentCold {
+            from,
+            to,
+            cause,
+            inputs,
+        }
+    }
+
+    fn change_limit(&mut self, limit: SlotCount, now: Instant) {
+        self.limit = limit;
+        self.changed_at = now;
+        self.in_time = 0;
+        self.peak_in_flight = SlotCount::new(0);
+        self.start_window(now);
+    }
+
+    fn start_window(&mut self, now: Instant) {
+        self.window_start = now;
+        self.late = 0;
+        self.answers = 0;
+        self.failed = 0;
+    }
+
+    fn inputs(&self) -> ShiftInputs {
+        ShiftInputs {
+            in_time: self.in_time,
+            late: self.late,
+            failed: self.failed,
+            peak_in_flight: self.peak_in_flight,
+            leftover: self.leftover.count(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gate/slots.rs
@@ -0,0 +1,266 @@
+//! Lock-free admission on the traffic threads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use amaranthgw_core::SlotCount;
+
+use super::{GateRefusal, RefusalReason, Result};
+
+const COUNT_BITS: u32 = 24;
+const COUNT_MASK: u64 = (1 << COUNT_BITS) - 1;
+const SETBACK_SHIFT: u32 = 2 * COUNT_BITS;
+const SETBACK_MASK: u64 = (1 << 15) - 1;
+const ALONE_BIT: u64 = 1 << 63;
+
+/// Number of setbacks that traffic threads have reported, modulo 2^15.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SetbackCount(u16);
+
+/// Everything an admission depends on, in one atomic word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SlotWord {
+    limit: u32,
+    in_flight: u32,
+    setbacks: SetbackCount,
+    is_alone: bool,
+}
+
+impl SlotWord {
+    fn unpack(word: u64) -> Self {
+        let count = |bits: u64| u32::try_from(bits & COUNT_MASK).unwrap_or(u32::MAX);
+        let setbacks = (word >> SETBACK_SHIFT) & SETBACK_MASK;
+        Self {
+            limit: count(word >> COUNT_BITS),
+            in_flight: count(word),
+            setbacks: SetbackCount(u16::try_from(setbacks).unwrap_or(u16::MAX)),
+            is_alone: word & ALONE_BIT != 0,
+        }
+    }
+
+    fn pack(self) -> u64 {
+        let limit = u64::from(self.limit).min(COUNT_MASK) << COUNT_BITS;
+        let setbacks = (u64::from(self.setbacks.0) & SETBACK_MASK) << SETBACK_SHIFT;
+        let alone = if self.is_alone { ALONE_BIT } else { 0 };
+        limit | (u64::from(self.in_flight) & COUNT_MASK) | setbacks | alone
+    }
+
+    fn refusal(self, reason: RefusalReason) -> GateRefusal {
+        let (limit, in_flight) = (SlotCount::new(self.limit), SlotCount::new(self.in_flight));
+        GateRefusal::new(reason, limit, in_flight)
+    }
+
+    fn admit(self) -> Result<Self> {
+        if self.is_alone {
+            return Err(self.refusal(RefusalReason::Alone));
+        }
+        self.take_slot()
+    }
+
+    fn admit_alone(self) -> Result<Self> {
+        if self.in_flight > 0 || !self.is_alone {
+            return Err(self.refusal(RefusalReason::NotEmpty));
+        }
+        self.take_slot()
+    }
+
+    fn take_slot(self) -> Result<Self> {
+        if self.in_flight >= self.limit {
+            return Err(self.refusal(RefusalReason::Full));
+        }
+        Ok(Self {
+            in_flight: self.in_flight + 1,
+            ..self
+        })
+    }
+}
+
+/// Slots of one target, shared by all traffic threads of its sidecar.
+///
+/// An admission succeeds only if, at that instant, fewer requests are in flight than the
+/// published limit. A slot is freed only by [`AdmissionPermit::finish`], which states that the
+/// target no longer runs the request.
+#[derive(Debug)]
+pub struct AdmissionSlots {
+    word: AtomicU64,
+    abandoned: AtomicU32,
+    cold_limit: u32,
+}
+
+impl AdmissionSlots {
+    /// Creates slots that admit nothing until a limit is published.
+    #[must_use]
+    pub fn new(cold_limit: SlotCount) -> Arc<Self> {
+        Arc::new(Self {
+            word: AtomicU64::new(0),
+            abandoned: AtomicU32::new(0),
+            cold_limit: cold_limit.get(),
+        })
+    }
+
+    /// Takes a slot for one request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`GateRefusal`] when no slot is free; the request has not run.
+    pub fn try_admit(self: &Arc<Self>) -> Result<AdmissionPermit> {
+        self.admit_by(SlotWord::admit)
+    }
+
+    /// Keeps new requests out until [`Self::end_alone`], so that the target becomes empty for
+    /// one suspect request.
+    pub fn reserve_alone(&self) {
+        self.word.fetch_or(ALONE_BIT, Ordering::AcqRel);
+    }
+
+    /// Takes a slot for one suspect request on a reserved target without other work.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`GateRefusal`] when the target is not reserved, not empty or admits nothing.
+    pub fn try_admit_alone(self: &Arc<Self>) -> Result<AdmissionPermit> {
+        self.admit_by(SlotWord::admit_alone)
+    }
+
+    /// Lets ordinary requests in again.
+    pub fn end_alone(&self) {
+        self.word.fetch_and(!ALONE_BIT, Ordering::AcqRel);
+    }
+
+    /// Falls back to the cold limit at once, without waiting for the control thread.
+    ///
+    /// A traffic thread calls this when its connection to the target breaks.
+    pub fn set_back(&self) {
+        self.update(|word| {
+            let next = u64::from(word.setbacks.0).wrapping_add(1) & SETBACK_MASK;
+            SlotWord {
+                limit: word.limit.min(self.cold_limit),
+                setbacks: SetbackCount(u16::try_from(next).unwrap_or_default()),
+                ..word
+            }
+        });
+    }
+
+    /// Setbacks reported so far.
+    #[must_use]
+    pub fn setbacks(&self) -> SetbackCount {
+        self.load().setbacks
+    }
+
+    /// Publishes `limit`, decided in the knowledge of `seen` setbacks.
+    ///
+    /// A setback that the decision did not know keeps the limit from rising.
+    pub fn publish(&self, limit: SlotCount, seen: SetbackCount) {
+        self.update(|word| {
+            let is_current = word.setbacks == seen;
+            let limit = if is_current {
+                limit.get()
+            } else {
+                limit.get().min(word.limit)
+            };
+            SlotWord { limit, ..word }
+        });
+    }
+
+    /// Limit in force.
+    #[must_use]
+    pub fn limit(&self) -> SlotCount {
+        SlotCount::new(self.load().limit)
+    }
+
+    /// Slots taken, abandoned ones included.
+    #[must_use]
+    pub fn in_flight(&self) -> SlotCount {
+        SlotCount::new(self.load().in_flight)
+    }
+
+    /// Slots of calls that were given up without a confirmed end.
+    #[must_use]
+    pub fn abandoned(&self) -> SlotCount {
+        SlotCount::new(self.abandoned.load(Ordering::Acquire))
+    }
+
+    /// Frees `count` abandoned slots, after the published limit was lowered by as many.
+    pub(super) fn free_abandoned(&self, count: SlotCount) {
+        self.abandoned.fetch_sub(count.get(), Ordering::AcqRel);
+        self.free(count);
+    }
+
+    fn admit_by(
+        self: &Arc<Self>,
+        step: impl Fn(SlotWord) -> Result<SlotWord>,
+    ) -> Result<AdmissionPermit> {
+        let mut current = self.word.load(Ordering::Acquire);
+        loop {
+            let next = step(SlotWord::unpack(current))?;
+            match self.swap(current, next) {
+                Ok(_) => return Ok(AdmissionPermit::new(Arc::clone(self), next.in_flight)),
+                Err(changed) => current = changed,
+            }
+        }
+    }
+
+    fn update(&self, step: impl Fn(SlotWord) -> SlotWord) {
+        let mut current = self.word.load(Ordering::Acquire);
+        while let Err(changed) = self.swap(current, step(SlotWord::unpack(current))) {
+            current = changed;
+        }
+    }
+
+    fn swap(&self, current: u64, next: SlotWord) -> std::result::Result<u64, u64> {
+        let (success, failure) = (Ordering::AcqRel, Ordering::Acquire);
+        self.word
+            .compare_exchange_weak(current, next.pack(), success, failure)
+    }
+
+    fn load(&self) -> SlotWord {
+        SlotWord::unpack(self.word.load(Ordering::Acquire))
+    }
+
+    fn free(&self, count: SlotCount) {
+        self.word
+            .fetch_sub(u64::from(count.get()), Ordering::AcqRel);
+    }
+}
+
+/// A taken slot.
+///
+/// Dropping the permit without [`Self::finish`] abandons the call: its slot stays taken until
+/// the gate learns that the target no longer runs it.
+#[derive(Debug)]
+#[must_use = "dropping a permit abandons its call"]
+pub struct AdmissionPermit {
+    slots: Arc<AdmissionSlots>,
+    in_flight: u32,
+    is_finished: bool,
+}
+
+impl AdmissionPermit {
+    fn new(slots: Arc<AdmissionSlots>, in_flight: u32) -> Self {
+        Self {
+            slots,
+            in_flight,
+            is_finished: false,
+        }
+    }
+
+    /// Requests in flight right after this admission, itself included.
+    #[must_use]
+    pub const fn in_flight(&self) -> SlotCount {
+        SlotCount::new(self.in_flight)
+    }
+
+    /// Frees the slot: the target has confirmed the end, or was never handed the request.
+    pub fn finish(mut self) {
+        self.is_finished = true;
+        self.slots.free(SlotCount::new(1));
+    }
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.slots.abandoned.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gate/system.rs
@@ -0,0 +1,28 @@
+//! Carries state between the gate on the control thread and the slots of the traffic threads.
+
+use tokio::time::Instant;
+
+use super::{AdmissionSlots, GateEvidence, GateRow, GateShift, SetbackCount};
+
+/// Runs one tick of a gate: takes in setbacks and abandoned calls, then publishes the limit.
+///
+/// `seen` holds the setbacks that the gate knew before and is brought up to date. The limit is
+/// lowered before abandoned slots are freed, so that no request can slip in between.
+pub fn publish_gate(
+    row: &mut GateRow,
+    slots: &AdmissionSlots,
+    seen: &mut SetbackCount,
+    now: Instant,
+) -> GateShift {
+    let mut shift = row.tick(now);
+    let setbacks = slots.setbacks();
+    if *seen != setbacks {
+        shift = row.record(GateEvidence::Broken, now);
+        *seen = setbacks;
+    }
+    let abandoned = slots.abandoned();
+    row.record(GateEvidence::Abandoned(abandoned), now);
+    slots.publish(row.limit(), setbacks);
+    slots.free_abandoned(abandoned);
+    shift
+}
