Sidecar: tables, systems, target clients and the process

One control thread runs the tick over the gate table; traffic threads admit through lock-free slots and drive each attempt at the target. A slot stays taken until the target confirms the end of its call.

--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -1,7 +1,9 @@
 //! The processes of amaranthgw: entries, sidecars, operators' commands and the demo.
 
+pub mod control;
 pub mod link;
 pub mod platform;
 pub mod runtime;
+pub mod sidecar;
 pub mod telemetry;
 pub mod wire;
--- /dev/null
+++ b/crates/amaranthgw/src/sidecar/control.rs
@@ -0,0 +1,146 @@
+//! The control thread of a sidecar.
+
+use std::sync::Arc;
+
+use amaranthgw_core::TickSchedule;
+use amaranthgw_fleet::config::ServingState;
+use amaranthgw_fleet::gate::GateShift;
+use amaranthgw_fleet::membership::VmRecord;
+use amaranthgw_fleet::sidecar::{
+    SidecarOutput, SidecarWorld, TargetEvidence, sidecar_schedule,
+};
+use compact_str::{CompactString, format_compact};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::time::Instant;
+
+use super::shared::SidecarShared;
+use crate::runtime::StopPhase;
+use crate::telemetry::{EventLog, NodeEvent};
+
+/// Owns the tables and runs the tick.
+#[derive(Debug)]
+pub(super) struct SidecarControl;
+
+/// What the actor works with.
+#[derive(Debug)]
+pub(super) struct ControlArguments {
+    pub(super) world: SidecarWorld,
+    pub(super) shared: Arc<SidecarShared>,
+    pub(super) log: EventLog,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub(super) struct ControlState {
+    world: SidecarWorld,
+    schedule: TickSchedule<SidecarWorld>,
+    shared: Arc<SidecarShared>,
+    log: EventLog,
+}
+
+/// Inputs of the control thread.
+#[derive(Clone, Debug)]
+pub(super) enum ControlMessage {
+    /// Run the systems.
+    Tick,
+    /// Evidence on the target.
+    Evidence(Vec<TargetEvidence>),
+    /// A newer configuration.
+    Config(Arc<ServingState>),
+    /// A newer VM list.
+    VmList(Vec<VmRecord>),
+    /// Take no new work.
+    Stop,
+}
+
+impl Actor for SidecarControl {
+    type Msg = ControlMessage;
+    type State = ControlState;
+    type Arguments = ControlArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        args: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        let ControlArguments { world, shared, log } = args;
+        Ok(ControlState { world, schedule: sidecar_schedule(), shared, log })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let inbox = &mut state.world.inbox;
+        match message {
+            ControlMessage::Tick => state.tick(),
+            ControlMessage::Evidence(evidence) => inbox.evidence.extend(evidence),
+            ControlMessage::Config(config) => {
+                inbox.config = Some(config);
+                state.tick();
+            }
+            ControlMessage::VmList(records) => inbox.vm_list = Some(records),
+            ControlMessage::Stop => {
+                inbox.is_stopping = true;
+                state.tick();
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ControlState {
+    fn tick(&mut self) {
+        let previous = self.world.config.number;
+        self.schedule.run(&mut self.world, Instant::now());
+        let change = self.world.config.number;
+        if change > previous {
+            self.shared.config.store(Arc::clone(&self.world.config));
+            self.log.record(NodeEvent::ConfigAdopted { change, previous });
+        }
+        for output in std::mem::take(&mut self.world.outbox) {
+            self.carry_out(output);
+        }
+        let is_idle = self.shared.slots.in_flight().get() == 0;
+        if self.world.is_stopping && is_idle {
+            self.shared.stop.advance(StopPhase::Ending);
+        }
+    }
+
+    fn carry_out(&self, output: SidecarOutput) {
+        match output {
+            SidecarOutput::PublishStatus { status, .. } => {
+                self.shared.status.store(Arc::new(status));
+            }
+            SidecarOutput::GateShifted { target, shift } => {
+                let (from, to, reason) = describe(&shift);
+                self.log.record(NodeEvent::GateShifted { target, from, to, reason });
+            }
+            SidecarOutput::TargetRestarted { target, mark } => {
+                self.log.record(NodeEvent::TargetRestarted { target, mark });
+            }
+            SidecarOutput::DrainShifted { target, reason } => {
+                let state = if reason.is_some() { "leaving" } else { "serving" };
+                let reason = reason.map_or("none", |reason| reason.name());
+                self.log.record(NodeEvent::DrainShifted { target, state, reason });
+            }
+        }
+    }
+}
+
+fn describe(
+    shift: &GateShift,
+) -> (amaranthgw_core::SlotCount, amaranthgw_core::SlotCount, CompactString) {
+    let none = amaranthgw_core::SlotCount::default();
+    match shift {
+        GateShift::Held => (none, none, CompactString::default()),
+        GateShift::Opened { leftover } => (none, none, format_compact!("opened, {leftover} left")),
+        GateShift::Raised { from, to, inputs } => (*from, *to, format_compact!("{inputs:?}")),
+        GateShift::Lowered { from, to, inputs } => (*from, *to, format_compact!("{inputs:?}")),
+        GateShift::WentCold { from, to, cause, inputs } => {
+            (*from, *to, format_compact!("{cause}: {inputs:?}"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/sidecar/mod.rs
@@ -0,0 +1,12 @@
+//! The sidecar process: the only one that gives its target work.
+
+mod attempt;
+mod control;
+mod load_actor;
+mod peer;
+mod process;
+mod service;
+mod shared;
+pub mod target;
+
+pub use process::SidecarProcess;
--- /dev/null
+++ b/crates/amaranthgw/src/sidecar/peer.rs
@@ -0,0 +1,1 @@
+//! The gRPC service that peers and operators call at a sidecar.
--- /dev/null
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -0,0 +1,188 @@
+//! The gRPC service that entries send attempts to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{
+    AttemptNumber, ChunkSequence, RequestId, ServiceId, TargetId, TokenCount,
+};
+use amaranthgw_fleet::gate::AdmissionPermit;
+use amaranthgw_fleet::sidecar::{OrderRefusal, OrderTerms, check_order};
+use futures_util::stream::BoxStream;
+use futures_util::{StreamExt, stream};
+use tokio::sync::mpsc::channel;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status};
+
+use super::attempt::{AttemptDriver, AttemptReport};
+use super::shared::SidecarShared;
+use super::target::TargetCall;
+use crate::link::RefusalCode;
+use crate::telemetry::{EventLog, NodeEvent};
+use crate::wire::node::run_event::Event;
+use crate::wire::node::sidecar_server::Sidecar;
+use crate::wire::node::{
+    Admitted, Broken, Chunk, Finished, InspectRequest, Refused, RunEvent, RunRequest, TargetReport,
+};
+use crate::wire::refusal_code_name;
+
+/// Chunks that may wait between the target and the entry.
+const CHUNK_BUFFER: usize = 64;
+
+/// Serves attempts on one traffic thread.
+#[derive(Clone, Debug)]
+pub(super) struct SidecarService {
+    shared: Arc<SidecarShared>,
+    log: EventLog,
+}
+
+/// An attempt with checked identifiers.
+struct AttemptTerms {
+    target: TargetId,
+    service: ServiceId,
+    remaining: Duration,
+    call: TargetCall,
+}
+
+type EventStream = BoxStream<'static, Result<RunEvent, Status>>;
+
+impl SidecarService {
+    /// Creates the service of one thread.
+    pub(super) const fn new(shared: Arc<SidecarShared>, log: EventLog) -> Self {
+        Self { shared, log }
+    }
+
+    /// Checks and admits an attempt.
+    fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+        let order = OrderTerms {
+            target: &terms.target,
+            service: &terms.service,
+            remaining: terms.remaining,
+        };
+        let status = self.shared.status.load();
+        check_order(&self.shared.served, &status, &order).map_err(refusal_code)?;
+        let admitted = self.shared.slots.try_admit();
+        admitted.map_err(|_refusal| RefusalCode::GateFull)
+    }
+
+    fn start(&self, terms: AttemptTerms, permit: AdmissionPermit) -> EventStream {
+        self.record_admitted(&terms, &permit);
+        let (reports, receiver) = channel(CHUNK_BUFFER);
+        let driver = AttemptDriver {
+            shared: Arc::clone(&self.shared),
+            log: self.log.clone(),
+            deadline: Instant::now() + terms.remaining,
+            call: terms.call,
+            reports,
+        };
+        tokio::spawn(driver.run(permit));
+        let admitted = Event::Admitted(Admitted { report: Some(self.shared.report()) });
+        let shared = Arc::clone(&self.shared);
+        let events = ReceiverStream::new(receiver).map(move |report| event_of(&shared, report));
+        stream::iter([admitted]).chain(events).map(wrap).boxed()
+    }
+
+    fn refuse(&self, request: Option<&RequestId>, attempt: u32, code: RefusalCode) -> EventStream {
+        if let Some(request) = request {
+            self.record_refused(request, attempt, code);
+        }
+        let refused = Refused { code: code.into(), report: Some(self.shared.report()) };
+        stream::iter([wrap(Event::Refused(refused))]).boxed()
+    }
+
+    fn record_admitted(&self, terms: &AttemptTerms, permit: &AdmissionPermit) {
+        self.log.record(NodeEvent::AttemptAdmitted {
+            request: terms.call.request.clone(),
+            attempt: terms.call.attempt,
+            target: terms.target.clone(),
+            in_flight: permit.in_flight(),
+            limit: self.shared.slots.limit(),
+        });
+    }
+
+    fn record_refused(&self, request: &RequestId, attempt: u32, code: RefusalCode) {
+        self.log.record(NodeEvent::AttemptRefused {
+            request: request.clone(),
+            attempt: AttemptNumber::new(attempt),
+            target: self.shared.served.target.clone(),
+            code: refusal_code_name(code),
+            in_flight: self.shared.slots.in_flight(),
+            limit: self.shared.slots.limit(),
+        });
+    }
+}
+
+#[tonic::async_trait]
+impl Sidecar for SidecarService {
+    type RunStream = EventStream;
+
+    async fn run(
+        &self,
+        request: Request<RunRequest>,
+    ) -> Result<Response<Self::RunStream>, Status> {
+        let request = request.into_inner();
+        let attempt = request.attempt;
+        let Some(terms) = read_terms(request) else {
+            return Ok(Response::new(self.refuse(None, attempt, RefusalCode::Invalid)));
+        };
+        let events = match self.admit(&terms) {
+            Ok(permit) => self.start(terms, permit),
+            Err(code) => self.refuse(Some(&terms.call.request), attempt, code),
+        };
+        Ok(Response::new(events))
+    }
+
+    async fn inspect(
+        &self,
+        _request: Request<InspectRequest>,
+    ) -> Result<Response<TargetReport>, Status> {
+        Ok(Response::new(self.shared.report()))
+    }
+}
+
+fn read_terms(request: RunRequest) -> Option<AttemptTerms> {
+    let call = TargetCall {
+        request: request.request.parse().ok()?,
+        attempt: AttemptNumber::new(request.attempt),
+        resume_from: ChunkSequence::new(request.resume_from),
+        max_tokens: TokenCount::new(request.max_tokens.into()),
+        priority: request.refund_weight,
+        body: request.body,
+    };
+    Some(AttemptTerms {
+        target: request.target.parse().ok()?,
+        service: request.service.parse().ok()?,
+        remaining: Duration::from_millis(request.remaining_ms),
+        call,
+    })
+}
+
+const fn refusal_code(refusal: OrderRefusal) -> RefusalCode {
+    match refusal {
+        OrderRefusal::WrongTarget => RefusalCode::WrongTarget,
+        OrderRefusal::Leaving => RefusalCode::Leaving,
+        OrderRefusal::Expired => RefusalCode::Expired,
+    }
+}
+
+fn event_of(shared: &SidecarShared, report: AttemptReport) -> Event {
+    match report {
+        AttemptReport::Chunk { sequence, data } => {
+            Event::Chunk(Chunk { sequence: sequence.get(), data })
+        }
+        AttemptReport::Finished { chunk_count } => {
+            Event::Finished(Finished { chunk_count, report: Some(shared.report()) })
+        }
+        AttemptReport::Refused(code) => {
+            Event::Refused(Refused { code: code.into(), report: Some(shared.report()) })
+        }
+        AttemptReport::Broken(code) => {
+            Event::Broken(Broken { code: code.into(), report: Some(shared.report()) })
+        }
+    }
+}
+
+fn wrap(event: Event) -> Result<RunEvent, Status> {
+    Ok(RunEvent { event: Some(event) })
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod membership;
 pub mod retries;
 pub mod routing;
+pub mod sidecar;
 pub mod suspects;
--- /dev/null
+++ b/crates/fleet/src/sidecar/mod.rs
@@ -0,0 +1,14 @@
+//! The control state of a sidecar: its tables and the systems of its tick.
+
+mod input;
+mod order;
+mod rows;
+mod schedule;
+mod systems;
+mod world;
+
+pub use input::{SidecarInbox, SidecarOutput, TargetEvidence, TargetNews};
+pub use order::{OrderRefusal, OrderTerms, check_order};
+pub use rows::{DrainReason, GateEntry, ServedTarget};
+pub use schedule::sidecar_schedule;
+pub use world::SidecarWorld;
--- /dev/null
+++ b/crates/fleet/src/sidecar/systems/drain.rs
@@ -0,0 +1,50 @@
+//! Decides whether the targets take new work.
+
+use amaranthgw_core::TickSystem;
+use tokio::time::Instant;
+
+use crate::membership::VmState;
+use crate::sidecar::{DrainReason, SidecarOutput, SidecarWorld};
+
+/// Sets each target's reason to leave, if it has one.
+#[derive(Debug)]
+pub struct DrainSystem;
+
+impl TickSystem<SidecarWorld> for DrainSystem {
+    fn name(&self) -> &'static str {
+        "drain"
+    }
+
+    fn run(&mut self, world: &mut SidecarWorld, _now: Instant) {
+        world.is_stopping |= world.inbox.is_stopping;
+        let reason = drain_reason(world);
+        let SidecarWorld {
+            targets, outbox, ..
+        } = world;
+        for (target, entry) in targets.iter_mut() {
+            if entry.drain == reason {
+                continue;
+            }
+            entry.drain = reason;
+            outbox.push(SidecarOutput::DrainShifted {
+                target: target.clone(),
+                reason,
+            });
+        }
+    }
+}
+
+fn drain_reason(world: &SidecarWorld) -> Option<DrainReason> {
+    if world.is_stopping {
+        Some(DrainReason::Stopping)
+    } else if world
+        .config
+        .is_out(&world.identity.vm, &world.identity.domain)
+    {
+        Some(DrainReason::TakenOut)
+    } else if world.vm_state == VmState::Leaving {
+        Some(DrainReason::VmLeaving)
+    } else {
+        None
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/sidecar/systems/evidence.rs
@@ -0,0 +1,77 @@
+//! Shows the gates what was learned of their targets.
+
+use amaranthgw_core::{TargetId, TickSystem};
+use tokio::time::Instant;
+
+use crate::gate::{GateEvidence, GateShift, LoadEvidence};
+use crate::sidecar::{GateEntry, SidecarOutput, SidecarWorld, TargetNews};
+
+/// Records the evidence since the last tick, in the order it arrived.
+#[derive(Debug)]
+pub struct EvidenceSystem;
+
+impl TickSystem<SidecarWorld> for EvidenceSystem {
+    fn name(&self) -> &'static str {
+        "evidence"
+    }
+
+    fn run(&mut self, world: &mut SidecarWorld, now: Instant) {
+        let SidecarWorld {
+            targets,
+            inbox,
+            outbox,
+            ..
+        } = world;
+        for item in std::mem::take(&mut inbox.evidence) {
+            let Some(entry) = targets.get_mut(&item.target) else {
+                continue;
+            };
+            let evidence = observe(entry, &item.target, item.news, outbox);
+            let shift = entry.gate.record(evidence, now);
+            push_shift(outbox, &item.target, shift);
+        }
+    }
+}
+
+/// Reports `shift` unless nothing changed.
+pub(super) fn push_shift(outbox: &mut Vec<SidecarOutput>, target: &TargetId, shift: GateShift) {
+    if shift != GateShift::Held {
+        outbox.push(SidecarOutput::GateShifted {
+            target: target.clone(),
+            shift,
+        });
+    }
+}
+
+/// Updates the row from `news` and gives the gate's share of it.
+fn observe(
+    entry: &mut GateEntry,
+    target: &TargetId,
+    news: TargetNews,
+    outbox: &mut Vec<SidecarOutput>,
+) -> GateEvidence {
+    let TargetNews::Evidence(evidence) = news else {
+        entry.is_reachable = false;
+        return GateEvidence::Broken;
+    };
+    match &evidence {
+        GateEvidence::Answer(answer) => entry.smooth_first_chunk(answer.first_chunk),
+        GateEvidence::Load(load) => observe_mark(entry, target, load, outbox),
+        GateEvidence::Failed | GateEvidence::Broken | GateEvidence::Abandoned(_) => {}
+    }
+    evidence
+}
+
+fn observe_mark(
+    entry: &mut GateEntry,
+    target: &TargetId,
+    load: &LoadEvidence,
+    outbox: &mut Vec<SidecarOutput>,
+) {
+    entry.is_reachable = true;
+    let before = entry.mark.replace(load.mark);
+    if before.is_some_and(|mark| mark != load.mark) {
+        let (target, mark) = (target.clone(), load.mark);
+        outbox.push(SidecarOutput::TargetRestarted { target, mark });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/sidecar/systems/gate.rs
@@ -0,0 +1,28 @@
+//! Publishes the limits of the gates to the traffic threads.
+
+use amaranthgw_core::TickSystem;
+use tokio::time::Instant;
+
+use super::evidence::push_shift;
+use crate::gate::publish_gate;
+use crate::sidecar::SidecarWorld;
+
+/// Runs the tick of each gate and publishes its limit.
+#[derive(Debug)]
+pub struct GateSystem;
+
+impl TickSystem<SidecarWorld> for GateSystem {
+    fn name(&self) -> &'static str {
+        "gate"
+    }
+
+    fn run(&mut self, world: &mut SidecarWorld, now: Instant) {
+        let SidecarWorld {
+            targets, outbox, ..
+        } = world;
+        for (target, entry) in targets.iter_mut() {
+            let shift = publish_gate(&mut entry.gate, &entry.slots, &mut entry.seen, now);
+            push_shift(outbox, target, shift);
+        }
+    }
+}
