Meters, retry decisions, answer rows and burn tables

The entry needs these types before the processes can be wired: local enforcement of plan limits, what an attempt proves, in-order release of answers and the service-level burn of a plan and service.

--- /dev/null
+++ b/crates/fleet/src/answers/row.rs
@@ -0,0 +1,223 @@
+//! The row of one request whose answer is being passed on.
+
+use std::collections::BTreeMap;
+
+use amaranthgw_core::{AttemptNumber, ByteCount, ChunkSequence};
+
+use super::{AnswerBreak, AnswerEnd, AnswerState, ChunkVerdict, Result, StreamChunk};
+
+/// Answer of one request in flight at an entry.
+///
+/// Chunks of the current attempt are released in order, each position once. Everything else is
+/// held within a bound or dropped. Only [`AnswerState::Whole`] may be shown to the caller as a
+/// clean end.
+#[derive(Debug)]
+pub struct AnswerRow<Data> {
+    attempt: AttemptNumber,
+    next_release: ChunkSequence,
+    held: BTreeMap<ChunkSequence, Data>,
+    held_bytes: usize,
+    held_bound: ByteCount,
+    end: Option<ChunkSequence>,
+    fault: Option<AnswerFault>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum AnswerFault {
+    Interrupted(AnswerBreak),
+    Broken(AnswerBreak),
+}
+
+impl<Data: AsRef<[u8]>> AnswerRow<Data> {
+    /// Largest number of bytes held behind a missing chunk unless set otherwise.
+    pub const DEFAULT_HELD_BOUND: ByteCount = ByteCount::new(256 * 1024);
+
+    /// Creates the row of a request whose attempt 0 is about to start.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            attempt: AttemptNumber::new(0),
+            next_release: ChunkSequence::new(0),
+            held: BTreeMap::new(),
+            held_bytes: 0,
+            held_bound: Self::DEFAULT_HELD_BOUND,
+            end: None,
+            fault: None,
+        }
+    }
+
+    /// Sets the largest number of bytes held behind a missing chunk.
+    #[must_use]
+    pub fn with_held_bound(mut self, bound: ByteCount) -> Self {
+        self.held_bound = bound;
+        self
+    }
+
+    /// The attempt whose chunks are taken.
+    #[must_use]
+    pub fn attempt(&self) -> AttemptNumber {
+        self.attempt
+    }
+
+    /// First position that the caller has not received; another attempt resumes there.
+    #[must_use]
+    pub fn resume_from(&self) -> ChunkSequence {
+        self.next_release
+    }
+
+    /// Bytes held behind a missing chunk or not yet taken.
+    #[must_use]
+    pub fn held_bytes(&self) -> ByteCount {
+        ByteCount::new(self.held_bytes as u64)
+    }
+
+    /// How far the answer is.
+    #[must_use]
+    pub fn state(&self) -> AnswerState {
+        match self.fault {
+            Some(AnswerFault::Broken(cause)) => AnswerState::Broken(cause),
+            _ if self.end == Some(self.next_release) => AnswerState::Whole,
+            Some(AnswerFault::Interrupted(cause)) => AnswerState::Interrupted(cause),
+            None => AnswerState::Open,
+        }
+    }
+
+    /// Abandons the current attempt and returns the number of the one that resumes the answer
+    /// from [`Self::resume_from`].
+    ///
+    /// Chunks held behind a gap go with the abandoned attempt: another attempt may word them
+    /// differently.
+    pub fn start_attempt(&mut self) -> AttemptNumber {
+        self.attempt = self.attempt.next();
+        self.drop_held();
+        self.end = None;
+        if let Some(AnswerFault::Interrupted(_)) = self.fault {
+            self.fault = None;
+        }
+        self.attempt
+    }
+
+    /// Takes in one chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`AnswerBreak`] that interrupts the attempt where the chunk contradicts the
+    /// declared end or does not fit the memory bound.
+    pub fn accept(&mut self, chunk: StreamChunk<Data>) -> Result<ChunkVerdict> {
+        if !self.takes_from(chunk.attempt) {
+            return Ok(ChunkVerdict::Abandoned);
+        }
+        if chunk.sequence < self.next_release || self.held.contains_key(&chunk.sequence) {
+            return Ok(ChunkVerdict::Duplicate);
+        }
+        self.check_end(chunk.sequence)?;
+        self.hold(chunk.sequence, chunk.data)?;
+        Ok(ChunkVerdict::Kept)
+    }
+
+    /// Takes in the declared end of an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`AnswerBreak`] that interrupts the attempt where the end contradicts what
+    /// arrived before.
+    pub fn accept_end(&mut self, end: AnswerEnd) -> Result<ChunkVerdict> {
+        if !self.takes_from(end.attempt) {
+            return Ok(ChunkVerdict::Abandoned);
+        }
+        match self.end {
+            Some(first) if first == end.chunks => return Ok(ChunkVerdict::Duplicate),
+            Some(first) => {
+                let second = end.chunks;
+                return Err(self.interrupt(AnswerBreak::TwoEnds { first, second }));
+            }
+            None => {}
+        }
+        let known = self.known_end();
+        if end.chunks < known {
+            let declared = end.chunks;
+            return Err(self.interrupt(AnswerBreak::EndTooEarly { declared, known }));
+        }
+        self.end = Some(end.chunks);
+        Ok(ChunkVerdict::Kept)
+    }
+
+    /// Releases the next chunk in order, if it is here.
+    pub fn release(&mut self) -> Option<Data> {
+        if let Some(AnswerFault::Broken(_)) = self.fault {
+            return None;
+        }
+        let data = self.held.remove(&self.next_release)?;
+        self.held_bytes -= data.as_ref().len();
+        self.next_release = self.next_release.next();
+        Some(data)
+    }
+
+    /// Records that the current attempt stopped. Chunks that arrived before can still be
+    /// released and may yet make the answer whole.
+    pub fn stop_attempt(&mut self, attempt: AttemptNumber, cause: AnswerBreak) {
+        if self.takes_from(attempt) {
+            self.fault = Some(AnswerFault::Interrupted(cause));
+        }
+    }
+
+    /// Ends the answer with an error for the caller. An answer that is whole stays whole.
+    pub fn give_up(&mut self, cause: AnswerBreak) {
+        if self.state() == AnswerState::Whole {
+            return;
+        }
+        self.drop_held();
+        self.fault = Some(AnswerFault::Broken(cause));
+    }
+
+    fn takes_from(&self, attempt: AttemptNumber) -> bool {
+        attempt == self.attempt && self.fault.is_none()
+    }
+
+    fn hold(&mut self, sequence: ChunkSequence, data: Data) -> Result<()> {
+        let is_behind_gap = sequence > self.next_release;
+        let bytes = self.held_bytes + data.as_ref().len();
+        if is_behind_gap && bytes as u64 > self.held_bound.get() {
+            let bound = self.held_bound;
+            return Err(self.interrupt(AnswerBreak::BufferFull { bound }));
+        }
+        self.held_bytes = bytes;
+        self.held.insert(sequence, data);
+        Ok(())
+    }
+
+    fn check_end(&mut self, sequence: ChunkSequence) -> Result<()> {
+        let Some(declared) = self.end else {
+            return Ok(());
+        };
+        if sequence < declared {
+            return Ok(());
+        }
+        let known = sequence.next();
+        Err(self.interrupt(AnswerBreak::EndTooEarly { declared, known }))
+    }
+
+    fn known_end(&self) -> ChunkSequence {
+        let last_held = self.held.keys().next_back();
+        last_held.map_or(self.next_release, |last| last.next())
+    }
+
+    /// Ends an attempt that contradicts itself: nothing of it that is still here counts.
+    fn interrupt(&mut self, cause: AnswerBreak) -> AnswerBreak {
+        self.end = None;
+        self.drop_held();
+        self.fault = Some(AnswerFault::Interrupted(cause));
+        cause
+    }
+
+    fn drop_held(&mut self) {
+        self.held.clear();
+        self.held_bytes = 0;
+    }
+}
+
+impl<Data: AsRef<[u8]>> Default for AnswerRow<Data> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/burn/counts.rs
@@ -0,0 +1,77 @@
+//! Counters of how answers ended.
+
+use serde::{Deserialize, Serialize};
+
+/// How the answer to one request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BurnOutcome {
+    /// Whole and within the plan's times.
+    OnTime,
+    /// Whole, but too late.
+    Late,
+    /// Proven not run, for want of capacity.
+    Refused,
+    /// Proven not run, because the workspace is over its limit.
+    OverLimit,
+    /// Ended with an error.
+    Failed,
+    /// Whether the request ran cannot be known.
+    OutcomeUnknown,
+}
+
+/// Numbers of answers by how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeCounts {
+    /// Whole and within the plan's times.
+    pub on_time: u64,
+    /// Whole, but too late.
+    pub late: u64,
+    /// Proven not run, for want of capacity.
+    pub refused: u64,
+    /// Proven not run, because the workspace is over its limit.
+    pub over_limit: u64,
+    /// Ended with an error.
+    pub failed: u64,
+    /// Whether the request ran cannot be known.
+    pub outcome_unknown: u64,
+}
+
+impl OutcomeCounts {
+    /// Adds one answer.
+    pub fn record(&mut self, outcome: BurnOutcome) {
+        let counter = match outcome {
+            BurnOutcome::OnTime => &mut self.on_time,
+            BurnOutcome::Late => &mut self.late,
+            BurnOutcome::Refused => &mut self.refused,
+            BurnOutcome::OverLimit => &mut self.over_limit,
+            BurnOutcome::Failed => &mut self.failed,
+            BurnOutcome::OutcomeUnknown => &mut self.outcome_unknown,
+        };
+        *counter = counter.saturating_add(1);
+    }
+
+    /// Adds the counters of `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.on_time = self.on_time.saturating_add(other.on_time);
+        self.late = self.late.saturating_add(other.late);
+        self.refused = self.refused.saturating_add(other.refused);
+        self.over_limit = self.over_limit.saturating_add(other.over_limit);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.outcome_unknown = self.outcome_unknown.saturating_add(other.outcome_unknown);
+    }
+
+    /// Answers that count against the objective; a workspace over its own limit does not.
+    #[must_use]
+    pub fn bad(&self) -> u64 {
+        let without_answer = self.refused.saturating_add(self.failed);
+        let late_or_unknown = self.late.saturating_add(self.outcome_unknown);
+        without_answer.saturating_add(late_or_unknown)
+    }
+
+    /// Answers that the objective is measured over.
+    #[must_use]
+    pub fn counted(&self) -> u64 {
+        self.on_time.saturating_add(self.bad())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/burn/row.rs
@@ -0,0 +1,143 @@
+//! Rows of the burn table.
+
+use amaranthgw_core::{EntityTable, MilliSpan, PlanId, ServiceId, VmId};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::report::{BurnLine, BurnReport, SourceRow, SourceState, WindowSpans};
+use super::{BurnOutcome, BurnWindow, OutcomeCounts, WindowShape};
+use crate::config::{ObjectiveShare, PlanRow};
+
+/// A plan and a service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BurnKey {
+    /// The plan.
+    pub plan: PlanId,
+    /// The service.
+    pub service: ServiceId,
+}
+
+/// What a plan promises and what missing it costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLevel {
+    /// Share of answers that must be on time.
+    pub objective: ObjectiveShare,
+    /// What one late answer costs relative to the other plans.
+    pub refund_weight: u32,
+}
+
+impl ServiceLevel {
+    /// Creates the level of `plan`.
+    #[must_use]
+    pub fn with_plan(plan: &PlanRow) -> Self {
+        Self {
+            objective: plan.objective,
+            refund_weight: plan.refund_weight,
+        }
+    }
+}
+
+/// Counters of one plan and service at this entry.
+#[derive(Clone, Debug)]
+pub struct BurnRow {
+    /// What the plan promises.
+    pub level: ServiceLevel,
+    short: BurnWindow,
+    long: BurnWindow,
+    total: OutcomeCounts,
+}
+
+impl BurnRow {
+    /// Creates empty counters that start at `now`.
+    #[must_use]
+    pub fn new(level: ServiceLevel, now: Instant) -> Self {
+        Self {
+            level,
+            short: BurnWindow::new(WindowShape::SHORT, now),
+            long: BurnWindow::new(WindowShape::LONG, now),
+            total: OutcomeCounts::default(),
+        }
+    }
+
+    /// Adds one answer that ended at `now`.
+    pub fn record(&mut self, outcome: BurnOutcome, now: Instant) {
+        self.short.record(outcome, now);
+        self.long.record(outcome, now);
+        self.total.record(outcome);
+    }
+
+    /// The row's part of a report at `now`.
+    pub fn line(&mut self, key: &BurnKey, now: Instant) -> BurnLine {
+        BurnLine {
+            key: key.clone(),
+            level: self.level,
+            short: self.short.counts(now),
+            long: self.long.counts(now),
+            total: self.total,
+        }
+    }
+}
+
+/// The burn rows of one entry.
+#[derive(Clone, Debug)]
+pub struct BurnTable {
+    started_at: Instant,
+    rows: EntityTable<BurnKey, BurnRow>,
+}
+
+impl BurnTable {
+    /// Creates an empty table of an entry that starts at `now`.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            started_at: now,
+            rows: EntityTable::new(),
+        }
+    }
+
+    /// Adds one answer that ended at `now`, with the level of its plan in force.
+    pub fn record(
+        &mut self,
+        key: BurnKey,
+        level: ServiceLevel,
+        outcome: BurnOutcome,
+        now: Instant,
+    ) {
+        let started_at = self.started_at;
+        let make = || BurnRow::new(level, started_at);
+        let row = self.rows.get_or_insert_with(key, make);
+        row.level = level;
+        row.record(outcome, now);
+    }
+
+    /// Removes the rows of plans and services that no longer exist and have no counts left.
+    pub fn retain(&mut self, is_known: impl Fn(&BurnKey) -> bool, now: Instant) {
+        let empty = OutcomeCounts::default();
+        self.rows
+            .retain(|key, row| is_known(key) || row.long.counts(now) != empty);
+    }
+
+    /// Number of rows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether the table has no rows.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// The report of this entry, `source`, at `now`.
+    pub fn report(&mut self, source: &VmId, made_at_unix_ms: u64, now: Instant) -> BurnReport {
+        let mut report = BurnReport::new(made_at_unix_ms, WindowSpans::usual());
+        for (key, row) in self.rows.iter_mut() {
+            report.lines.insert(key.clone(), row.line(key, now));
+        }
+        let running = MilliSpan::with_duration(now.saturating_duration_since(self.started_at));
+        let state = SourceState::with_running(running, report.windows);
+        report.sources.insert(source.clone(), SourceRow { state });
+        report
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/burn/window.rs
@@ -0,0 +1,105 @@
+//! Counters over a sliding window in bounded memory.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{BurnOutcome, OutcomeCounts};
+
+/// Length of a window and of its buckets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowShape {
+    /// Length of one bucket.
+    pub bucket: Duration,
+    /// Number of buckets.
+    pub buckets: usize,
+}
+
+impl WindowShape {
+    /// Five minutes in steps of ten seconds.
+    pub const SHORT: Self = Self::new(Duration::from_secs(10), 30);
+    /// Six hours in steps of five minutes.
+    pub const LONG: Self = Self::new(Duration::from_mins(5), 72);
+
+    /// Creates a shape of `buckets` buckets.
+    #[must_use]
+    pub const fn new(bucket: Duration, buckets: usize) -> Self {
+        Self { bucket, buckets }
+    }
+
+    /// Length of the window.
+    #[must_use]
+    pub fn span(&self) -> Duration {
+        let buckets = u32::try_from(self.buckets).unwrap_or(u32::MAX);
+        self.bucket.saturating_mul(buckets)
+    }
+}
+
+/// A ring of counters, one for each bucket of the window.
+#[derive(Clone, Debug)]
+pub struct BurnWindow {
+    shape: WindowShape,
+    started_at: Instant,
+    /// Buckets since the start, up to the current one.
+    current: u64,
+    ring: Box<[OutcomeCounts]>,
+}
+
+impl BurnWindow {
+    /// Creates an empty window that starts at `now`.
+    #[must_use]
+    pub fn new(shape: WindowShape, now: Instant) -> Self {
+        Self {
+            shape,
+            started_at: now,
+            current: 0,
+            ring: vec![OutcomeCounts::default(); shape.buckets.max(1)].into_boxed_slice(),
+        }
+    }
+
+    /// Adds one answer that ended at `now`.
+    pub fn record(&mut self, outcome: BurnOutcome, now: Instant) {
+        self.advance(now);
+        let slot = self.slot(self.current);
+        self.ring[slot].record(outcome);
+    }
+
+    /// Sum of the window that ends at `now`.
+    pub fn counts(&mut self, now: Instant) -> OutcomeCounts {
+        self.advance(now);
+        let mut sum = OutcomeCounts::default();
+        for counts in &self.ring {
+            sum.add(counts);
+        }
+        sum
+    }
+
+    /// How much of the window this one has seen by `now`; less than its span after a start.
+    #[must_use]
+    pub fn covered(&self, now: Instant) -> Duration {
+        let since_start = now.saturating_duration_since(self.started_at);
+        since_start.min(self.shape.span())
+    }
+
+    /// Empties the buckets that have passed; an earlier `now` counts into the current one.
+    fn advance(&mut self, now: Instant) {
+        let since_start = now.saturating_duration_since(self.started_at).as_nanos();
+        let bucket = since_start / self.shape.bucket.as_nanos().max(1);
+        let bucket = u64::try_from(bucket).unwrap_or(u64::MAX);
+        let passed = bucket.saturating_sub(self.current);
+        let cleared = passed.min(self.ring.len() as u64);
+        for step in 0..cleared {
+            let slot = self.slot(bucket - step);
+            self.ring[slot] = OutcomeCounts::default();
+        }
+        self.current = self.current.max(bucket);
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the remainder is below the length"
+    )]
+    fn slot(&self, bucket: u64) -> usize {
+        (bucket % self.ring.len() as u64) as usize
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/limits/rate_meter.rs
@@ -0,0 +1,89 @@
+//! Enforcement of a rate on the hot path.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::cell::ShareCell;
+use super::{LimitError, MilliRate, Result};
+
+/// Admits requests at a rate; shared by all traffic threads.
+///
+/// In every window of length `T` it admits at most `rate * (T + BURST_WINDOW) + 1` requests
+/// (generic cell rate algorithm).
+#[derive(Debug)]
+pub struct RateMeter {
+    share: ShareCell,
+    /// When the next request is due at an even pace, in nanoseconds from the base.
+    next_due_ns: AtomicU64,
+}
+
+/// Nanoseconds by which requests may come ahead of an even pace.
+const BURST_NANOS: u64 = 100_000_000;
+
+/// Nanoseconds between two requests at a rate of 1 per 1,000 seconds.
+const NANOS_PER_MILLI_RATE: u64 = 1_000_000_000_000;
+
+impl RateMeter {
+    /// Time by which requests may come ahead of an even pace.
+    pub const BURST_WINDOW: Duration = Duration::from_nanos(BURST_NANOS);
+
+    /// Creates a meter that admits nothing until it has a share.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            share: ShareCell::new(now),
+            next_due_ns: AtomicU64::new(0),
+        }
+    }
+
+    /// Sets the part of the rate that needs no lease.
+    pub fn set_floor(&self, floor: MilliRate) {
+        self.share.set_floor(saturate(floor));
+    }
+
+    /// Sets the part of the rate that counts until `until`.
+    pub fn set_leased(&self, leased: MilliRate, until: Option<Instant>) {
+        self.share.set_leased(saturate(leased), until);
+    }
+
+    /// The rate in force at `now`.
+    #[must_use]
+    pub fn rate(&self, now: Instant) -> MilliRate {
+        MilliRate::new(self.share.amount(self.share.nanos(now)))
+    }
+
+    /// Admits one request at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LimitError`] where the rate is used up or no share is held.
+    pub fn try_admit(&self, now: Instant) -> Result<()> {
+        let now_ns = self.share.nanos(now);
+        let rate = self.share.amount(now_ns);
+        let Some(interval_ns) = NANOS_PER_MILLI_RATE.checked_div(rate) else {
+            return Err(LimitError::NoShare);
+        };
+        let advance = |due_ns: u64| due_after(due_ns, now_ns, interval_ns);
+        let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
+        match self.next_due_ns.fetch_update(set, fetch, advance) {
+            Ok(_previous) => Ok(()),
+            Err(due_ns) => {
+                let wait_ns = due_ns - now_ns - BURST_NANOS;
+                let retry_after = Duration::from_nanos(wait_ns);
+                Err(LimitError::RateExceeded { retry_after })
+            }
+        }
+    }
+}
+
+/// The due time after one more request, or `None` where it comes too far ahead of its pace.
+fn due_after(due_ns: u64, now_ns: u64, interval_ns: u64) -> Option<u64> {
+    let start_ns = due_ns.max(now_ns);
+    (start_ns - now_ns <= BURST_NANOS).then(|| start_ns.saturating_add(interval_ns))
+}
+
+fn saturate(rate: MilliRate) -> u32 {
+    u32::try_from(rate.get()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/retries/budget.rs
@@ -0,0 +1,78 @@
+//! The share of a service's traffic that may be retries.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::time::Instant;
+
+use crate::limits::{MilliRate, RateMeter};
+
+/// How much a service may retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetSettings {
+    /// Retries that each hundred first attempts allow.
+    pub percent: u32,
+    /// Largest number of retries that past first attempts leave unspent.
+    pub max_saved: u32,
+    /// Retries allowed whatever the traffic.
+    pub floor: MilliRate,
+}
+
+impl BudgetSettings {
+    /// Creates the usual settings: 10 in 100, at most 50 saved, one in two seconds at least.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            percent: 10,
+            max_saved: 50,
+            floor: MilliRate::new(500),
+        }
+    }
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Retries that a service has left at an entry; shared by its traffic threads.
+#[derive(Debug)]
+pub struct RetryBudget {
+    settings: BudgetSettings,
+    saved_percents: AtomicU64,
+    floor: RateMeter,
+}
+
+/// What one retry costs; one first attempt earns [`BudgetSettings::percent`].
+const RETRY_COST_PERCENTS: u64 = 100;
+
+impl RetryBudget {
+    /// Creates the budget of a service that has seen no traffic by `now`.
+    #[must_use]
+    pub fn new(settings: BudgetSettings, now: Instant) -> Self {
+        let floor = RateMeter::new(now);
+        floor.set_floor(settings.floor);
+        Self {
+            settings,
+            saved_percents: AtomicU64::new(0),
+            floor,
+        }
+    }
+
+    /// Records the first attempt of a request.
+    pub fn record_first(&self) {
+        let max_saved = u64::from(self.settings.max_saved) * RETRY_COST_PERCENTS;
+        let earn = |saved: u64| Some((saved + u64::from(self.settings.percent)).min(max_saved));
+        let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
+        let _previous = self.saved_percents.fetch_update(set, fetch, earn);
+    }
+
+    /// Takes one retry from the budget; `false` where none is left at `now`.
+    #[must_use]
+    pub fn try_spend(&self, now: Instant) -> bool {
+        let spend = |saved: u64| saved.checked_sub(RETRY_COST_PERCENTS);
+        let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
+        let is_saved = self.saved_percents.fetch_update(set, fetch, spend).is_ok();
+        is_saved || self.floor.try_admit(now).is_ok()
+    }
+}
