Routing policy over a subset of near targets

A full mesh does not fit 1,700 nodes, and choosing the least loaded target by an old report sends every entry to the same one. Each entry draws two targets, weighted by what their gates admit, from its own subset and looks farther only under load.

--- a/crates/fleet/src/routing/baseline.rs
+++ b/crates/fleet/src/routing/baseline.rs
@@ -54,7 +54,7 @@
     ask: &'a RouteAsk<'_>,
 ) -> impl Iterator<Item = &'a TargetRoute> {
     let is_candidate = |route: &&TargetRoute| route.is_open() && !ask.tried.contains(&route.target);
-    routes.targets.iter().filter(is_candidate)
+    routes.targets().iter().filter(is_candidate)
 }
 
 fn plan_for(route: &TargetRoute) -> RoutePlan {
@@ -64,7 +64,7 @@
 }
 
 fn no_target(routes: &ServiceRoutes) -> RouteError {
-    if routes.targets.iter().any(TargetRoute::is_open) {
+    if routes.targets().iter().any(TargetRoute::is_open) {
         RouteError::AllTried
     } else {
         RouteError::NoOpenTarget
--- a/crates/fleet/src/routing/mod.rs
+++ b/crates/fleet/src/routing/mod.rs
@@ -1,13 +1,24 @@
 //! Choosing a target for a request.
 
+mod alias;
 mod baseline;
+mod candidate;
+mod hash;
+mod near;
 mod snapshot;
+mod subset;
+mod table;
 
 pub use baseline::{LeastLoadedPolicy, RoundRobinPolicy};
+pub use near::DomainNearPolicy;
 pub use snapshot::{
     DomainDistance, LoadHint, RouteAsk, RouteError, RoutePlan, RoutePolicy, RouteSnapshot,
     ServiceKind, ServiceRoutes, TargetRoute, TargetStage,
 };
+pub use subset::SubsetSettings;
+pub use table::SubsetLoad;
+
+use table::RouteTable;
 
 /// Result of a routing decision.
 pub type Result<T> = std::result::Result<T, RouteError>;
--- a/crates/fleet/src/routing/snapshot.rs
+++ b/crates/fleet/src/routing/snapshot.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::Result;
+use super::{Result, RouteTable, SubsetLoad, SubsetSettings};
 
 /// How a service is called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,6 +49,8 @@
 pub struct LoadHint {
     /// Requests in flight at the target from all entries.
     pub in_flight: SlotCount,
+    /// Of these, requests from this entry.
+    pub own_in_flight: SlotCount,
     /// Requests the target's gate admits at once.
     pub limit: SlotCount,
     /// Smoothed time to the first chunk, in milliseconds.
@@ -97,8 +99,49 @@
 pub struct ServiceRoutes {
     /// How the service is called.
     pub kind: ServiceKind,
-    /// Its targets, nearest first.
-    pub targets: Vec<TargetRoute>,
+    targets: Vec<TargetRoute>,
+    table: RouteTable,
+}
+
+impl ServiceRoutes {
+    /// Creates the routes of a service and the table from which a policy draws.
+    ///
+    /// Hints are judged by their age at `now`.
+    #[must_use]
+    pub fn new(
+        kind: ServiceKind,
+        targets: Vec<TargetRoute>,
+        settings: &SubsetSettings,
+        now: Instant,
+    ) -> Self {
+        let table = RouteTable::new(&targets, settings, now);
+        Self {
+            kind,
+            targets,
+            table,
+        }
+    }
+
+    /// All targets of the service.
+    #[must_use]
+    pub fn targets(&self) -> &[TargetRoute] {
+        &self.targets
+    }
+
+    /// The targets that this entry keeps connections and load reports of, nearest first.
+    pub fn subset(&self) -> impl Iterator<Item = &TargetRoute> {
+        self.table.rows().map(|row| &self.targets[row.index])
+    }
+
+    /// Estimated load of the subset.
+    #[must_use]
+    pub fn load(&self) -> SubsetLoad {
+        self.table.load()
+    }
+
+    pub(super) fn table(&self) -> &RouteTable {
+        &self.table
+    }
 }
 
 /// Everything a traffic thread needs to route; replaced as a whole.
--- /dev/null
+++ b/crates/fleet/src/routing/table.rs
@@ -0,0 +1,133 @@
+//! What a policy draws from, computed once for each snapshot.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::alias::AliasTable;
+use super::candidate::CandidateRow;
+use super::{SubsetSettings, TargetRoute};
+
+/// Estimated load of the targets that an entry uses.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SubsetLoad {
+    /// Requests in flight.
+    pub in_flight: f32,
+    /// Requests that the gates admit at once.
+    pub limit: f32,
+}
+
+impl SubsetLoad {
+    /// Share of the limit in use.
+    #[must_use]
+    pub fn utilisation(&self) -> f32 {
+        self.in_flight / self.limit.max(1.0)
+    }
+}
+
+/// The targets of the subset at one distance.
+#[derive(Clone, Debug)]
+pub(super) struct TierTable {
+    candidates: Vec<CandidateRow>,
+    draws: AliasTable,
+}
+
+impl TierTable {
+    /// The targets, in rendezvous order.
+    pub fn candidates(&self) -> &[CandidateRow] {
+        &self.candidates
+    }
+
+    /// Draws a target by weight.
+    pub fn draw(&self) -> Option<&CandidateRow> {
+        self.draws.draw().map(|position| &self.candidates[position])
+    }
+}
+
+/// The subset of one service, by distance, nearest first; tiers without targets are left out.
+#[derive(Clone, Debug)]
+pub(super) struct RouteTable {
+    tiers: Vec<TierTable>,
+    load: SubsetLoad,
+}
+
+impl RouteTable {
+    /// Creates the table of `targets` as known at `now`.
+    pub fn new(targets: &[TargetRoute], settings: &SubsetSettings, now: Instant) -> Self {
+        let make_row = |index: usize| CandidateRow::new(index, &targets[index]);
+        let mut tiers: Vec<Vec<CandidateRow>> = Vec::new();
+        for (distance, size) in settings.sizes() {
+            let picked = settings.pick(targets, distance, size);
+            tiers.push(picked.into_iter().map(make_row).collect());
+        }
+        tiers.retain(|rows| !rows.is_empty());
+        set_peers(&mut tiers, now);
+        let tiers: Vec<TierTable> = tiers.into_iter().map(make_tier).collect();
+        let mut table = Self {
+            tiers,
+            load: SubsetLoad::default(),
+        };
+        table.load = table.sum_load(targets, now);
+        table
+    }
+
+    /// Tiers, nearest first.
+    pub fn tiers(&self) -> &[TierTable] {
+        &self.tiers
+    }
+
+    /// Targets of all tiers.
+    pub fn rows(&self) -> impl Iterator<Item = &CandidateRow> {
+        self.tiers.iter().flat_map(TierTable::candidates)
+    }
+
+    /// Estimated load of the subset.
+    pub fn load(&self) -> SubsetLoad {
+        self.load
+    }
+
+    fn sum_load(&self, targets: &[TargetRoute], now: Instant) -> SubsetLoad {
+        let mut load = SubsetLoad::default();
+        for row in self.rows() {
+            let own = targets[row.index].own_in_flight();
+            load.in_flight += row.estimated_load(own, now);
+            load.limit += row.limit;
+        }
+        load
+    }
+}
+
+/// Compares every target with its peers in the subset.
+fn set_peers(tiers: &mut [Vec<CandidateRow>], now: Instant) {
+    let (mut others, mut limit) = (0.0, 0.0);
+    let mut first_chunks = Vec::new();
+    for row in tiers.iter().flatten() {
+        if let Some(reported) = row.reported_others() {
+            others += reported;
+            limit += row.limit;
+        }
+        first_chunks.extend(row.recent_first_chunk(now));
+    }
+    let others_per_slot = others / f32::max(limit, 1.0);
+    let median = median(&mut first_chunks);
+    for row in tiers.iter_mut().flatten() {
+        row.set_peers(others_per_slot, median, now);
+    }
+}
+
+fn make_tier(candidates: Vec<CandidateRow>) -> TierTable {
+    let weights: Vec<f32> = candidates.iter().map(CandidateRow::weight).collect();
+    TierTable {
+        candidates,
+        draws: AliasTable::new(&weights),
+    }
+}
+
+fn median(values: &mut [Duration]) -> Option<Duration> {
+    if values.is_empty() {
+        return None;
+    }
+    let middle = values.len() / 2;
+    let (_, median, _) = values.select_nth_unstable(middle);
+    Some(*median)
+}
