Process settings and the operators' two lists, refused as a whole with file, line and range

Each document has one table of rules (field, range, default). A field's line comes from the text that serde borrows for its key, which needs neither a parser of our own nor the raw_value feature. Blanked block comments lost their line ends, so these are put back.

--- a/crates/fleet/src/config/change.rs
+++ b/crates/fleet/src/config/change.rs
@@ -1,6 +1,6 @@
 //! Changes of the configuration and the values that hold them in the key-value service.
 
-use amaranthgw_core::{ChangeNumber, DomainId, OperatorId, PlanId, VmId, WorkspaceId};
+use amaranthgw_core::{ChangeNumber, DomainId, OperatorId, ParseError, PlanId, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 use super::{PlanRow, ServingState, WorkspaceRow};
@@ -49,11 +49,61 @@
     BringBack(OutScope),
 }
 
+/// Identifier of a change, drawn at random by the operator's process and written as 32 hex digits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChangeId(u128);
+
+impl ChangeId {
+    /// Creates the identifier from random bits.
+    #[must_use]
+    pub const fn new(bits: u128) -> Self {
+        Self(bits)
+    }
+}
+
+impl std::fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl std::str::FromStr for ChangeId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, ParseError> {
+        const ALLOWED: &str = "32 hex digits";
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let bits = u128::from_str_radix(text, 16).ok().filter(|_| is_hex);
+        bits.map(Self)
+            .ok_or_else(|| ParseError::new("ChangeId", ALLOWED, text))
+    }
+}
+
+impl Serialize for ChangeId {
+    fn serialize<S: serde::Serializer>(
+        &self,
+        serializer: S,
+    ) -> std::result::Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ChangeId {
+    fn deserialize<D: serde::Deserializer<'de>>(
+        deserializer: D,
+    ) -> std::result::Result<Self, D::Error> {
+        let text = compact_str::CompactString::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
 /// Edits that come into force together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigChange {
     /// Position in the log.
     pub number: ChangeNumber,
+    /// Identifier that the operator drew for the change, to recognise it in the log.
+    pub id: ChangeId,
     /// Who made the change.
     pub operator: OperatorId,
     /// When it was made, in milliseconds since the Unix epoch by the operator's clock.
@@ -67,13 +117,31 @@
 pub struct ConfigLog {
     /// Number of the last change that the base contains; 0 is the empty configuration.
     pub base: ChangeNumber,
+    /// Every base below this number has been removed from the service.
+    #[serde(default)]
+    pub swept: ChangeNumber,
     /// The changes after the base, in order and without gaps.
     pub changes: Vec<ConfigChange>,
 }
 
+/// What remains known of a change whose edits are in a base.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeMark {
+    /// Position in the log.
+    pub number: ChangeNumber,
+    /// Identifier of the change.
+    pub id: ChangeId,
+    /// Who made it.
+    pub operator: OperatorId,
+    /// When it was made, in milliseconds since the Unix epoch by the operator's clock.
+    pub made_at_unix_ms: u64,
+}
+
 /// A whole configuration, written once under the number of its last change.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigBase {
     /// The configuration.
     pub state: ServingState,
+    /// The last changes that the configuration contains, oldest first.
+    pub marks: Vec<ChangeMark>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod lists;
 pub mod retries;
 pub mod routing;
+pub mod settings;
 pub mod suspects;
--- /dev/null
+++ b/crates/fleet/src/lists/parse.rs
@@ -0,0 +1,129 @@
+//! Reading the two lists and checking them against each other.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use compact_str::ToCompactString;
+
+use super::rows::{CustomerList, PlanList};
+use super::{CUSTOMER_RULES, ListError, OperatorLists, PLAN_RULES, Result};
+use crate::settings::{
+    DocumentError, FieldPath, FieldProblem, FieldRule, JsonDocument, ProblemKind, field_problem,
+    parse_document,
+};
+
+impl OperatorLists {
+    /// Reads both lists; the names are the files that errors name.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem that was found in either file. Duplicates and unknown plans are
+    /// looked for once every field by itself is right.
+    pub fn parse(
+        customers_text: &str,
+        customers_name: &str,
+        plans_text: &str,
+        plans_name: &str,
+    ) -> Result<Self> {
+        let customers_document = JsonDocument::new(customers_name, customers_text);
+        let plans_document = JsonDocument::new(plans_name, plans_text);
+        let customers = parse_document::<CustomerList>(&customers_document, CUSTOMER_RULES);
+        let plans = parse_document::<PlanList>(&plans_document, PLAN_RULES);
+        let (customers, plans) = match (customers, plans) {
+            (Ok(customers), Ok(plans)) => (customers, plans),
+            (customers, plans) => return Err(ListError::new(errors_of(customers, plans))),
+        };
+        let mut customer_problems = duplicate_customers(&customers_document, &customers);
+        customer_problems.extend(unknown_plans(
+            &customers_document,
+            &customers,
+            &plans,
+            plans_name,
+        ));
+        let plan_problems = duplicate_plans(&plans_document, &plans);
+        let files = [
+            (customers_document, customer_problems),
+            (plans_document, plan_problems),
+        ];
+        let refused = files
+            .into_iter()
+            .filter(|(_, problems)| !problems.is_empty());
+        let errors: Vec<_> = refused
+            .map(|(document, problems)| document.error(problems))
+            .collect();
+        if !errors.is_empty() {
+            return Err(ListError::new(errors));
+        }
+        Ok(Self {
+            workspaces: customers.into(),
+            plans: plans.into(),
+        })
+    }
+}
+
+fn errors_of<A, B>(
+    first: std::result::Result<A, DocumentError>,
+    second: std::result::Result<B, DocumentError>,
+) -> Vec<DocumentError> {
+    first.err().into_iter().chain(second.err()).collect()
+}
+
+fn duplicate_customers(document: &JsonDocument, list: &CustomerList) -> Vec<FieldProblem> {
+    let rows = FieldPath::new().with_key("customers");
+    let ids = list.customers.iter().map(|entry| &entry.workspace);
+    duplicates(document, CUSTOMER_RULES, &rows, "workspace", ids)
+}
+
+fn duplicate_plans(document: &JsonDocument, list: &PlanList) -> Vec<FieldProblem> {
+    let rows = FieldPath::new().with_key("plans");
+    let ids = list.plans.iter().map(|entry| &entry.plan);
+    let mut problems = duplicates(document, PLAN_RULES, &rows, "plan", ids);
+    for (index, entry) in list.plans.iter().enumerate() {
+        let uses = rows.with_index(index).with_key("uses");
+        let ids = entry.uses.iter().map(|entry| &entry.service);
+        problems.extend(duplicates(document, PLAN_RULES, &uses, "service", ids));
+    }
+    problems
+}
+
+/// The rows of one list whose identifier an earlier row has.
+fn duplicates<'a, Id: Hash + Eq + std::fmt::Display + 'a>(
+    document: &JsonDocument,
+    rules: &[FieldRule],
+    rows: &FieldPath,
+    key: &str,
+    ids: impl Iterator<Item = &'a Id>,
+) -> Vec<FieldProblem> {
+    let mut first_rows = HashMap::new();
+    let mut problems = Vec::new();
+    for (index, id) in ids.enumerate() {
+        let first = *first_rows.entry(id).or_insert(index);
+        if first == index {
+            continue;
+        }
+        let first_path = rows.with_index(first).with_key(key);
+        let first_line = document.locate(&first_path).line;
+        let kind = ProblemKind::Duplicate(id.to_compact_string(), first_line);
+        let path = rows.with_index(index).with_key(key);
+        problems.push(field_problem(document, rules, path, kind));
+    }
+    problems
+}
+
+fn unknown_plans(
+    document: &JsonDocument,
+    customers: &CustomerList,
+    plans: &PlanList,
+    plans_name: &str,
+) -> Vec<FieldProblem> {
+    let known: std::collections::HashSet<_> = plans.plans.iter().map(|entry| &entry.plan).collect();
+    let rows = FieldPath::new().with_key("customers");
+    let entries = customers.customers.iter().enumerate();
+    let unknown = entries.filter(|(_, entry)| !known.contains(&entry.plan));
+    let problem = |(index, entry): (usize, &super::rows::CustomerEntry)| {
+        let path = rows.with_index(index).with_key("plan");
+        let kind = ProblemKind::UnknownPlan(entry.plan.to_compact_string(), plans_name.into());
+        field_problem(document, CUSTOMER_RULES, path, kind)
+    };
+    unknown.map(problem).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/lists/rows.rs
@@ -0,0 +1,125 @@
+//! The rows of the two lists and what their fields allow.
+
+use amaranthgw_core::{
+    EntityTable, MilliSpan, PlanId, RequestRate, ServiceId, SlotCount, WorkspaceId,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::config::{ObjectiveShare, PlanRow, UseRow, WorkspaceRow};
+use crate::settings::{FieldRange, FieldRule};
+
+/// The two lists after every check.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorLists {
+    /// Workspaces of the first list.
+    pub workspaces: EntityTable<WorkspaceId, WorkspaceRow>,
+    /// Plans of the second list.
+    pub plans: EntityTable<PlanId, PlanRow>,
+}
+
+/// The fields of the list of customers.
+pub const CUSTOMER_RULES: &[FieldRule] = &[
+    FieldRule::new("customers", FieldRange::Rows),
+    FieldRule::new("customers[]", FieldRange::Group),
+    FieldRule::new("customers[].workspace", FieldRange::Id),
+    FieldRule::new("customers[].plan", FieldRange::Id),
+];
+
+/// The fields of the list of plans.
+pub const PLAN_RULES: &[FieldRule] = &[
+    FieldRule::new("plans", FieldRange::Rows),
+    FieldRule::new("plans[]", FieldRange::Group),
+    FieldRule::new("plans[].plan", FieldRange::Id),
+    FieldRule::new("plans[].deadline", DEADLINE_RANGE),
+    FieldRule::new("plans[].first_token", DEADLINE_RANGE),
+    FieldRule::new("plans[].token_gap", DEADLINE_RANGE),
+    FieldRule::new("plans[].objective", FieldRange::Number(1, 9_999)),
+    FieldRule::new("plans[].refund_weight", FieldRange::Number(0, 1_000)),
+    FieldRule::new("plans[].uses", FieldRange::Rows),
+    FieldRule::new("plans[].uses[]", FieldRange::Group),
+    FieldRule::new("plans[].uses[].service", FieldRange::Id),
+    FieldRule::new("plans[].uses[].rate", RATE_RANGE),
+    FieldRule::new("plans[].uses[].in_flight", FieldRange::Number(1, 1_000_000)),
+];
+
+const DEADLINE_RANGE: FieldRange = FieldRange::Span(MilliSpan::new(1), MilliSpan::new(3_600_000));
+const RATE_RANGE: FieldRange = FieldRange::Rate(RequestRate::new(1), RequestRate::new(1_000_000));
+
+/// The list of customers as written.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct CustomerList {
+    pub(super) customers: Vec<CustomerEntry>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct CustomerEntry {
+    pub(super) workspace: WorkspaceId,
+    pub(super) plan: PlanId,
+}
+
+/// The list of plans as written.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PlanList {
+    pub(super) plans: Vec<PlanEntry>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PlanEntry {
+    pub(super) plan: PlanId,
+    pub(super) deadline: MilliSpan,
+    pub(super) first_token: MilliSpan,
+    pub(super) token_gap: MilliSpan,
+    pub(super) objective: ObjectiveShare,
+    pub(super) refund_weight: u32,
+    pub(super) uses: Vec<UseEntry>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct UseEntry {
+    pub(super) service: ServiceId,
+    pub(super) rate: RequestRate,
+    pub(super) in_flight: SlotCount,
+}
+
+impl From<CustomerList> for EntityTable<WorkspaceId, WorkspaceRow> {
+    fn from(list: CustomerList) -> Self {
+        let row = |entry: CustomerEntry| (entry.workspace, WorkspaceRow { plan: entry.plan });
+        list.customers.into_iter().map(row).collect()
+    }
+}
+
+impl From<PlanList> for EntityTable<PlanId, PlanRow> {
+    fn from(list: PlanList) -> Self {
+        list.plans.into_iter().map(PlanEntry::into_row).collect()
+    }
+}
+
+impl PlanEntry {
+    fn into_row(self) -> (PlanId, PlanRow) {
+        let row = PlanRow {
+            deadline: self.deadline,
+            first_token: self.first_token,
+            token_gap: self.token_gap,
+            objective: self.objective,
+            refund_weight: self.refund_weight,
+            uses: self.uses.into_iter().map(UseEntry::into_row).collect(),
+        };
+        (self.plan, row)
+    }
+}
+
+impl UseEntry {
+    fn into_row(self) -> (ServiceId, UseRow) {
+        let Self {
+            service,
+            rate,
+            in_flight,
+        } = self;
+        (service, UseRow { rate, in_flight })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings/document.rs
@@ -0,0 +1,215 @@
+//! A JSON document with comments, and the position of each of its fields.
+
+use std::io::Read;
+
+use compact_str::CompactString;
+use json_comments::StripComments;
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+
+use super::{DocumentError, FieldPath, FieldProblem, PathPart, TextPosition};
+
+/// A named text whose comments are blanked out; positions stay those of the original.
+#[derive(Clone, Debug)]
+pub(crate) struct JsonDocument {
+    name: CompactString,
+    text: String,
+}
+
+impl JsonDocument {
+    /// Blanks the comments of `text`; `name` is the file that errors name.
+    pub(crate) fn new(name: &str, text: &str) -> Self {
+        let mut stripped = Vec::with_capacity(text.len());
+        let read = StripComments::new(text.as_bytes()).read_to_end(&mut stripped);
+        // An unclosed comment or string fails here; the original text then fails in the parser.
+        let is_aligned = read.is_ok() && stripped.len() == text.len();
+        let stripped = is_aligned.then(|| restore_lines(text, stripped));
+        let text = stripped.flatten().unwrap_or_else(|| text.to_owned());
+        Self {
+            name: name.into(),
+            text,
+        }
+    }
+
+    /// The text without comments.
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// The error that lists `problems`, in order of their position and without repetitions.
+    pub(crate) fn error(&self, problems: Vec<FieldProblem>) -> DocumentError {
+        DocumentError::new(self.name.clone(), problems)
+    }
+
+    /// Position of the field at `path`, or of the nearest enclosing field that can be found.
+    pub(crate) fn locate(&self, path: &FieldPath) -> TextPosition {
+        let mut found = None;
+        let mut input = serde_json::Deserializer::from_str(&self.text);
+        let seed = LocateSeed {
+            base: self.text.as_ptr().addr(),
+            parts: path.parts(),
+            is_row: false,
+            found: &mut found,
+        };
+        // The walk fails only where the text is no JSON; what was found until then still holds.
+        drop(seed.deserialize(&mut input));
+        self.position(found.unwrap_or(0))
+    }
+
+    fn position(&self, offset: usize) -> TextPosition {
+        let before = &self.text.as_bytes()[..offset.min(self.text.len())];
+        let mut lines = before.split(|byte| *byte == b'\n');
+        let column = lines.next_back().map_or(0, <[u8]>::len) + 1;
+        let line = lines.count() + 1;
+        TextPosition { line, column }
+    }
+}
+
+/// Puts back the line ends of `text` that were blanked as part of a comment.
+fn restore_lines(text: &str, mut stripped: Vec<u8>) -> Option<String> {
+    for (byte, original) in stripped.iter_mut().zip(text.bytes()) {
+        if original == b'\n' {
+            *byte = b'\n';
+        }
+    }
+    String::from_utf8(stripped).ok()
+}
+
+/// Walks to a field; the text borrowed for each key on the way tells its offset.
+struct LocateSeed<'a> {
+    base: usize,
+    parts: &'a [PathPart],
+    is_row: bool,
+    found: &'a mut Option<usize>,
+}
+
+impl<'de> DeserializeSeed<'de> for LocateSeed<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for LocateSeed<'_> {
+    type Value = ();
+
+    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("any JSON value")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        let mut is_first = true;
+        while let Some(KeyText { text, address }) = map.next_key()? {
+            let offset = address.map(|address| address - self.base - 1);
+            // The first key stands for its row where the row lacks the wanted field.
+            if self.is_row && is_first {
+                *self.found = offset.or(*self.found);
+            }
+            is_first = false;
+            let rest = match self.parts {
+                [PathPart::Key(wanted), rest @ ..] if *wanted == text => rest,
+                _ => {
+                    map.next_value::<IgnoredAny>()?;
+                    continue;
+                }
+            };
+            *self.found = offset.or(*self.found);
+            if rest.is_empty() {
+                map.next_value::<IgnoredAny>()?;
+            } else {
+                map.next_value_seed(LocateSeed {
+                    base: self.base,
+                    parts: rest,
+                    is_row: false,
+                    found: &mut *self.found,
+                })?;
+            }
+        }
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        let [PathPart::Index(wanted), rest @ ..] = self.parts else {
+            while seq.next_element::<IgnoredAny>()?.is_some() {}
+            return Ok(());
+        };
+        for _ in 0..*wanted {
+            seq.next_element::<IgnoredAny>()?;
+        }
+        seq.next_element_seed(LocateSeed {
+            base: self.base,
+            parts: rest,
+            is_row: true,
+            found: &mut *self.found,
+        })?;
+        while seq.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(())
+    }
+
+    fn visit_borrowed_str<E>(self, v: &'de str) -> Result<(), E> {
+        if self.parts.is_empty() {
+            *self.found = Some(v.as_ptr().addr() - self.base);
+        }
+        Ok(())
+    }
+
+    fn visit_str<E>(self, _v: &str) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_bool<E>(self, _v: bool) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_i64<E>(self, _v: i64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_u64<E>(self, _v: u64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_f64<E>(self, _v: f64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_unit<E>(self) -> Result<(), E> {
+        Ok(())
+    }
+}
+
+/// A key and, where it has no escapes, its address in the document.
+struct KeyText {
+    text: CompactString,
+    address: Option<usize>,
+}
+
+impl<'de> serde::Deserialize<'de> for KeyText {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(KeyVisitor)
+    }
+}
+
+struct KeyVisitor;
+
+impl<'de> Visitor<'de> for KeyVisitor {
+    type Value = KeyText;
+
+    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("a key")
+    }
+
+    fn visit_borrowed_str<E>(self, v: &'de str) -> Result<KeyText, E> {
+        Ok(KeyText {
+            text: v.into(),
+            address: Some(v.as_ptr().addr()),
+        })
+    }
+
+    fn visit_str<E>(self, v: &str) -> Result<KeyText, E> {
+        Ok(KeyText {
+            text: v.into(),
+            address: None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings/entry.rs
@@ -0,0 +1,105 @@
+//! Settings of an entry process.
+
+use std::net::SocketAddr;
+
+use amaranthgw_core::{ByteCount, DomainId, MilliSpan, RegionId, VmId};
+use serde::{Deserialize, Serialize};
+
+use super::{FieldRange, FieldRule, JsonDocument, Result, parse_document};
+
+/// Settings of an entry: a process that takes callers' requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The VM of the process.
+    pub vm: VmId,
+    /// Failure domain of the VM.
+    pub domain: DomainId,
+    /// Region of the failure domain.
+    pub region: RegionId,
+    /// Where callers send their requests (HTTP).
+    pub caller_listen: SocketAddr,
+    /// Where peers, sidecars and operators reach the process.
+    pub node_listen: SocketAddr,
+    /// Where metrics are read.
+    pub metrics_listen: SocketAddr,
+    /// Address of the key-value service.
+    pub store: SocketAddr,
+    /// Address of the VM list.
+    pub vm_list: SocketAddr,
+    /// Threads that carry requests, 1 to 256; 2 unless given.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: u16,
+    /// Time between two ticks of the control thread, 5 ms to 1 s; 50 ms unless given.
+    #[serde(default = "default_tick")]
+    pub tick: MilliSpan,
+    /// Longest time a shutdown waits for requests in flight, 0 to 1 h; 30 s unless given.
+    #[serde(default = "default_grace")]
+    pub grace: MilliSpan,
+    /// Largest request body in bytes, 1 KiB to 64 MiB; 1 MiB unless given.
+    #[serde(default = "default_max_body")]
+    pub max_body: ByteCount,
+    /// Targets of each service that this entry keeps connections to, 1 to 1024; 16 unless given.
+    #[serde(default = "default_subset_size")]
+    pub subset_size: u16,
+}
+
+impl EntrySettings {
+    /// The fields with their allowed ranges and defaults.
+    pub const RULES: &'static [FieldRule] = &[
+        FieldRule::new("vm", FieldRange::Id),
+        FieldRule::new("domain", FieldRange::Id),
+        FieldRule::new("region", FieldRange::Id),
+        FieldRule::new("caller_listen", FieldRange::Address),
+        FieldRule::new("node_listen", FieldRange::Address),
+        FieldRule::new("metrics_listen", FieldRange::Address),
+        FieldRule::new("store", FieldRange::Address),
+        FieldRule::new("vm_list", FieldRange::Address),
+        FieldRule::new("traffic_threads", THREAD_RANGE).with_default("2"),
+        FieldRule::new("tick", TICK_RANGE).with_default("50ms"),
+        FieldRule::new("grace", GRACE_RANGE).with_default("30s"),
+        FieldRule::new("max_body", BODY_RANGE).with_default("1048576"),
+        FieldRule::new("subset_size", FieldRange::Number(1, 1_024)).with_default("16"),
+    ];
+
+    /// Reads the settings from `text`; `name` is the file that errors name.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem that was found, each with its line, field and allowed range.
+    pub fn parse(text: &str, name: &str) -> Result<Self> {
+        parse_document(&JsonDocument::new(name, text), Self::RULES)
+    }
+}
+
+/// Threads that carry requests.
+pub(super) const THREAD_RANGE: FieldRange = FieldRange::Number(1, 256);
+/// Time between two ticks.
+pub(super) const TICK_RANGE: FieldRange =
+    FieldRange::Span(MilliSpan::new(5), MilliSpan::new(1_000));
+/// Longest wait of a shutdown.
+pub(super) const GRACE_RANGE: FieldRange =
+    FieldRange::Span(MilliSpan::new(0), MilliSpan::new(3_600_000));
+/// Largest request body.
+const BODY_RANGE: FieldRange =
+    FieldRange::Bytes(ByteCount::new(1_024), ByteCount::new(64 * 1_024 * 1_024));
+
+pub(super) const fn default_traffic_threads() -> u16 {
+    2
+}
+
+pub(super) const fn default_tick() -> MilliSpan {
+    MilliSpan::new(50)
+}
+
+pub(super) const fn default_grace() -> MilliSpan {
+    MilliSpan::new(30_000)
+}
+
+const fn default_max_body() -> ByteCount {
+    ByteCount::new(1_024 * 1_024)
+}
+
+const fn default_subset_size() -> u16 {
+    16
+}
--- /dev/null
+++ b/crates/fleet/src/settings/mod.rs
@@ -0,0 +1,18 @@
+//! Settings of the processes, and how JSON documents with comments are read and refused.
+
+mod document;
+mod entry;
+mod parse;
+mod problem;
+mod rule;
+mod sidecar;
+
+pub(crate) use document::JsonDocument;
+pub use entry::EntrySettings;
+pub(crate) use parse::{field_problem, parse_document};
+pub use problem::{DocumentError, FieldPath, FieldProblem, PathPart, ProblemKind, TextPosition};
+pub use rule::{FieldRange, FieldRule};
+pub use sidecar::{GateSettings, RankSettings, SidecarSettings, TargetSettings};
+
+/// Result of reading a document.
+pub type Result<T> = std::result::Result<T, DocumentError>;
--- /dev/null
+++ b/crates/fleet/src/settings/rule.rs
@@ -0,0 +1,220 @@
+//! What each field of a document allows.
+
+use std::net::SocketAddr;
+
+use amaranthgw_core::{ByteCount, DomainId, MilliSpan, RequestRate};
+use compact_str::{CompactString, ToCompactString, format_compact};
+use serde_json::{Map, Value};
+
+use super::{FieldPath, PathPart, ProblemKind};
+
+/// Longest part of a refused value that an error shows, in characters.
+const MAX_SHOWN_CHARS: usize = 64;
+
+/// The allowed values of a field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FieldRange {
+    /// An identifier.
+    Id,
+    /// An IP address with a port, as text.
+    Address,
+    /// A whole number from the first to the second.
+    Number(u64, u64),
+    /// A number of bytes from the first to the second.
+    Bytes(ByteCount, ByteCount),
+    /// A duration from the first to the second.
+    Span(MilliSpan, MilliSpan),
+    /// Requests per second from the first to the second.
+    Rate(RequestRate, RequestRate),
+    /// One of the texts.
+    OneOf(&'static [&'static str]),
+    /// `true` or `false`.
+    Flag,
+    /// A list of rows.
+    Rows,
+    /// A group of fields.
+    Group,
+}
+
+impl FieldRange {
+    /// Whether `value` is of the right type and in range.
+    #[must_use]
+    pub fn allows(&self, value: &Value) -> bool {
+        let number = || value.as_u64();
+        match self {
+            Self::Id => parsed::<DomainId>(value).is_some(),
+            Self::Address => parsed::<SocketAddr>(value).is_some_and(|address| address.port() > 0),
+            Self::Number(min, max) => number().is_some_and(|number| in_range(number, *min, *max)),
+            Self::Bytes(min, max) => {
+                number().is_some_and(|number| in_range(number, min.get(), max.get()))
+            }
+            Self::Span(min, max) => parsed(value).is_some_and(|span| in_range(span, *min, *max)),
+            Self::Rate(min, max) => parsed(value).is_some_and(|rate| in_range(rate, *min, *max)),
+            Self::OneOf(texts) => value.as_str().is_some_and(|text| texts.contains(&text)),
+            Self::Flag => value.is_boolean(),
+            Self::Rows => value.is_array(),
+            Self::Group => value.is_object(),
+        }
+    }
+}
+
+impl std::fmt::Display for FieldRange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Id => f.write_str("a text of 1 to 64 letters, digits or any of . _ - : /"),
+            Self::Address => f.write_str("a text like 10.0.0.1:8080 with a port from 1 to 65535"),
+            Self::Number(min, max) => write!(f, "a whole number from {min} to {max}"),
+            Self::Bytes(min, max) => write!(f, "a whole number of bytes from {min} to {max}"),
+            Self::Span(min, max) => write!(f, "a text like 250ms, 3s or 2min from {min} to {max}"),
+            Self::Rate(min, max) => write!(f, "a text like 200/s from {min} to {max}"),
+            Self::OneOf(texts) => write!(f, "one of {}", texts.join(", ")),
+            Self::Flag => f.write_str("true or false"),
+            Self::Rows => f.write_str("a list of rows"),
+            Self::Group => f.write_str("a group of fields"),
+        }
+    }
+}
+
+fn parsed<T: std::str::FromStr>(value: &Value) -> Option<T> {
+    value.as_str().and_then(|text| text.parse().ok())
+}
+
+fn in_range<T: PartialOrd + Copy>(value: T, min: T, max: T) -> bool {
+    min <= value && value <= max
+}
+
+/// One field of a document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FieldRule {
+    /// The field; `[]` stands for every row of a list.
+    pub field: &'static str,
+    /// What it allows.
+    pub range: FieldRange,
+    /// What holds where the field is left out; `None` where it must be given.
+    pub default: Option<&'static str>,
+}
+
+impl FieldRule {
+    /// Creates the rule of a field that must be given.
+    #[must_use]
+    pub const fn new(field: &'static str, range: FieldRange) -> Self {
+        Self {
+            field,
+            range,
+            default: None,
+        }
+    }
+
+    /// The same rule for a field that may be left out.
+    #[must_use]
+    pub const fn with_default(mut self, default: &'static str) -> Self {
+        self.default = Some(default);
+        self
+    }
+}
+
+/// The rule of the field at `path`.
+pub(super) fn rule_of<'a>(rules: &'a [FieldRule], path: &FieldPath) -> Option<&'a FieldRule> {
+    let pattern = pattern_of(path);
+    rules.iter().find(|rule| rule.field == pattern)
+}
+
+/// The path as rules write it.
+fn pattern_of(path: &FieldPath) -> CompactString {
+    let mut pattern = CompactString::default();
+    for part in path.parts() {
+        match part {
+            PathPart::Index(_) => pattern.push_str("[]"),
+            PathPart::Key(key) if pattern.is_empty() => pattern.push_str(key),
+            PathPart::Key(key) => pattern = format_compact!("{pattern}.{key}"),
+        }
+    }
+    pattern
+}
+
+/// The rules of the fields directly within the group `pattern`, with the names of the fields.
+fn fields_within<'a>(
+    rules: &'a [FieldRule],
+    pattern: &'a str,
+) -> impl Iterator<Item = (&'static str, &'a FieldRule)> {
+    let name = move |rule: &FieldRule| {
+        let rest = rule.field.strip_prefix(pattern)?;
+        let name = if pattern.is_empty() {
+            rest
+        } else {
+            rest.strip_prefix('.')?
+        };
+        (!name.contains(['.', '['])).then_some(name)
+    };
+    rules
+        .iter()
+        .filter_map(move |rule| Some((name(rule)?, rule)))
+}
+
+/// A field that the rules refuse.
+pub(super) struct RefusedField {
+    pub(super) path: FieldPath,
+    pub(super) kind: ProblemKind,
+    pub(super) allowed: CompactString,
+}
+
+/// Every field of the document `value` that is unknown, missing or out of its range.
+pub(super) fn refused_fields(rules: &[FieldRule], value: &Value) -> Vec<RefusedField> {
+    let mut refused = Vec::new();
+    visit(rules, &FieldPath::new(), value, &mut refused);
+    refused
+}
+
+fn visit(rules: &[FieldRule], path: &FieldPath, value: &Value, refused: &mut Vec<RefusedField>) {
+    let rule = rule_of(rules, path);
+    if let Some(rule) = rule.filter(|rule| !rule.range.allows(value)) {
+        let shown = value.to_string().chars().take(MAX_SHOWN_CHARS).collect();
+        refused.push(RefusedField {
+            path: path.clone(),
+            kind: ProblemKind::OutOfRange(shown),
+            allowed: rule.range.to_compact_string(),
+        });
+        return;
+    }
+    match value {
+        Value::Array(rows) => {
+            for (index, row) in rows.iter().enumerate() {
+                visit(rules, &path.with_index(index), row, refused);
+            }
+        }
+        Value::Object(fields) => visit_group(rules, path, fields, refused),
+        _ => {}
+    }
+}
+
+fn visit_group(
+    rules: &[FieldRule],
+    path: &FieldPath,
+    fields: &Map<String, Value>,
+    refused: &mut Vec<RefusedField>,
+) {
+    let pattern = pattern_of(path);
+    for (key, field) in fields {
+        if fields_within(rules, &pattern).any(|(name, _)| name == key) {
+            visit(rules, &path.with_key(key), field, refused);
+            continue;
+        }
+        let names: Vec<_> = fields_within(rules, &pattern)
+            .map(|(name, _)| name)
+            .collect();
+        refused.push(RefusedField {
+            path: path.with_key(key),
+            kind: ProblemKind::UnknownField,
+            allowed: names.join(", ").into(),
+        });
+    }
+    for (name, rule) in fields_within(rules, &pattern) {
+        if rule.default.is_none() && !fields.contains_key(name) {
+            refused.push(RefusedField {
+                path: path.with_key(name),
+                kind: ProblemKind::MissingField,
+                allowed: rule.range.to_compact_string(),
+            });
+        }
+    }
+}
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -10,4 +10,5 @@
 mod lists;
 mod retries;
 mod routing;
+mod settings;
 mod suspects;
