--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod retries;
 pub mod routing;
 pub mod sidecar;
+pub mod settings;
 pub mod suspects;
