--- a/crates/amaranthgw/src/control/config_actor.rs
+++ b/crates/amaranthgw/src/control/config_actor.rs
@@ -34,7 +34,9 @@
 
 impl std::fmt::Debug for ConfigArguments {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("ConfigArguments").field("store", &self.store).finish_non_exhaustive()
+        f.debug_struct("ConfigArguments")
+            .field("store", &self.store)
+            .finish_non_exhaustive()
     }
 }
 
@@ -147,14 +149,18 @@
         if self.is_available {
             self.is_available = false;
             let reason = format_compact!("{error}");
-            self.arguments.log.record(NodeEvent::StoreUnavailable { reason });
+            self.arguments
+                .log
+                .record(NodeEvent::StoreUnavailable { reason });
         }
         false
     }
 
     fn note_unusable(&self, reason: CompactString) -> bool {
         let change = self.state.number;
-        self.arguments.log.record(NodeEvent::ConfigUnusable { change, reason });
+        self.arguments
+            .log
+            .record(NodeEvent::ConfigUnusable { change, reason });
         false
     }
 }
--- a/crates/amaranthgw/src/control/reports.rs
+++ b/crates/amaranthgw/src/control/reports.rs
@@ -12,7 +12,9 @@
 
 impl<Report> Clone for ReportSender<Report> {
     fn clone(&self) -> Self {
-        Self { sender: self.sender.clone() }
+        Self {
+            sender: self.sender.clone(),
+        }
     }
 }
 
--- a/crates/amaranthgw/src/control/vms_actor.rs
+++ b/crates/amaranthgw/src/control/vms_actor.rs
@@ -29,7 +29,9 @@
 
 impl std::fmt::Debug for VmListArguments {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("VmListArguments").field("client", &self.client).finish_non_exhaustive()
+        f.debug_struct("VmListArguments")
+            .field("client", &self.client)
+            .finish_non_exhaustive()
     }
 }
 
@@ -55,7 +57,10 @@
         args: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
         myself.cast(ReadVmList)?;
-        Ok(VmListState { arguments: args, is_available: true })
+        Ok(VmListState {
+            arguments: args,
+            is_available: true,
+        })
     }
 
     async fn handle(
--- a/crates/amaranthgw/src/link/grpc.rs
+++ b/crates/amaranthgw/src/link/grpc.rs
@@ -1,7 +1,6 @@
 //! Attempts over gRPC.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -114,6 +113,7 @@
         workspace: order.workspace.to_string(),
         request: order.request.to_string(),
         attempt: order.attempt.get(),
+        due_ms: order.due.millis(),
         remaining_ms: order.remaining.millis(),
         idempotent: order.is_idempotent,
         refund_weight: order.refund_weight,
@@ -169,16 +169,16 @@
     status_from_report(report).map_err(|_invalid| LinkError::Malformed)
 }
 
-/// Tells a refused connection, over which nothing was sent, from every other failure.
+/// Tells a connection that did not come about, over which nothing was sent, from every other
+/// failure.
 fn error_of(status: &Status) -> LinkError {
     if status.code() == Code::InvalidArgument {
         return LinkError::Malformed;
     }
     let mut source = std::error::Error::source(status);
     while let Some(error) = source {
-        let io_error = error.downcast_ref::<std::io::Error>();
-        if io_error.is_some_and(|io| io.kind() == ErrorKind::ConnectionRefused) {
-            return LinkError::ConnectRefused;
+        if error.is::<tonic::ConnectError>() {
+            return LinkError::NotConnected;
         }
         source = error.source();
     }
--- a/crates/amaranthgw/src/link/step.rs
+++ b/crates/amaranthgw/src/link/step.rs
@@ -32,7 +32,9 @@
     pub request: RequestId,
     /// Number of the attempt.
     pub attempt: AttemptNumber,
-    /// Time left until the answer is due.
+    /// Time left until the answer is late.
+    pub due: MilliSpan,
+    /// Time left until the entry gives the request up.
     pub remaining: MilliSpan,
     /// Whether the call may run more than once.
     pub is_idempotent: bool,
@@ -88,8 +90,8 @@
 /// Why no further step of an attempt will arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkError {
-    /// The connection to the sidecar was refused: not a byte was sent.
-    ConnectRefused,
+    /// No connection to the sidecar came about: not a byte was sent.
+    NotConnected,
     /// The connection to the sidecar broke or timed out: the attempt may have run.
     ConnectionLost,
     /// The sidecar sent a message that no correct sidecar sends.
@@ -99,7 +101,7 @@
 impl std::fmt::Display for LinkError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::ConnectRefused => f.write_str("the sidecar refused the connection"),
+            Self::NotConnected => f.write_str("no connection to the sidecar came about"),
             Self::ConnectionLost => f.write_str("the connection to the sidecar was lost"),
             Self::Malformed => f.write_str("the sidecar sent a malformed message"),
         }
--- a/crates/amaranthgw/src/sidecar/attempt.rs
+++ b/crates/amaranthgw/src/sidecar/attempt.rs
@@ -44,7 +44,9 @@
     pub(super) log: EventLog,
     /// The call.
     pub(super) call: TargetCall,
-    /// When the answer is due.
+    /// When the answer is late.
+    pub(super) due_at: Instant,
+    /// When the entry gives the request up.
     pub(super) deadline: Instant,
     /// Way of reports to the entry; closed when the entry has abandoned the attempt.
     pub(super) reports: Sender<AttemptReport>,
@@ -68,7 +70,10 @@
     /// Hands the call to the target and reports its answer; keeps `permit` for as long as the
     /// target may run the call.
     pub(super) async fn run(self, permit: AdmissionPermit) {
-        let mut times = AttemptTimes { admitted_at: Instant::now(), first_chunk_at: None };
+        let mut times = AttemptTimes {
+            admitted_at: Instant::now(),
+            first_chunk_at: None,
+        };
         let opened = self.open().await;
         let end = match opened {
             Ok(stream) => self.relay(stream, &mut times).await,
@@ -137,7 +142,8 @@
                 self.shared.slots.set_back();
                 permit.finish();
                 self.shared.tell(TargetNews::NotReached);
-                self.report(AttemptReport::Refused(RefusalCode::TargetUnreachable)).await;
+                self.report(AttemptReport::Refused(RefusalCode::TargetUnreachable))
+                    .await;
             }
             TargetError::ConnectionLost => {
                 self.shared.slots.set_back();
@@ -172,9 +178,10 @@
             admitted_at: times.admitted_at,
             in_flight: permit.in_flight(),
             first_chunk: first_chunk_at - times.admitted_at,
-            is_in_time: now <= self.deadline,
+            is_in_time: now <= self.due_at,
         };
-        self.shared.tell(TargetNews::Evidence(GateEvidence::Answer(answer)));
+        self.shared
+            .tell(TargetNews::Evidence(GateEvidence::Answer(answer)));
     }
 
     async fn report_broken(&self, code: BreakCode) {
--- a/crates/amaranthgw/src/sidecar/control.rs
+++ b/crates/amaranthgw/src/sidecar/control.rs
@@ -6,9 +6,7 @@
 use amaranthgw_fleet::config::ServingState;
 use amaranthgw_fleet::gate::GateShift;
 use amaranthgw_fleet::membership::VmRecord;
-use amaranthgw_fleet::sidecar::{
-    SidecarOutput, SidecarWorld, TargetEvidence, sidecar_schedule,
-};
+use amaranthgw_fleet::sidecar::{SidecarOutput, SidecarWorld, TargetEvidence, sidecar_schedule};
 use compact_str::{CompactString, format_compact};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
@@ -64,7 +62,12 @@
         args: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
         let ControlArguments { world, shared, log } = args;
-        Ok(ControlState { world, schedule: sidecar_schedule(), shared, log })
+        Ok(ControlState {
+            world,
+            schedule: sidecar_schedule(),
+            shared,
+            log,
+        })
     }
 
     async fn handle(
@@ -98,7 +101,8 @@
         let change = self.world.config.number;
         if change > previous {
             self.shared.config.store(Arc::clone(&self.world.config));
-            self.log.record(NodeEvent::ConfigAdopted { change, previous });
+            self.log
+                .record(NodeEvent::ConfigAdopted { change, previous });
         }
         for output in std::mem::take(&mut self.world.outbox) {
             self.carry_out(output);
@@ -116,15 +120,28 @@
             }
             SidecarOutput::GateShifted { target, shift } => {
                 let (from, to, reason) = describe(&shift);
-                self.log.record(NodeEvent::GateShifted { target, from, to, reason });
+                self.log.record(NodeEvent::GateShifted {
+                    target,
+                    from,
+                    to,
+                    reason,
+                });
             }
             SidecarOutput::TargetRestarted { target, mark } => {
                 self.log.record(NodeEvent::TargetRestarted { target, mark });
             }
             SidecarOutput::DrainShifted { target, reason } => {
-                let state = if reason.is_some() { "leaving" } else { "serving" };
+                let state = if reason.is_some() {
+                    "leaving"
+                } else {
+                    "serving"
+                };
                 let reason = reason.map_or("none", |reason| reason.name());
-                self.log.record(NodeEvent::DrainShifted { target, state, reason });
+                self.log.record(NodeEvent::DrainShifted {
+                    target,
+                    state,
+                    reason,
+                });
             }
         }
     }
@@ -132,15 +149,22 @@
 
 fn describe(
     shift: &GateShift,
-) -> (amaranthgw_core::SlotCount, amaranthgw_core::SlotCount, CompactString) {
+) -> (
+    amaranthgw_core::SlotCount,
+    amaranthgw_core::SlotCount,
+    CompactString,
+) {
     let none = amaranthgw_core::SlotCount::default();
     match shift {
         GateShift::Held => (none, none, CompactString::default()),
         GateShift::Opened { leftover } => (none, none, format_compact!("opened, {leftover} left")),
         GateShift::Raised { from, to, inputs } => (*from, *to, format_compact!("{inputs:?}")),
         GateShift::Lowered { from, to, inputs } => (*from, *to, format_compact!("{inputs:?}")),
-        GateShift::WentCold { from, to, cause, inputs } => {
-            (*from, *to, format_compact!("{cause}: {inputs:?}"))
-        }
+        GateShift::WentCold {
+            from,
+            to,
+            cause,
+            inputs,
+        } => (*from, *to, format_compact!("{cause}: {inputs:?}")),
     }
 }
--- a/crates/amaranthgw/src/sidecar/load_actor.rs
+++ b/crates/amaranthgw/src/sidecar/load_actor.rs
@@ -45,7 +45,9 @@
             Ok(load) => TargetNews::Evidence(GateEvidence::Load(LoadEvidence {
                 mark: load.mark,
                 in_flight: load.in_flight,
-                sampled_at: asked_at.checked_sub(load.age.duration()).unwrap_or(asked_at),
+                sampled_at: asked_at
+                    .checked_sub(load.age.duration())
+                    .unwrap_or(asked_at),
             })),
             Err(_) => TargetNews::NotReached,
         };
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -68,17 +68,28 @@
         });
         let mut threads = ThreadGroup::default();
         for index in 0..settings.traffic_threads {
-            let (shared, listener, log) =
-                (Arc::clone(&shared), Arc::clone(&listener), log.with_own_journal());
+            let (shared, listener, log) = (
+                Arc::clone(&shared),
+                Arc::clone(&listener),
+                log.with_own_journal(),
+            );
             let serve = move || serve_traffic(shared, listener, log);
             threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
         }
         let world = SidecarWorld::new(identity(settings)).with_target(entry);
-        let arguments = ControlArguments { world, shared, log: log.clone() };
+        let arguments = ControlArguments {
+            world,
+            shared,
+            log: log.clone(),
+        };
         let (settings, log) = (settings.clone(), log.clone());
         let control = move || run_control(settings, arguments, receiver, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
-        Ok(Self { address, stop, threads })
+        Ok(Self {
+            address,
+            stop,
+            threads,
+        })
     }
 
     /// Address that entries and peers reach the sidecar at.
@@ -113,7 +124,11 @@
 
 fn served_target(settings: &SidecarSettings) -> ServedTarget {
     let target = &settings.target;
-    ServedTarget { target: target.id.clone(), service: target.service.clone(), kind: target.kind }
+    ServedTarget {
+        target: target.id.clone(),
+        service: target.service.clone(),
+        kind: target.kind,
+    }
 }
 
 fn new_gate(settings: &SidecarSettings) -> GateRow {
@@ -146,7 +161,9 @@
 
 async fn serve_traffic(shared: Arc<SidecarShared>, listener: Arc<SharedListener>, log: EventLog) {
     // A handle to a socket that is already bound can only fail when the process is out of files.
-    let Ok(handle) = listener.handle() else { return };
+    let Ok(handle) = listener.handle() else {
+        return;
+    };
     let stop = shared.stop.clone();
     let service = SidecarServer::new(SidecarService::new(shared, log));
     let incoming = TcpListenerStream::new(handle);
@@ -172,8 +189,13 @@
     let stop = arguments.shared.stop.clone();
     let shared = Arc::clone(&arguments.shared);
     let started = Actor::spawn(None, SidecarControl, arguments).await;
-    let Ok((control, _ended)) = started else { return };
-    if start_borders(&settings, &control, shared, receiver, &log).await.is_err() {
+    let Ok((control, _ended)) = started else {
+        return;
+    };
+    if start_borders(&settings, &control, shared, receiver, &log)
+        .await
+        .is_err()
+    {
         return;
     }
     log.record(NodeEvent::ProcessStarted {
@@ -213,8 +235,14 @@
         log: log.clone(),
     };
     let actor_error = |_failed| RuntimeError::Actor;
-    Actor::spawn(None, ConfigActor, config).await.map_err(actor_error)?;
-    Actor::spawn(None, VmListActor, vms).await.map_err(actor_error)?;
-    Actor::spawn(None, LoadActor, shared).await.map_err(actor_error)?;
+    Actor::spawn(None, ConfigActor, config)
+        .await
+        .map_err(actor_error)?;
+    Actor::spawn(None, VmListActor, vms)
+        .await
+        .map_err(actor_error)?;
+    Actor::spawn(None, LoadActor, shared)
+        .await
+        .map_err(actor_error)?;
     Ok(())
 }
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{
-    AttemptNumber, ChunkSequence, RequestId, ServiceId, TargetId, TokenCount,
-};
+use amaranthgw_core::{AttemptNumber, ChunkSequence, RequestId, ServiceId, TargetId, TokenCount};
 use amaranthgw_fleet::gate::AdmissionPermit;
 use amaranthgw_fleet::sidecar::{OrderRefusal, OrderTerms, check_order};
 use futures_util::stream::BoxStream;
@@ -41,6 +39,7 @@
 struct AttemptTerms {
     target: TargetId,
     service: ServiceId,
+    due: Duration,
     remaining: Duration,
     call: TargetCall,
 }
@@ -69,15 +68,19 @@
     fn start(&self, terms: AttemptTerms, permit: AdmissionPermit) -> EventStream {
         self.record_admitted(&terms, &permit);
         let (reports, receiver) = channel(CHUNK_BUFFER);
+        let now = Instant::now();
         let driver = AttemptDriver {
             shared: Arc::clone(&self.shared),
             log: self.log.clone(),
-            deadline: Instant::now() + terms.remaining,
+            due_at: now + terms.due,
+            deadline: now + terms.remaining,
             call: terms.call,
             reports,
         };
         tokio::spawn(driver.run(permit));
-        let admitted = Event::Admitted(Admitted { report: Some(self.shared.report()) });
+        let admitted = Event::Admitted(Admitted {
+            report: Some(self.shared.report()),
+        });
         let shared = Arc::clone(&self.shared);
         let events = ReceiverStream::new(receiver).map(move |report| event_of(&shared, report));
         stream::iter([admitted]).chain(events).map(wrap).boxed()
@@ -87,7 +90,10 @@
         if let Some(request) = request {
             self.record_refused(request, attempt, code);
         }
-        let refused = Refused { code: code.into(), report: Some(self.shared.report()) };
+        let refused = Refused {
+            code: code.into(),
+            report: Some(self.shared.report()),
+        };
         stream::iter([wrap(Event::Refused(refused))]).boxed()
     }
 
@@ -117,14 +123,15 @@
 impl Sidecar for SidecarService {
     type RunStream = EventStream;
 
-    async fn run(
-        &self,
-        request: Request<RunRequest>,
-    ) -> Result<Response<Self::RunStream>, Status> {
+    async fn run(&self, request: Request<RunRequest>) -> Result<Response<Self::RunStream>, Status> {
         let request = request.into_inner();
         let attempt = request.attempt;
         let Some(terms) = read_terms(request) else {
-            return Ok(Response::new(self.refuse(None, attempt, RefusalCode::Invalid)));
+            return Ok(Response::new(self.refuse(
+                None,
+                attempt,
+                RefusalCode::Invalid,
+            )));
         };
         let events = match self.admit(&terms) {
             Ok(permit) => self.start(terms, permit),
@@ -153,6 +160,7 @@
     Some(AttemptTerms {
         target: request.target.parse().ok()?,
         service: request.service.parse().ok()?,
+        due: Duration::from_millis(request.due_ms),
         remaining: Duration::from_millis(request.remaining_ms),
         call,
     })
@@ -168,18 +176,22 @@
 
 fn event_of(shared: &SidecarShared, report: AttemptReport) -> Event {
     match report {
-        AttemptReport::Chunk { sequence, data } => {
-            Event::Chunk(Chunk { sequence: sequence.get(), data })
-        }
-        AttemptReport::Finished { chunk_count } => {
-            Event::Finished(Finished { chunk_count, report: Some(shared.report()) })
-        }
-        AttemptReport::Refused(code) => {
-            Event::Refused(Refused { code: code.into(), report: Some(shared.report()) })
-        }
-        AttemptReport::Broken(code) => {
-            Event::Broken(Broken { code: code.into(), report: Some(shared.report()) })
-        }
+        AttemptReport::Chunk { sequence, data } => Event::Chunk(Chunk {
+            sequence: sequence.get(),
+            data,
+        }),
+        AttemptReport::Finished { chunk_count } => Event::Finished(Finished {
+            chunk_count,
+            report: Some(shared.report()),
+        }),
+        AttemptReport::Refused(code) => Event::Refused(Refused {
+            code: code.into(),
+            report: Some(shared.report()),
+        }),
+        AttemptReport::Broken(code) => Event::Broken(Broken {
+            code: code.into(),
+            report: Some(shared.report()),
+        }),
     }
 }
 
--- a/crates/amaranthgw/src/sidecar/shared.rs
+++ b/crates/amaranthgw/src/sidecar/shared.rs
@@ -50,6 +50,9 @@
 
     /// Passes `news` of the target to the control thread.
     pub(super) fn tell(&self, news: TargetNews) {
-        self.evidence.send(TargetEvidence { target: self.served.target.clone(), news });
+        self.evidence.send(TargetEvidence {
+            target: self.served.target.clone(),
+            news,
+        });
     }
 }
--- a/crates/amaranthgw/src/sidecar/target/engine.rs
+++ b/crates/amaranthgw/src/sidecar/target/engine.rs
@@ -36,8 +36,13 @@
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum EngineLine {
-    Chunk { sequence: ChunkSequence, text: String },
-    End { end: EndMark },
+    Chunk {
+        sequence: ChunkSequence,
+        text: String,
+    },
+    End {
+        end: EndMark,
+    },
 }
 
 #[derive(Deserialize)]
@@ -49,7 +54,9 @@
     /// Creates a client of the engine at `address`.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { http: TargetHttp::new(address) }
+        Self {
+            http: TargetHttp::new(address),
+        }
     }
 
     async fn generate(&self, call: TargetCall) -> Result<TargetStream> {
@@ -63,15 +70,24 @@
             resume_from: call.resume_from.get(),
         };
         let body = serde_json::to_vec(&body).map_err(|_invalid| TargetError::Malformed)?;
-        let response = self.http.send(self.http.post("/v1/generate"), body.into()).await?;
-        let lines = LineReader { body: response.into_body(), buffer: BytesMut::new() };
+        let response = self
+            .http
+            .send(self.http.post("/v1/generate"), body.into())
+            .await?;
+        let lines = LineReader {
+            body: response.into_body(),
+            buffer: BytesMut::new(),
+        };
         Ok(stream::unfold(Some(lines), next_step).boxed())
     }
 
     async fn stop(&self, request: &RequestId) -> Result<()> {
         let call = self.http.post(&format!("/v1/cancel/{request}"));
         let answered = tokio::time::timeout(CANCEL_TIMEOUT, self.http.send(call, Bytes::new()));
-        answered.await.unwrap_or(Err(TargetError::ConnectionLost)).map(drop)
+        answered
+            .await
+            .unwrap_or(Err(TargetError::ConnectionLost))
+            .map(drop)
     }
 }
 
@@ -128,9 +144,12 @@
 fn parse_line(line: &[u8]) -> Result<TargetStep> {
     let parsed = serde_json::from_slice::<EngineLine>(line);
     match parsed.map_err(|_malformed| TargetError::Malformed)? {
-        EngineLine::Chunk { sequence, text } => {
-            Ok(TargetStep::Chunk { sequence, data: text.into() })
-        }
-        EngineLine::End { end } => Ok(TargetStep::End { chunk_count: end.chunks }),
+        EngineLine::Chunk { sequence, text } => Ok(TargetStep::Chunk {
+            sequence,
+            data: text.into(),
+        }),
+        EngineLine::End { end } => Ok(TargetStep::End {
+            chunk_count: end.chunks,
+        }),
     }
 }
--- a/crates/amaranthgw/src/sidecar/target/http.rs
+++ b/crates/amaranthgw/src/sidecar/target/http.rs
@@ -43,24 +43,37 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        Self { client: Client::builder(TokioExecutor::new()).build(connector), address }
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            address,
+        }
     }
 
     /// Starts a request to `path`.
     pub(super) fn post(&self, path: &str) -> Builder {
-        Request::builder().method(Method::POST).uri(format!("http://{}{path}", self.address))
+        Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.address))
     }
 
     /// Sends `request` and waits for the head of the answer.
     pub(super) async fn send(&self, request: Builder, body: Bytes) -> Result<Response<Incoming>> {
-        let request = request.body(Full::new(body)).map_err(|_invalid| TargetError::Malformed)?;
+        let request = request
+            .body(Full::new(body))
+            .map_err(|_invalid| TargetError::Malformed)?;
         let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() { TargetError::NotReached } else { TargetError::ConnectionLost }
+            if error.is_connect() {
+                TargetError::NotReached
+            } else {
+                TargetError::ConnectionLost
+            }
         })?;
         if response.status() == StatusCode::OK {
             return Ok(response);
         }
-        Err(TargetError::Answered { status: response.status().as_u16() })
+        Err(TargetError::Answered {
+            status: response.status().as_u16(),
+        })
     }
 
     /// Reads the load report.
@@ -85,5 +98,7 @@
 /// Collects a whole body.
 pub(super) async fn collect(response: Response<Incoming>) -> Result<Bytes> {
     let collected = response.into_body().collect().await;
-    collected.map(|body| body.to_bytes()).map_err(|_broken| TargetError::ConnectionLost)
+    collected
+        .map(|body| body.to_bytes())
+        .map_err(|_broken| TargetError::ConnectionLost)
 }
--- a/crates/amaranthgw/src/sidecar/target/plain.rs
+++ b/crates/amaranthgw/src/sidecar/target/plain.rs
@@ -19,7 +19,9 @@
     /// Creates a client of the service at `address`.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { http: TargetHttp::new(address) }
+        Self {
+            http: TargetHttp::new(address),
+        }
     }
 
     async fn call(&self, call: TargetCall) -> Result<TargetStream> {
@@ -30,7 +32,10 @@
             .header("x-attempt", call.attempt.get());
         let response = self.http.send(request, call.body).await?;
         let data = collect(response).await?;
-        let chunk = TargetStep::Chunk { sequence: ChunkSequence::new(0), data };
+        let chunk = TargetStep::Chunk {
+            sequence: ChunkSequence::new(0),
+            data,
+        };
         let steps = [Ok(chunk), Ok(TargetStep::End { chunk_count: 1 })];
         Ok(stream::iter(steps).boxed())
     }
--- a/crates/amaranthgw/src/wire/node.rs
+++ b/crates/amaranthgw/src/wire/node.rs
@@ -11,7 +11,7 @@
     pub request: ::prost::alloc::string::String,
     #[prost(uint32, tag = "5")]
     pub attempt: u32,
-    /// Time left until the answer is due, in milliseconds.
+    /// Time left until the entry gives the request up, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub remaining_ms: u64,
     /// Whether the call may run more than once.
@@ -33,6 +33,9 @@
     /// Whether the request may only run with nothing else at the target.
     #[prost(bool, tag = "13")]
     pub alone: bool,
+    /// Time left until the answer is late, in milliseconds.
+    #[prost(uint64, tag = "14")]
+    pub due_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RunEvent {
--- a/crates/fleet/src/entry/input.rs
+++ b/crates/fleet/src/entry/input.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use amaranthgw_core::{ChangeNumber, SlotCount, StartMark, TargetId};
+use amaranthgw_core::{ChangeNumber, PlanId, ServiceId, SlotCount, StartMark, TargetId};
 
+use super::EntrySnapshot;
+use crate::burn::BurnOutcome;
 use crate::config::ServingState;
 use crate::membership::VmRecord;
-use crate::routing::{RouteSnapshot, ServiceKind, TargetStage};
+use crate::routing::{ServiceKind, TargetStage};
 
 /// State of a target as its sidecar reports it.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,6 +47,17 @@
     },
 }
 
+/// How the answer to one request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerRecord {
+    /// Plan of the workspace.
+    pub plan: PlanId,
+    /// The service.
+    pub service: ServiceId,
+    /// How it ended.
+    pub outcome: BurnOutcome,
+}
+
 /// Inputs since the last tick, by kind.
 #[derive(Debug, Default)]
 pub struct EntryInbox {
@@ -54,6 +67,8 @@
     pub config: Option<Arc<ServingState>>,
     /// Observations of targets, oldest first.
     pub observations: Vec<TargetObservation>,
+    /// Answers that ended, oldest first.
+    pub answers: Vec<AnswerRecord>,
     /// Whether the process was asked to stop.
     pub is_stopping: bool,
 }
@@ -62,7 +77,7 @@
 #[derive(Clone, Debug)]
 pub enum EntryOutput {
     /// Traffic threads are to use this snapshot from now on.
-    PublishRoutes(Arc<RouteSnapshot>),
+    Publish(Arc<EntrySnapshot>),
     /// The sidecar at `address` is to be asked for the state of `target`.
     Probe {
         /// The target.
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -3,10 +3,12 @@
 mod input;
 mod rows;
 mod schedule;
+mod snapshot;
 mod systems;
 mod world;
 
-pub use input::{EntryInbox, EntryOutput, TargetObservation, TargetStatus};
+pub use input::{AnswerRecord, EntryInbox, EntryOutput, TargetObservation, TargetStatus};
 pub use rows::{ProbeState, TargetRow};
 pub use schedule::entry_schedule;
+pub use snapshot::{EntrySnapshot, WorkspaceMeters};
 pub use world::{EntryTimings, EntryWorld};
--- a/crates/fleet/src/entry/rows.rs
+++ b/crates/fleet/src/entry/rows.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 
-use amaranthgw_core::{DomainId, RegionId, ServiceId, VmId};
+use amaranthgw_core::{DomainId, RegionId, ServiceId, SlotCount, VmId};
 use tokio::time::Instant;
 
 use super::TargetStatus;
@@ -41,6 +41,8 @@
     pub status: Option<TargetStatus>,
     /// When the last report arrived.
     pub reported_at: Option<Instant>,
+    /// Requests that this entry had in flight there when the last report arrived.
+    pub own_at_report: SlotCount,
     /// Since when its sidecar has not been reached.
     pub unreachable_since: Option<Instant>,
     /// Last probe.
@@ -68,6 +70,7 @@
         let status = self.status.as_ref()?;
         Some(LoadHint {
             in_flight: status.in_flight,
+            own_in_flight: self.own_at_report,
             limit: status.limit,
             first_chunk_ms: status.first_chunk_ms,
             reported_at: self.reported_at?,
--- a/crates/fleet/src/entry/schedule.rs
+++ b/crates/fleet/src/entry/schedule.rs
@@ -4,7 +4,8 @@
 
 use super::EntryWorld;
 use super::systems::{
-    ConfigSystem, MembershipSystem, ObservationSystem, OutsSystem, ProbeSystem, SnapshotSystem,
+    BudgetSystem, BurnSystem, ConfigSystem, MembershipSystem, MeterSystem, ObservationSystem,
+    OutsSystem, ProbeSystem, SnapshotSystem,
 };
 
 /// The systems of an entry in the order in which each tick runs them.
@@ -15,6 +16,9 @@
         .with_system(MembershipSystem)
         .with_system(OutsSystem)
         .with_system(ObservationSystem)
+        .with_system(BurnSystem)
         .with_system(ProbeSystem)
+        .with_system(MeterSystem::default())
+        .with_system(BudgetSystem)
         .with_system(SnapshotSystem)
 }
--- /dev/null
+++ b/crates/fleet/src/entry/systems/burn.rs
@@ -0,0 +1,31 @@
+//! Counts how answers ended.
+
+use amaranthgw_core::TickSystem;
+use tokio::time::Instant;
+
+use crate::burn::{BurnKey, ServiceLevel};
+use crate::entry::EntryWorld;
+
+/// Adds the answers since the last tick to the burn table.
+#[derive(Debug)]
+pub struct BurnSystem;
+
+impl TickSystem<EntryWorld> for BurnSystem {
+    fn name(&self) -> &'static str {
+        "burn"
+    }
+
+    fn run(&mut self, world: &mut EntryWorld, now: Instant) {
+        for answer in std::mem::take(&mut world.inbox.answers) {
+            let Some(plan) = world.config.plans.get(&answer.plan) else {
+                continue;
+            };
+            let level = ServiceLevel::with_plan(plan);
+            let key = BurnKey {
+                plan: answer.plan,
+                service: answer.service,
+            };
+            world.burn.record(key, level, answer.outcome, now);
+        }
+    }
+}
--- a/crates/fleet/src/entry/systems/membership.rs
+++ b/crates/fleet/src/entry/systems/membership.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use amaranthgw_core::{ServiceId, TickSystem};
+use amaranthgw_core::{ServiceId, SlotCount, TickSystem};
 use tokio::time::Instant;
 
 use crate::entry::{EntryWorld, ProbeState, TargetRow};
@@ -71,6 +71,7 @@
         is_out: false,
         status: None,
         reported_at: None,
+        own_at_report: SlotCount::default(),
         unreachable_since: None,
         probe: ProbeState::NotAsked,
         own_in_flight: Arc::default(),
--- a/crates/fleet/src/entry/systems/observation.rs
+++ b/crates/fleet/src/entry/systems/observation.rs
@@ -1,6 +1,8 @@
 //! Takes in what traffic threads and probes learned of targets.
 
-use amaranthgw_core::TickSystem;
+use std::sync::atomic::Ordering;
+
+use amaranthgw_core::{SlotCount, TickSystem};
 use tokio::time::Instant;
 
 use crate::entry::{EntryWorld, TargetObservation, TargetRow, TargetStatus};
@@ -38,6 +40,7 @@
 fn apply_report(row: &mut TargetRow, status: TargetStatus, now: Instant) -> bool {
     row.unreachable_since = None;
     row.reported_at = Some(now);
+    row.own_at_report = SlotCount::new(row.own_in_flight.load(Ordering::Relaxed));
     row.status = Some(status);
     true
 }
--- a/crates/fleet/src/entry/systems/snapshot.rs
+++ b/crates/fleet/src/entry/systems/snapshot.rs
@@ -5,7 +5,7 @@
 use amaranthgw_core::{EntityTable, ServiceId, TargetId, TickSystem};
 use tokio::time::Instant;
 
-use crate::entry::{EntryOutput, EntryWorld, TargetRow};
+use crate::entry::{EntryOutput, EntrySnapshot, EntryWorld, TargetRow};
 use crate::membership::NodeIdentity;
 use crate::routing::{RouteSnapshot, ServiceKind, ServiceRoutes, TargetRoute};
 
@@ -18,34 +18,48 @@
         "snapshot"
     }
 
-    fn run(&mut self, world: &mut EntryWorld, _now: Instant) {
+    fn run(&mut self, world: &mut EntryWorld, now: Instant) {
         if !world.are_routes_dirty {
             return;
         }
         world.are_routes_dirty = false;
-        let snapshot = make_snapshot(world);
-        world
-            .outbox
-            .push(EntryOutput::PublishRoutes(Arc::new(snapshot)));
+        let snapshot = EntrySnapshot {
+            config: Arc::clone(&world.config),
+            routes: make_routes(world, now),
+            meters: Arc::clone(&world.meters),
+            budgets: world.budgets.clone(),
+        };
+        world.outbox.push(EntryOutput::Publish(Arc::new(snapshot)));
     }
 }
 
-fn make_snapshot(world: &EntryWorld) -> RouteSnapshot {
-    let mut services: EntityTable<ServiceId, ServiceRoutes> = EntityTable::new();
+/// The targets of one service before its routes are made.
+#[derive(Debug)]
+struct ServiceTargets {
+    kind: ServiceKind,
+    targets: Vec<TargetRoute>,
+}
+
+fn make_routes(world: &EntryWorld, now: Instant) -> RouteSnapshot {
+    let mut by_service: EntityTable<ServiceId, ServiceTargets> = EntityTable::new();
     for (target, row) in world.targets.iter() {
-        let routes = services.get_or_insert_with(row.service.clone(), || ServiceRoutes {
+        let empty = || ServiceTargets {
             kind: ServiceKind::Plain,
             targets: Vec::new(),
-        });
+        };
+        let service = by_service.get_or_insert_with(row.service.clone(), empty);
         if let Some(status) = &row.status {
-            routes.kind = status.kind;
+            service.kind = status.kind;
         }
-        routes
+        service
             .targets
             .push(make_route(&world.identity, target, row));
     }
-    for (_, routes) in services.iter_mut() {
-        routes.targets.sort_by_key(|route| route.distance);
+    let mut services = EntityTable::new();
+    for (service, row) in by_service.iter_mut() {
+        let targets = std::mem::take(&mut row.targets);
+        let routes = ServiceRoutes::new(row.kind, targets, &world.subset, now);
+        services.insert(service.clone(), routes);
     }
     RouteSnapshot {
         change: world.config.number,
--- a/crates/fleet/src/entry/world.rs
+++ b/crates/fleet/src/entry/world.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{EntityTable, TargetId, VmId};
+use amaranthgw_core::{ChangeNumber, EntityTable, ServiceId, TargetId, VmId, WorkspaceId};
+use tokio::time::Instant;
 
-use super::{EntryInbox, EntryOutput, TargetRow};
+use super::{EntryInbox, EntryOutput, TargetRow, WorkspaceMeters};
+use crate::burn::BurnTable;
 use crate::config::ServingState;
 use crate::membership::{NodeIdentity, VmRecord};
+use crate::retries::RetryBudget;
+use crate::routing::SubsetSettings;
 
 /// Times that an entry's systems go by.
 #[derive(Clone, Debug)]
@@ -40,6 +44,16 @@
     pub vms: EntityTable<VmId, VmRecord>,
     /// Targets of all services.
     pub targets: EntityTable<TargetId, TargetRow>,
+    /// Meters of all workspaces.
+    pub meters: Arc<EntityTable<WorkspaceId, WorkspaceMeters>>,
+    /// Configuration change that the meters were made for.
+    pub meters_change: ChangeNumber,
+    /// Retry budgets of all services.
+    pub budgets: EntityTable<ServiceId, Arc<RetryBudget>>,
+    /// How answers ended, by plan and service.
+    pub burn: BurnTable,
+    /// How many targets of a service the entry uses.
+    pub subset: SubsetSettings,
     /// Configuration in force.
     pub config: Arc<ServingState>,
     /// Whether the routes changed since the last snapshot.
@@ -51,10 +65,15 @@
 }
 
 impl EntryWorld {
-    /// Creates the tables of an entry that knows nothing yet.
+    /// Creates the tables of an entry that knows nothing at `now`.
     #[must_use]
-    pub fn new(identity: NodeIdentity) -> Self {
+    pub fn new(identity: NodeIdentity, now: Instant) -> Self {
         Self {
+            meters: Arc::default(),
+            meters_change: ChangeNumber::default(),
+            budgets: EntityTable::new(),
+            burn: BurnTable::new(now),
+            subset: SubsetSettings::new(&identity.vm),
             identity,
             timings: EntryTimings::default(),
             inbox: EntryInbox::default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,6 @@
 pub mod membership;
 pub mod retries;
 pub mod routing;
-pub mod sidecar;
 pub mod settings;
+pub mod sidecar;
 pub mod suspects;
--- a/crates/fleet/src/sidecar/input.rs
+++ b/crates/fleet/src/sidecar/input.rs
@@ -11,7 +11,7 @@
 use crate::membership::VmRecord;
 
 /// What was learned of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetNews {
     /// Evidence for its gate.
     Evidence(GateEvidence),
