Stand-ins: key-value service, VM list, model engine and plain service

Fleet and process code need something to call. State lies in entity tables behind one lock per stand-in; the engine runs a tick schedule at each decoding step. A fall-over drops the connections rather than ending the bodies, so that callers meet a broken stream and a closed idle connection alike. A watch that saw the value as absent waits while it is absent, so that a caller which knows only the 404 never loops.

--- /dev/null
+++ b/crates/standins/src/engine/stream.rs
@@ -0,0 +1,41 @@
+//! The streamed answer of one request.
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use hyper::body::Frame;
+use serde::Serialize;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::http::BrokenStream;
+
+/// A part of a streamed answer.
+#[derive(Debug)]
+pub(super) enum StreamPart {
+    /// One line.
+    Line(Bytes),
+    /// The answer closes cleanly.
+    Close,
+}
+
+impl StreamPart {
+    /// A line with `message` in JSON.
+    pub(super) fn line(message: &impl Serialize) -> Self {
+        let mut text = serde_json::to_vec(message).unwrap_or_default();
+        text.push(b'\n');
+        Self::Line(Bytes::from(text))
+    }
+}
+
+/// Frames of the answer; breaks off where `parts` ends without [`StreamPart::Close`].
+pub(super) fn frames(
+    parts: UnboundedReceiver<StreamPart>,
+) -> impl Stream<Item = Result<Frame<Bytes>, BrokenStream>> + Send + 'static {
+    stream::unfold(Some(parts), |parts| async move {
+        let mut parts = parts?;
+        match parts.recv().await {
+            Some(StreamPart::Line(line)) => Some((Ok(Frame::data(line)), Some(parts))),
+            Some(StreamPart::Close) => None,
+            None => Some((Err(BrokenStream), None)),
+        }
+    })
+}
--- /dev/null
+++ b/crates/standins/src/engine/world.rs
@@ -0,0 +1,281 @@
+//! Tables of an engine and what its calls do to them.
+
+use std::time::Duration;
+
+use amaranthgw_core::{EntityTable, MilliSpan, RequestId, SlotCount};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::time::Instant;
+
+use super::EngineSettings;
+use super::life::EngineLife;
+use super::log::{EngineEvent, EngineLog};
+use super::messages::{EngineControl, GenerateBody, LoadReply, LoadReport};
+use super::prefixes::PrefixCache;
+use super::rows::{RunNumber, RunRow};
+use super::stream::StreamPart;
+use super::text::{prefix_hash, text_hash};
+use crate::lagged::LaggedValue;
+use crate::orders::{FencingGuard, OrderBody};
+
+/// A prompt that contains this makes the engine fall over.
+const CRASH_PROMPT: &str = "crash-engine";
+
+/// Result of a hand-over.
+pub(super) type Result<T> = std::result::Result<T, EngineDown>;
+
+/// The engine has fallen over and answers nothing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EngineDown;
+
+impl std::fmt::Display for EngineDown {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the engine has fallen over")
+    }
+}
+
+impl std::error::Error for EngineDown {}
+
+/// State of an engine.
+#[derive(Debug)]
+pub(super) struct EngineWorld {
+    pub(super) settings: EngineSettings,
+    pub(super) runs: EntityTable<RunNumber, RunRow>,
+    pub(super) life: EngineLife,
+    pub(super) fencing: FencingGuard,
+    pub(super) log: EngineLog,
+    /// End of the restart after a fall-over.
+    pub(super) down_until: Option<Instant>,
+    /// Whether the engine fell over and its connections are still to be cut.
+    pub(super) has_fallen: bool,
+    /// When the next decoding step is due.
+    pub(super) next_step: Instant,
+    prefixes: PrefixCache,
+    load: LaggedValue<LoadReport>,
+    last_run: RunNumber,
+}
+
+impl EngineWorld {
+    pub(super) fn new(settings: EngineSettings, now: Instant) -> Self {
+        let lag = settings.load_lag.duration();
+        let mut world = Self {
+            runs: EntityTable::new(),
+            life: EngineLife::new(),
+            fencing: FencingGuard::new(settings.honour_fencing),
+            log: EngineLog::new(now),
+            down_until: None,
+            has_fallen: false,
+            next_step: now,
+            prefixes: PrefixCache::new(settings.prefix_slots),
+            load: LaggedValue::new(lag, LoadReport::default()),
+            last_run: RunNumber::default(),
+            settings,
+        };
+        world.begin_life(now);
+        world
+    }
+
+    /// Takes over a request and returns its answer, or falls over.
+    pub(super) fn hand_over(
+        &mut self,
+        body: GenerateBody,
+        now: Instant,
+    ) -> Result<UnboundedReceiver<StreamPart>> {
+        self.check_up(now)?;
+        self.reap(now);
+        self.log_hand_over(&body, now);
+        let bears = self.in_flight() < self.slots();
+        if !bears || body.prompt.contains(CRASH_PROMPT) {
+            self.fall_over(now);
+            return Err(EngineDown);
+        }
+        let parts = self.add_run(body, now);
+        self.report_load(now);
+        Ok(parts)
+    }
+
+    /// Stops every run of `request` and returns their number.
+    pub(super) fn cancel(&mut self, request: RequestId, now: Instant) -> Result<usize> {
+        self.check_up(now)?;
+        let before = self.runs.len();
+        self.runs.retain(|_, row| {
+            let is_kept = row.request != request;
+            if !is_kept {
+                let _is_gone = row.stream.send(StreamPart::Close);
+            }
+            is_kept
+        });
+        let stopped = before - self.runs.len();
+        self.log.add(now, EngineEvent::Cancel { request, stopped });
+        self.report_load(now);
+        Ok(stopped)
+    }
+
+    /// The load as it was one lag ago.
+    pub(super) fn load(&mut self, now: Instant) -> Result<LoadReply> {
+        self.check_up(now)?;
+        Ok(LoadReply {
+            report: self.load.get(now).clone(),
+            age: MilliSpan::with_duration(self.load.lag()),
+        })
+    }
+
+    /// Takes an order and returns whether it is carried out.
+    pub(super) fn take_order(&mut self, body: OrderBody, now: Instant) -> Result<bool> {
+        self.check_up(now)?;
+        let accepted = self.fencing.accepts(body.fencing);
+        let event = EngineEvent::Order {
+            fencing: body.fencing,
+            accepted,
+            order: body.order,
+        };
+        self.log.add(now, event);
+        Ok(accepted)
+    }
+
+    /// Carries out a test control.
+    pub(super) fn control(&mut self, control: &EngineControl, now: Instant) {
+        if let Some(millis) = control.token_ms {
+            self.settings.token_span = MilliSpan::new(millis);
+        }
+        if let Some(honours) = control.honour_fencing {
+            self.fencing.set_honours(honours);
+        }
+        if let Some(millis) = control.stall_ms {
+            self.next_step = now + Duration::from_millis(millis);
+        }
+        if control.cold {
+            self.life.turn_cold();
+            self.log.add(now, EngineEvent::TurnCold);
+        }
+        if control.fall_over {
+            self.fall_over(now);
+        }
+    }
+
+    /// Breaks every stream and goes down for the time of a restart.
+    pub(super) fn fall_over(&mut self, now: Instant) {
+        let in_flight = self.in_flight();
+        self.log.add(now, EngineEvent::FallOver { in_flight });
+        self.runs.clear();
+        self.has_fallen = true;
+        self.down_until = Some(now + self.settings.restart_span.duration());
+    }
+
+    /// Starts again where the time of the restart has passed.
+    pub(super) fn restart_if_due(&mut self, now: Instant) {
+        if self.down_until.is_some_and(|until| until <= now) {
+            self.down_until = None;
+            self.life = EngineLife::new();
+            self.begin_life(now);
+        }
+    }
+
+    /// Removes the runs whose callers have gone.
+    pub(super) fn reap(&mut self, now: Instant) {
+        let log = &mut self.log;
+        self.runs.retain(|_, row| {
+            let is_gone = row.stream.is_closed();
+            if is_gone {
+                let (request, attempt) = (row.request.clone(), row.attempt);
+                log.add(now, EngineEvent::Gone { request, attempt });
+            }
+            !is_gone
+        });
+    }
+
+    /// Puts the present load into the lagging report.
+    pub(super) fn report_load(&mut self, now: Instant) {
+        let queued = self.runs.rows().filter(|row| !row.is_decoding).count();
+        let report = LoadReport {
+            start_mark: self.life.start_mark,
+            in_flight: self.in_flight(),
+            queued: slot_count(queued),
+            prefixes: self.prefixes.hashes(),
+        };
+        self.load.set(now, report);
+    }
+
+    /// When the engine next has something to do by itself.
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        if self.down_until.is_some() {
+            return self.down_until;
+        }
+        (!self.runs.is_empty()).then_some(self.next_step)
+    }
+
+    fn check_up(&mut self, now: Instant) -> Result<()> {
+        self.restart_if_due(now);
+        if self.down_until.is_some() {
+            return Err(EngineDown);
+        }
+        Ok(())
+    }
+
+    fn begin_life(&mut self, now: Instant) {
+        let start_mark = self.life.start_mark;
+        let first_report = LoadReport {
+            start_mark,
+            ..LoadReport::default()
+        };
+        self.load = LaggedValue::new(self.settings.load_lag.duration(), first_report);
+        self.prefixes.clear();
+        self.fencing.forget();
+        self.log.add(now, EngineEvent::Start { start_mark });
+    }
+
+    fn log_hand_over(&mut self, body: &GenerateBody, now: Instant) {
+        let in_flight = self.in_flight().next();
+        let event = EngineEvent::HandOver {
+            request: body.request.clone(),
+            attempt: body.attempt,
+            in_flight,
+        };
+        self.log.add(now, event);
+        self.log.note_load(self.life.is_warm, in_flight);
+    }
+
+    fn add_run(&mut self, body: GenerateBody, now: Instant) -> UnboundedReceiver<StreamPart> {
+        let (stream, parts) = unbounded_channel();
+        self.last_run = self.last_run.next();
+        let is_cached = self
+            .prefixes
+            .use_prefix(prefix_hash(&body.prompt), self.last_run);
+        let row = RunRow {
+            prompt_hash: text_hash(body.prompt.as_bytes()),
+            request: body.request,
+            attempt: body.attempt,
+            priority: body.priority,
+            next: body.resume_from,
+            chunks: body.max_tokens,
+            first_chunk_at: now + self.prefill(is_cached),
+            is_decoding: false,
+            stream,
+        };
+        self.runs.insert(self.last_run, row);
+        parts
+    }
+
+    fn prefill(&self, is_cached: bool) -> Duration {
+        if is_cached {
+            self.settings.cached_prefill_span.duration()
+        } else {
+            self.settings.prefill_span.duration()
+        }
+    }
+
+    fn in_flight(&self) -> SlotCount {
+        slot_count(self.runs.len())
+    }
+
+    fn slots(&self) -> SlotCount {
+        if self.life.is_warm {
+            self.settings.warm_slots
+        } else {
+            self.settings.cold_slots
+        }
+    }
+}
+
+fn slot_count(count: usize) -> SlotCount {
+    SlotCount::new(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/standins/src/plain/standin.rs
@@ -0,0 +1,123 @@
+//! Start and calls of the plain service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use amaranthgw_core::MilliSpan;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::StatusCode;
+
+use super::world::{PlainWorld, RunRow};
+use crate::error::Result;
+use crate::http::{
+    Call, CallError, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult,
+    bind, bytes_reply, empty_reply, json_reply, serve,
+};
+use crate::lock::lock;
+use crate::running::{RunningStandin, Standin};
+use crate::settings::settings_type;
+
+/// What an answer puts before the body that it repeats.
+const RAN: &[u8] = b"ran:";
+
+settings_type! {
+    /// Settings of the plain service.
+    PlainSettings {
+        /// Time that each call takes.
+        #[serde(rename = "call_ms", with = "crate::millis")]
+        call_span, with_call_span: MilliSpan = MilliSpan::new(20);
+    }
+}
+
+/// Stand-in for a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainStandin {
+    settings: PlainSettings,
+}
+
+impl PlainStandin {
+    /// Creates the stand-in.
+    #[must_use]
+    pub fn new(settings: PlainSettings) -> Self {
+        Self { settings }
+    }
+}
+
+impl Standin for PlainStandin {
+    fn start(&self, listen: SocketAddr) -> Result<RunningStandin> {
+        let (listener, address) = bind(listen)?;
+        let world = Mutex::new(PlainWorld::new(self.settings.clone()));
+        let handler = Arc::new(PlainHandler { world });
+        let running = RunningStandin::new(address);
+        Ok(running.with_task(serve(listener, handler, ConnectionSwitch::new())))
+    }
+}
+
+#[derive(Debug)]
+struct PlainHandler {
+    world: Mutex<PlainWorld>,
+}
+
+/// A call in flight; ends when dropped, also where its caller goes away.
+struct CallInFlight<'a> {
+    world: &'a Mutex<PlainWorld>,
+}
+
+impl Drop for CallInFlight<'_> {
+    fn drop(&mut self) {
+        lock(self.world).end();
+    }
+}
+
+impl PlainHandler {
+    async fn answer(&self, call: &Call) -> ReplyResult {
+        if (call.method(), call.segments().as_slice()) != ("POST", &["v1", "call"]) {
+            return Ok(self.control(call).unwrap_or_else(|error| error.reply()));
+        }
+        match run_row(call) {
+            Ok(row) => self.run(row, &call.body).await,
+            Err(error) => Ok(error.reply()),
+        }
+    }
+
+    async fn run(&self, row: RunRow, body: &Bytes) -> ReplyResult {
+        let call_span = lock(&self.world).run(row);
+        let _in_flight = CallInFlight { world: &self.world };
+        tokio::time::sleep(call_span.duration()).await;
+        if lock(&self.world).take_lost_answer() {
+            return Err(NoAnswer);
+        }
+        Ok(bytes_reply(
+            StatusCode::OK,
+            Bytes::from([RAN, body].concat()),
+        ))
+    }
+
+    fn control(&self, call: &Call) -> std::result::Result<Reply, CallError> {
+        match (call.method(), call.segments().as_slice()) {
+            ("GET", ["admin", "log"]) => Ok(json_reply(StatusCode::OK, lock(&self.world).log())),
+            ("POST", ["admin", "plain"]) => {
+                let control = call.json()?;
+                lock(&self.world).control(&control);
+                Ok(empty_reply(StatusCode::OK))
+            }
+            _ => Ok(empty_reply(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl CallHandler for PlainHandler {
+    fn handle(self: Arc<Self>, call: Call) -> ReplyFuture {
+        Box::pin(async move { self.answer(&call).await })
+    }
+}
+
+fn run_row(call: &Call) -> std::result::Result<RunRow, CallError> {
+    let request = call.header("x-request")?;
+    Ok(RunRow {
+        request: request.ok_or(CallError::Parameter("x-request"))?,
+        attempt: call.header("x-attempt")?.unwrap_or_default(),
+        body: CompactString::from_utf8_lossy(&call.body),
+    })
+}
--- /dev/null
+++ b/crates/standins/src/plain/world.rs
@@ -0,0 +1,82 @@
+//! Runs of the plain service.
+
+use amaranthgw_core::{AttemptNumber, MilliSpan, RequestId, SlotCount};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use super::PlainSettings;
+
+/// One run of a call.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct RunRow {
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptNumber,
+    pub(super) body: CompactString,
+}
+
+/// Body of `POST /admin/plain`; absent fields change nothing.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct PlainControl {
+    call_ms: Option<u64>,
+    lose_answers: Option<u64>,
+}
+
+/// State of the plain service.
+#[derive(Debug)]
+pub(super) struct PlainWorld {
+    settings: PlainSettings,
+    lose_answers: u64,
+    log: PlainLog,
+}
+
+/// Runs in order, and the load now.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct PlainLog {
+    runs: Vec<RunRow>,
+    in_flight: SlotCount,
+    max_in_flight: SlotCount,
+}
+
+impl PlainWorld {
+    pub(super) fn new(settings: PlainSettings) -> Self {
+        Self {
+            settings,
+            lose_answers: 0,
+            log: PlainLog::default(),
+        }
+    }
+
+    /// Runs a call and returns how long it takes.
+    pub(super) fn run(&mut self, row: RunRow) -> MilliSpan {
+        self.log.runs.push(row);
+        self.log.in_flight = self.log.in_flight.next();
+        self.log.max_in_flight = self.log.in_flight.max(self.log.max_in_flight);
+        self.settings.call_span
+    }
+
+    /// Notes that a call is no longer in flight.
+    pub(super) fn end(&mut self) {
+        self.log.in_flight = SlotCount::new(self.log.in_flight.get().saturating_sub(1));
+    }
+
+    /// Whether the next answer is lost.
+    pub(super) fn take_lost_answer(&mut self) -> bool {
+        let is_lost = self.lose_answers > 0;
+        self.lose_answers = self.lose_answers.saturating_sub(1);
+        is_lost
+    }
+
+    pub(super) fn control(&mut self, control: &PlainControl) {
+        if let Some(millis) = control.call_ms {
+            self.settings.call_span = MilliSpan::new(millis);
+        }
+        if let Some(count) = control.lose_answers {
+            self.lose_answers = count;
+        }
+    }
+
+    pub(super) fn log(&self) -> &PlainLog {
+        &self.log
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store/calls.rs
@@ -0,0 +1,258 @@
+//! Calls of the key-value service.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranthgw_core::{FencingNumber, MilliSpan, StoreRevision};
+use compact_str::{CompactString, ToCompactString};
+use http::{HeaderValue, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::StoreSettings;
+use super::faults::{FaultMode, StoreFaults};
+use super::ids::{LeaseId, StoreKey};
+use super::rows::StoredValue;
+use super::world::{self, StoreWorld, WatchState, WriteRefusal};
+use crate::http::{
+    Call, CallError, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult,
+    bytes_reply, empty_reply, json_reply, parse_segment,
+};
+use crate::lock::lock;
+
+/// Largest time that a watch waits.
+const MAX_WATCH: Duration = Duration::from_mins(10);
+
+/// Result of a call that may be malformed.
+type Result<T> = std::result::Result<T, CallError>;
+
+/// Answers the calls of one key-value service.
+#[derive(Debug)]
+pub(super) struct StoreHandler {
+    settings: StoreSettings,
+    world: Mutex<StoreWorld>,
+    switch: ConnectionSwitch,
+    /// Wakes the task that ends leases.
+    pub(super) leases_changed: Notify,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LeaseBody {
+    #[serde(rename = "ttl_ms", with = "crate::millis")]
+    ttl: MilliSpan,
+}
+
+#[derive(Debug, Serialize)]
+struct LeaseReply {
+    lease: CompactString,
+    fencing: FencingNumber,
+}
+
+#[derive(Debug, Serialize)]
+struct RevisionReply {
+    revision: StoreRevision,
+}
+
+/// A call of the service, read from its request.
+#[derive(Debug)]
+enum StoreCall {
+    Get(StoreKey),
+    Put(StoreKey, StoreRevision, Option<LeaseId>),
+    Delete(StoreKey, StoreRevision),
+    Watch(StoreKey, StoreRevision, Duration),
+    Grant(Duration),
+    Renew(LeaseId),
+    EndLease(LeaseId),
+    SetFaults(StoreFaults),
+    Counts,
+    Unknown,
+}
+
+impl StoreCall {
+    fn read(call: &Call) -> Result<Self> {
+        Ok(match (call.method(), call.segments().as_slice()) {
+            ("GET", ["v1", "values", key @ ..]) => Self::Get(StoreKey::with_segments(key)),
+            ("PUT", ["v1", "values", key @ ..]) => {
+                let lease = call.query("lease")?;
+                Self::Put(
+                    StoreKey::with_segments(key),
+                    call.required_query("expect")?,
+                    lease,
+                )
+            }
+            ("DELETE", ["v1", "values", key @ ..]) => {
+                Self::Delete(StoreKey::with_segments(key), call.required_query("expect")?)
+            }
+            ("GET", ["v1", "watch", key @ ..]) => {
+                let wait = Duration::from_millis(call.required_query("wait_ms")?);
+                let after = call.required_query("after")?;
+                Self::Watch(StoreKey::with_segments(key), after, wait.min(MAX_WATCH))
+            }
+            ("POST", ["v1", "leases"]) => Self::Grant(call.json::<LeaseBody>()?.ttl.duration()),
+            ("POST", ["v1", "leases", lease, "renew"]) => {
+                Self::Renew(parse_segment(lease, "lease")?)
+            }
+            ("DELETE", ["v1", "leases", lease]) => Self::EndLease(parse_segment(lease, "lease")?),
+            ("POST", ["admin", "faults"]) => Self::SetFaults(call.json()?),
+            ("GET", ["admin", "counts"]) => Self::Counts,
+            _ => Self::Unknown,
+        })
+    }
+
+    fn is_admin(&self) -> bool {
+        matches!(self, Self::SetFaults(_) | Self::Counts)
+    }
+}
+
+impl StoreHandler {
+    pub(super) fn new(settings: StoreSettings, switch: ConnectionSwitch) -> Self {
+        Self {
+            settings,
+            world: Mutex::default(),
+            switch,
+            leases_changed: Notify::new(),
+        }
+    }
+
+    /// Ends the lapsed leases and tells when the next one lapses.
+    pub(super) fn end_lapsed(&self, now: Instant) -> Option<Instant> {
+        let mut world = lock(&self.world);
+        world.end_lapsed(now);
+        world.next_lapse()
+    }
+
+    async fn answer(&self, request: &Call) -> ReplyResult {
+        let call = match StoreCall::read(request) {
+            Ok(call) => call,
+            Err(error) => return Ok(error.reply()),
+        };
+        if call.is_admin() {
+            return Ok(self.control(call));
+        }
+        let half_delay = self.admit(&call)?;
+        tokio::time::sleep(half_delay).await;
+        let reply = self.carry_out(call, request).await?;
+        tokio::time::sleep(half_delay).await;
+        Ok(reply)
+    }
+
+    fn control(&self, call: StoreCall) -> Reply {
+        let mut world = lock(&self.world);
+        if let StoreCall::SetFaults(faults) = call {
+            world.faults = faults;
+            if world.faults.mode == FaultMode::Down {
+                self.switch.cut_all();
+            }
+            return empty_reply(StatusCode::OK);
+        }
+        json_reply(StatusCode::OK, &world.counts)
+    }
+
+    /// Counts the call and returns half of its delay, unless the service is down.
+    fn admit(&self, call: &StoreCall) -> std::result::Result<Duration, NoAnswer> {
+        let mut world = lock(&self.world);
+        if world.faults.mode == FaultMode::Down {
+            return Err(NoAnswer);
+        }
+        match call {
+            StoreCall::Get(_) => world.counts.reads += 1,
+            StoreCall::Watch(..) => world.counts.watches += 1,
+            _ => world.counts.writes += 1,
+        }
+        Ok(world.faults.half_delay())
+    }
+
+    async fn carry_out(&self, call: StoreCall, request: &Call) -> ReplyResult {
+        if let StoreCall::Watch(key, after, wait) = call {
+            return Ok(self.watch(&key, after, wait).await);
+        }
+        let now = Instant::now();
+        let mut world = lock(&self.world);
+        world.end_lapsed(now);
+        match call {
+            StoreCall::Get(key) => Ok(value_reply(world.value(&key))),
+            StoreCall::Put(..) if request.body.len() > self.settings.max_value_bytes => {
+                Ok(empty_reply(StatusCode::PAYLOAD_TOO_LARGE))
+            }
+            StoreCall::Put(key, expect, lease) => {
+                let outcome = world.put(&key, expect, request.body.clone(), lease);
+                write_reply(&mut world, outcome)
+            }
+            StoreCall::Delete(key, expect) => {
+                let outcome = world.delete(&key, expect);
+                write_reply(&mut world, outcome)
+            }
+            StoreCall::Grant(ttl) => Ok(self.grant(&mut world, ttl, now)),
+            StoreCall::Renew(lease) => {
+                let renewed = world.renew(lease, now);
+                Ok(lease_reply(renewed.is_ok()))
+            }
+            StoreCall::EndLease(lease) => Ok(lease_reply(world.end_lease(lease).is_ok())),
+            _ => Ok(empty_reply(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn grant(&self, world: &mut StoreWorld, ttl: Duration, now: Instant) -> Reply {
+        let (lease, fencing) = world.grant(ttl, now);
+        self.leases_changed.notify_one();
+        let lease = lease.to_compact_string();
+        json_reply(StatusCode::OK, &LeaseReply { lease, fencing })
+    }
+
+    async fn watch(&self, key: &StoreKey, after: StoreRevision, wait: Duration) -> Reply {
+        let found = self.next_change(key, after);
+        let found = tokio::time::timeout(wait, found).await;
+        found.map_or_else(|_passed| empty_reply(StatusCode::NO_CONTENT), value_reply)
+    }
+
+    async fn next_change(&self, key: &StoreKey, after: StoreRevision) -> Option<StoredValue> {
+        loop {
+            let changed = {
+                let mut world = lock(&self.world);
+                match world.watch(key, after) {
+                    WatchState::Changed(value) => return value,
+                    WatchState::Unchanged(changed) => changed.notified_owned(),
+                }
+            };
+            changed.await;
+        }
+    }
+}
+
+impl CallHandler for StoreHandler {
+    fn handle(self: Arc<Self>, call: Call) -> ReplyFuture {
+        Box::pin(async move { self.answer(&call).await })
+    }
+}
+
+fn value_reply(value: Option<StoredValue>) -> Reply {
+    let Some(value) = value else {
+        return empty_reply(StatusCode::NOT_FOUND);
+    };
+    let revision = HeaderValue::from(value.revision.get());
+    let mut reply = bytes_reply(StatusCode::OK, value.bytes);
+    reply.headers_mut().insert("x-revision", revision);
+    reply
+}
+
+fn write_reply(world: &mut StoreWorld, outcome: world::Result<StoreRevision>) -> ReplyResult {
+    match outcome {
+        Ok(_) if world.faults.take_lost_answer() => Err(NoAnswer),
+        Ok(revision) => Ok(json_reply(StatusCode::OK, &RevisionReply { revision })),
+        Err(WriteRefusal::OtherRevision(revision)) => Ok(json_reply(
+            StatusCode::CONFLICT,
+            &RevisionReply { revision },
+        )),
+        Err(WriteRefusal::NoLease) => Ok(empty_reply(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn lease_reply(is_known: bool) -> Reply {
+    empty_reply(if is_known {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    })
+}
--- /dev/null
+++ b/crates/standins/src/store/mod.rs
@@ -0,0 +1,10 @@
+//! The key-value service: compare-and-swap, leases, watches and faults.
+
+mod calls;
+mod faults;
+mod ids;
+mod rows;
+mod standin;
+mod world;
+
+pub use standin::{StoreSettings, StoreStandin};
--- /dev/null
+++ b/crates/standins/src/vms/mod.rs
@@ -0,0 +1,7 @@
+//! The list of live and leaving VMs, which answers with a lag.
+
+mod list;
+mod standin;
+
+pub use list::{ListedVm, VmListBody, VmRole, VmState};
+pub use standin::{VmListSettings, VmListStandin};
