--- /dev/null
+++ b/crates/amaranthgw/src/entry/answer.rs
@@ -0,0 +1,156 @@
+//! The answer to a caller while it is made.
+
+use std::convert::Infallible;
+
+use amaranthgw_core::ChunkSequence;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use serde::Serialize;
+use tokio::sync::mpsc::Receiver;
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::CallError;
+
+/// Body of an answer.
+pub(super) type AnswerBody = UnsyncBoxBody<Bytes, AnswerCut>;
+
+/// Ends the connection of an answer that is not whole, so that no caller takes it for a whole one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct AnswerCut;
+
+impl std::fmt::Display for AnswerCut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer is not whole")
+    }
+}
+
+impl std::error::Error for AnswerCut {}
+
+/// Part of an answer in the order in which the caller receives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum AnswerPart {
+    /// The next chunk.
+    Chunk {
+        /// Its position.
+        sequence: ChunkSequence,
+        /// Its bytes.
+        data: Bytes,
+    },
+    /// The end of a whole answer.
+    End {
+        /// Number of its chunks.
+        chunks: ChunkSequence,
+    },
+    /// There will be no whole answer.
+    Failed(CallError),
+}
+
+#[derive(Serialize)]
+struct ChunkLine<'a> {
+    sequence: ChunkSequence,
+    text: &'a str,
+}
+
+#[derive(Serialize)]
+struct EndLine {
+    end: EndFields,
+}
+
+#[derive(Serialize)]
+struct EndFields {
+    chunks: ChunkSequence,
+}
+
+/// Answers with an error.
+pub(super) fn error_response(error: &CallError) -> Response<AnswerBody> {
+    let mut response = whole_response(error.status(), "application/json", error.body());
+    if let CallError::OverLimit { retry_after } = error {
+        let seconds = retry_after.as_millis().div_ceil(1_000).max(1);
+        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Answers with a whole body.
+pub(super) fn whole_response(
+    status: StatusCode,
+    content_type: &'static str,
+    body: Bytes,
+) -> Response<AnswerBody> {
+    let never = |error: Infallible| match error {};
+    let mut response = Response::new(Full::new(body).map_err(never).boxed_unsync());
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Answers a plain call with its one chunk.
+pub(super) async fn plain_response(mut parts: Receiver<AnswerPart>) -> Response<AnswerBody> {
+    let mut data = Bytes::new();
+    loop {
+        match parts.recv().await {
+            Some(AnswerPart::Chunk { data: chunk, .. }) => data = chunk,
+            Some(AnswerPart::End { .. }) => {
+                return whole_response(StatusCode::OK, "application/octet-stream", data);
+            }
+            Some(AnswerPart::Failed(error)) => return error_response(&error),
+            None => return error_response(&CallError::OutcomeUnknown),
+        }
+    }
+}
+
+/// Answers a model call with a stream of lines once its first part is here.
+pub(super) async fn stream_response(mut parts: Receiver<AnswerPart>) -> Response<AnswerBody> {
+    let first = match parts.recv().await {
+        Some(AnswerPart::Failed(error)) => return error_response(&error),
+        None => return error_response(&CallError::OutcomeUnknown),
+        Some(first) => first,
+    };
+    let rest = ReceiverStream::new(parts);
+    let parts = futures_util::stream::iter([first]).chain(rest);
+    let frames = parts.flat_map(|part| futures_util::stream::iter(frames_of(&part)));
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    let content_type = HeaderValue::from_static("application/x-ndjson");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// The line of a part; an error line is followed by the cut of the connection.
+fn frames_of(part: &AnswerPart) -> Vec<Result<Frame<Bytes>, AnswerCut>> {
+    let line = match part {
+        AnswerPart::Chunk { sequence, data } => {
+            let text = String::from_utf8_lossy(data);
+            json_line(&ChunkLine {
+                sequence: *sequence,
+                text: &text,
+            })
+        }
+        AnswerPart::End { chunks } => json_line(&EndLine {
+            end: EndFields { chunks: *chunks },
+        }),
+        AnswerPart::Failed(error) => {
+            let mut line = Vec::from(error.body());
+            line.push(b'\n');
+            return vec![Ok(Frame::data(line.into())), Err(AnswerCut)];
+        }
+    };
+    vec![Ok(Frame::data(line))]
+}
+
+fn json_line(value: &impl Serialize) -> Bytes {
+    // Only maps with other than text keys can fail to serialise.
+    let mut line = serde_json::to_vec(value).unwrap_or_default();
+    line.push(b'\n');
+    line.into()
+}
--- /dev/null
+++ b/crates/amaranthgw/src/entry/control.rs
@@ -0,0 +1,160 @@
+//! The control thread of an entry.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use amaranthgw_core::TickSchedule;
+use amaranthgw_fleet::config::ServingState;
+use amaranthgw_fleet::entry::{EntryOutput, EntrySnapshot, EntryWorld, entry_schedule};
+use amaranthgw_fleet::membership::VmRecord;
+use amaranthgw_fleet::routing::{RouteSnapshot, ServiceRoutes, TargetRoute};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::time::Instant;
+
+use super::probe::probe;
+use super::shared::{EntryShared, TrafficReport};
+use crate::link::TargetLink;
+use crate::runtime::StopPhase;
+use crate::telemetry::{EventLog, NodeEvent};
+
+/// Owns the tables and runs the tick.
+#[derive(Debug)]
+pub(super) struct EntryControl;
+
+/// What the actor works with.
+#[derive(Debug)]
+pub(super) struct ControlArguments {
+    pub(super) world: EntryWorld,
+    pub(super) shared: Arc<EntryShared>,
+    pub(super) link: Arc<dyn TargetLink>,
+    pub(super) log: EventLog,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub(super) struct ControlState {
+    world: EntryWorld,
+    schedule: TickSchedule<EntryWorld>,
+    shared: Arc<EntryShared>,
+    link: Arc<dyn TargetLink>,
+    log: EventLog,
+}
+
+/// Inputs of the control thread.
+#[derive(Debug)]
+pub(super) enum ControlMessage {
+    /// Run the systems.
+    Tick,
+    /// Reports of traffic threads.
+    Reports(Vec<TrafficReport>),
+    /// A newer configuration.
+    Config(Arc<ServingState>),
+    /// A newer VM list.
+    VmList(Vec<VmRecord>),
+}
+
+impl Actor for EntryControl {
+    type Msg = ControlMessage;
+    type State = ControlState;
+    type Arguments = ControlArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        args: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        let ControlArguments {
+            world,
+            shared,
+            link,
+            log,
+        } = args;
+        Ok(ControlState {
+            world,
+            schedule: entry_schedule(),
+            shared,
+            link,
+            log,
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            ControlMessage::Tick => state.tick(),
+            ControlMessage::Reports(reports) => state.take_reports(reports),
+            ControlMessage::Config(config) => {
+                state.world.inbox.config = Some(config);
+                state.tick();
+            }
+            ControlMessage::VmList(records) => {
+                state.world.inbox.vm_list = Some(records);
+                state.tick();
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ControlState {
+    fn take_reports(&mut self, reports: Vec<TrafficReport>) {
+        let inbox = &mut self.world.inbox;
+        for report in reports {
+            match report {
+                TrafficReport::Observed(observation) => inbox.observations.push(observation),
+                TrafficReport::Answered(record) => inbox.answers.push(record),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let previous = self.world.config.number;
+        self.schedule.run(&mut self.world, Instant::now());
+        let change = self.world.config.number;
+        if change > previous {
+            self.log
+                .record(NodeEvent::ConfigAdopted { change, previous });
+        }
+        for output in std::mem::take(&mut self.world.outbox) {
+            self.carry_out(output);
+        }
+        let is_idle = self.shared.in_flight.load(Ordering::SeqCst) == 0;
+        if self.shared.stop.phase() == StopPhase::Draining && is_idle {
+            self.shared.stop.advance(StopPhase::Ending);
+        }
+    }
+
+    fn carry_out(&self, output: EntryOutput) {
+        match output {
+            EntryOutput::Publish(snapshot) => self.publish(snapshot),
+            EntryOutput::Probe { target, address } => {
+                let (link, reports) = (Arc::clone(&self.link), self.shared.reports.clone());
+                tokio::spawn(probe(link, reports, target, address));
+            }
+        }
+    }
+
+    fn publish(&self, snapshot: Arc<EntrySnapshot>) {
+        let (open_targets, targets) = count_targets(&snapshot.routes);
+        let change = snapshot.routes.change;
+        self.shared.snapshot.store(snapshot);
+        self.log.record(NodeEvent::RoutesPublished {
+            change,
+            open_targets,
+            targets,
+        });
+    }
+}
+
+fn count_targets(routes: &RouteSnapshot) -> (u32, u32) {
+    let targets = || routes.services.rows().flat_map(ServiceRoutes::targets);
+    let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    let open = targets()
+        .filter(|route: &&TargetRoute| route.is_open())
+        .count();
+    (count(open), count(targets().count()))
+}
--- /dev/null
+++ b/crates/amaranthgw/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! The entry process: takes callers' requests and carries them to targets.
+
+mod answer;
+mod attempt;
+mod control;
+mod error;
+mod head;
+mod http;
+mod listener;
+mod probe;
+mod process;
+mod run;
+mod shared;
+
+pub use error::{CallError, RunState};
+pub use process::EntryProcess;
--- /dev/null
+++ b/crates/amaranthgw/src/entry/probe.rs
@@ -0,0 +1,25 @@
+//! Asks sidecars for the state of their targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use amaranthgw_core::TargetId;
+use amaranthgw_fleet::entry::TargetObservation;
+
+use super::shared::TrafficReport;
+use crate::control::ReportSender;
+use crate::link::TargetLink;
+
+/// Asks the sidecar at `address` for the state of `target` and reports what comes of it.
+pub(super) async fn probe(
+    link: Arc<dyn TargetLink>,
+    reports: ReportSender<TrafficReport>,
+    target: TargetId,
+    address: SocketAddr,
+) {
+    let observation = match link.inspect(address, target.clone()).await {
+        Ok(status) => TargetObservation::Reported { target, status },
+        Err(_) => TargetObservation::Unreachable { target },
+    };
+    reports.send(TrafficReport::Observed(observation));
+}
--- /dev/null
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -0,0 +1,190 @@
+//! Starts and stops an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use amaranthgw_fleet::entry::EntryWorld;
+use amaranthgw_fleet::membership::NodeIdentity;
+use amaranthgw_fleet::retries::RetrySettings;
+use amaranthgw_fleet::routing::DomainNearPolicy;
+use amaranthgw_fleet::settings::EntrySettings;
+use arc_swap::ArcSwap;
+use ractor::{Actor, ActorRef};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::control::{ControlArguments, ControlMessage, EntryControl};
+use super::listener::serve_callers;
+use super::shared::{EntryShared, TrafficReport, TrafficThread};
+use crate::control::{
+    ConfigActor, ConfigArguments, VmListActor, VmListArguments, forward_reports, report_channel,
+};
+use crate::link::GrpcLink;
+use crate::platform::{HttpStore, HttpVmList};
+use crate::runtime::{
+    Result, RuntimeError, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread,
+};
+use crate::telemetry::{EventLog, NodeEvent};
+
+const VM_LIST_PERIOD: Duration = Duration::from_millis(500);
+/// Time that the platform's balancer gets to notice that the entry leaves.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryProcess {
+    address: SocketAddr,
+    stop: StopSignal,
+    threads: ThreadGroup,
+}
+
+impl EntryProcess {
+    /// Starts the threads of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`RuntimeError`] where an address is in use or a thread can't be started.
+    pub fn start(settings: &EntrySettings, log: &EventLog) -> Result<Self> {
+        let listener = Arc::new(SharedListener::new(settings.caller_listen)?);
+        let address = listener.address();
+        let stop = StopSignal::new();
+        let (reports, receiver) = report_channel();
+        let shared = Arc::new(EntryShared {
+            snapshot: ArcSwap::default(),
+            policy: Box::new(DomainNearPolicy::new()),
+            retries: RetrySettings::new(),
+            reports,
+            in_flight: AtomicU32::new(0),
+            max_body: settings.max_body,
+            stop: stop.clone(),
+        });
+        let mut threads = ThreadGroup::default();
+        for index in 0..settings.traffic_threads {
+            let (shared, listener) = (Arc::clone(&shared), Arc::clone(&listener));
+            let log = log.with_own_journal();
+            let serve = move || {
+                let thread = TrafficThread {
+                    shared,
+                    link: Box::new(GrpcLink::new()),
+                    log,
+                };
+                serve_callers(Arc::new(thread), listener)
+            };
+            threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
+        }
+        let (settings, log) = (settings.clone(), log.clone());
+        let control = move || run_control(settings, shared, receiver, log);
+        threads.push(spawn_thread("control".to_owned(), control)?);
+        Ok(Self {
+            address,
+            stop,
+            threads,
+        })
+    }
+
+    /// Address that callers reach the entry at.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The signal that stops the process.
+    #[must_use]
+    pub fn stop_signal(&self) -> StopSignal {
+        self.stop.clone()
+    }
+
+    /// Waits until the process has stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RuntimeError::Panicked`] where a thread panicked.
+    pub fn join(self) -> Result<()> {
+        self.threads.join()
+    }
+}
+
+async fn run_control(
+    settings: EntrySettings,
+    shared: Arc<EntryShared>,
+    receiver: UnboundedReceiver<TrafficReport>,
+    log: EventLog,
+) {
+    let identity = NodeIdentity {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+    };
+    let arguments = ControlArguments {
+        world: EntryWorld::new(identity, Instant::now()),
+        shared: Arc::clone(&shared),
+        link: Arc::new(GrpcLink::new()),
+        log: log.clone(),
+    };
+    let started = Actor::spawn(None, EntryControl, arguments).await;
+    let Ok((control, _ended)) = started else {
+        return;
+    };
+    if start_borders(&settings, &control, receiver, &log)
+        .await
+        .is_err()
+    {
+        return;
+    }
+    log.record(NodeEvent::ProcessStarted {
+        role: "entry".into(),
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: compact_str::format_compact!("{}", settings.caller_listen),
+    });
+    run_stop(&settings, &shared, &log).await;
+}
+
+/// Waits for the stop of the process and leads it through its phases.
+async fn run_stop(settings: &EntrySettings, shared: &EntryShared, log: &EventLog) {
+    let stop = &shared.stop;
+    stop.reached(StopPhase::Noticing).await;
+    let in_flight = shared.in_flight.load(Ordering::SeqCst);
+    log.record(NodeEvent::ProcessStopping { in_flight });
+    sleep(NOTICE_TIME).await;
+    stop.advance(StopPhase::Draining);
+    drop(timeout(settings.grace.duration(), stop.reached(StopPhase::Ending)).await);
+    let cut_off = shared.in_flight.load(Ordering::SeqCst);
+    log.record(NodeEvent::ProcessStopped { cut_off });
+    stop.advance(StopPhase::Ending);
+}
+
+async fn start_borders(
+    settings: &EntrySettings,
+    control: &ActorRef<ControlMessage>,
+    receiver: UnboundedReceiver<TrafficReport>,
+    log: &EventLog,
+) -> Result<()> {
+    control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
+    let to_control = control.clone();
+    let forward = move |batch| drop(to_control.cast(ControlMessage::Reports(batch)));
+    tokio::spawn(forward_reports(receiver, forward));
+    let to_control = control.clone();
+    let config = ConfigArguments {
+        store: Arc::new(HttpStore::new(settings.store)),
+        sink: Box::new(move |state| drop(to_control.cast(ControlMessage::Config(state)))),
+        log: log.clone(),
+    };
+    let to_control = control.clone();
+    let vms = VmListArguments {
+        client: Box::new(HttpVmList::new(settings.vm_list)),
+        sink: Box::new(move |records| drop(to_control.cast(ControlMessage::VmList(records)))),
+        period: VM_LIST_PERIOD,
+        log: log.clone(),
+    };
+    let actor_error = |_failed| RuntimeError::Actor;
+    Actor::spawn(None, ConfigActor, config)
+        .await
+        .map_err(actor_error)?;
+    Actor::spawn(None, VmListActor, vms)
+        .await
+        .map_err(actor_error)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/amaranthgw/src/entry/run.rs
@@ -0,0 +1,295 @@
+//! Runs one admitted request: chooses targets, tries again where that is safe, and ends it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{ChangeNumber, PlanId, TargetId, TokenCount};
+use amaranthgw_fleet::answers::AnswerRow;
+use amaranthgw_fleet::burn::BurnOutcome;
+use amaranthgw_fleet::entry::{AnswerRecord, EntrySnapshot};
+use amaranthgw_fleet::retries::{AttemptLog, RepeatRule, RetryAsk, RetryDecision, RunOutcome};
+use amaranthgw_fleet::routing::{RouteAsk, RouteError, TargetRoute};
+use bytes::Bytes;
+use compact_str::format_compact;
+use tokio::sync::mpsc::Sender;
+use tokio::time::{Instant, sleep_until};
+
+use super::CallError;
+use super::answer::AnswerPart;
+use super::head::CallHead;
+use super::shared::{TrafficReport, TrafficThread};
+use crate::telemetry::NodeEvent;
+
+/// An admitted call.
+#[derive(Clone, Debug)]
+pub(super) struct AdmittedCall {
+    /// Its head.
+    pub(super) head: CallHead,
+    /// Plan of its workspace.
+    pub(super) plan: PlanId,
+    /// Cost of a late answer relative to other plans.
+    pub(super) refund_weight: u32,
+    /// Prompt of a model call or body of a plain call.
+    pub(super) body: Bytes,
+    /// Largest number of tokens; 0 for plain calls.
+    pub(super) max_tokens: TokenCount,
+    /// Times it must keep.
+    pub(super) timing: CallTiming,
+    /// When the answer is late.
+    pub(super) due_at: Instant,
+    /// When the request is given up.
+    pub(super) cutoff: Instant,
+}
+
+/// Times of one answer against its plan.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallTiming {
+    /// When the request arrived.
+    pub(super) arrived_at: Instant,
+    /// Time within which the first chunk must arrive.
+    pub(super) first_token: Duration,
+    /// Longest time between two chunks.
+    pub(super) token_gap: Duration,
+    /// When the last chunk was passed on.
+    pub(super) last_chunk_at: Option<Instant>,
+    /// Whether a chunk came too late.
+    pub(super) is_late: bool,
+}
+
+impl CallTiming {
+    /// Notes that a chunk is passed on at `now`.
+    pub(super) fn note_chunk(&mut self, now: Instant) {
+        let latest = match self.last_chunk_at {
+            None => self.arrived_at + self.first_token,
+            Some(last) => last + self.token_gap,
+        };
+        self.is_late |= now > latest;
+        self.last_chunk_at = Some(now);
+    }
+}
+
+/// A request in flight at this entry.
+#[derive(Debug)]
+pub(super) struct CallRun {
+    pub(super) thread: Arc<TrafficThread>,
+    pub(super) call: AdmittedCall,
+    pub(super) answer: AnswerRow<Bytes>,
+    pub(super) timing: CallTiming,
+    pub(super) change: ChangeNumber,
+    log: AttemptLog,
+    tried: Vec<TargetId>,
+    parts: Sender<AnswerPart>,
+}
+
+impl CallRun {
+    /// Creates the run of `call`, whose answer goes to `parts`.
+    pub(super) fn new(
+        thread: Arc<TrafficThread>,
+        call: AdmittedCall,
+        parts: Sender<AnswerPart>,
+    ) -> Self {
+        Self {
+            thread,
+            timing: call.timing,
+            call,
+            answer: AnswerRow::new(),
+            change: ChangeNumber::default(),
+            log: AttemptLog::new(),
+            tried: Vec::new(),
+            parts,
+        }
+    }
+
+    /// Runs the request to its end.
+    pub(super) async fn run(mut self) -> Option<RunOutcome> {
+        let error = loop {
+            let snapshot = self.thread.shared.snapshot.load_full();
+            self.change = snapshot.config.number;
+            let route = match self.choose(&snapshot) {
+                Ok(route) => route,
+                Err(error) => break error,
+            };
+            self.note_first(&snapshot);
+            let outcome = self.attempt(&route).await;
+            self.log.record(outcome);
+            if outcome == RunOutcome::Done {
+                self.end_whole(&route).await;
+                return Some(outcome);
+            }
+            if !self.may_retry(&snapshot, &route, outcome).await {
+                break CallError::with_outcome(self.log.overall());
+            }
+        };
+        self.end_failed(error).await;
+        self.log.overall()
+    }
+
+    /// Whether a second run of the request is harmless.
+    pub(super) fn is_idempotent(&self) -> bool {
+        self.call.head.rule != RepeatRule::NonIdempotent
+    }
+
+    /// Whether nobody waits for the answer any more.
+    pub(super) fn is_caller_gone(&self) -> bool {
+        self.parts.is_closed()
+    }
+
+    /// Passes `part` to the caller, if it is still there.
+    pub(super) async fn send(&self, part: AnswerPart) {
+        drop(self.parts.send(part).await);
+    }
+
+    /// Passes `report` to the control thread.
+    pub(super) fn report(&self, report: TrafficReport) {
+        self.thread.shared.reports.send(report);
+    }
+
+    fn choose(&mut self, snapshot: &EntrySnapshot) -> Result<TargetRoute, CallError> {
+        let service = &self.call.head.service;
+        let routes = snapshot
+            .routes
+            .services
+            .get(service)
+            .ok_or(CallError::UnknownService)?;
+        let now = Instant::now();
+        let policy = &self.thread.shared.policy;
+        let mut ask = RouteAsk {
+            prefix_hash: None,
+            deadline: self.call.due_at,
+            tried: &self.tried,
+        };
+        let mut chosen = policy.choose(routes, &ask, now);
+        if matches!(chosen, Err(RouteError::AllTried)) {
+            ask.tried = &[];
+            chosen = policy.choose(routes, &ask, now);
+        }
+        let outcome = self.log.overall();
+        let route = chosen
+            .map_err(|_none| CallError::with_outcome(outcome))?
+            .route;
+        self.tried.push(route.target.clone());
+        self.record_routed(&route);
+        Ok(route)
+    }
+
+    /// Adds the first attempt to the retry budget of its service.
+    fn note_first(&self, snapshot: &EntrySnapshot) {
+        let budget = snapshot.budgets.get(&self.call.head.service);
+        if let Some(budget) = budget.filter(|_| self.log.count() == 0) {
+            budget.record_first();
+        }
+    }
+
+    /// Waits for the time of the next attempt, or says that there is none.
+    async fn may_retry(
+        &mut self,
+        snapshot: &EntrySnapshot,
+        route: &TargetRoute,
+        outcome: RunOutcome,
+    ) -> bool {
+        let decision = self.decide(snapshot, outcome);
+        self.record_ended(route, outcome, decision);
+        let RetryDecision::Retry { start_at, .. } = decision else {
+            return false;
+        };
+        self.answer.start_attempt();
+        sleep_until(start_at).await;
+        true
+    }
+
+    fn decide(&self, snapshot: &EntrySnapshot, outcome: RunOutcome) -> RetryDecision {
+        use amaranthgw_fleet::retries::GiveUpReason;
+        let Some(budget) = snapshot.budgets.get(&self.call.head.service) else {
+            return RetryDecision::GiveUp(GiveUpReason::BudgetSpent);
+        };
+        let ask = RetryAsk {
+            rule: self.call.head.rule,
+            outcome,
+            attempts: self.log.count(),
+            deadline: self.call.cutoff,
+            needed: Duration::ZERO,
+            resume_from: self.answer.resume_from(),
+            jitter: fastrand::f32(),
+        };
+        RetryDecision::new(&ask, &self.thread.shared.retries, budget, Instant::now())
+    }
+
+    async fn end_whole(&mut self, route: &TargetRoute) {
+        let chunks = self.answer.resume_from();
+        let now = Instant::now();
+        let is_on_time = !self.timing.is_late && now <= self.call.due_at;
+        self.send(AnswerPart::End { chunks }).await;
+        let outcome = if is_on_time {
+            BurnOutcome::OnTime
+        } else {
+            BurnOutcome::Late
+        };
+        self.record_answer(outcome);
+        let waited = now.saturating_duration_since(self.timing.arrived_at);
+        self.thread.log.record(NodeEvent::RequestFinished {
+            request: self.call.head.request.clone(),
+            target: route.target.clone(),
+            attempts: self.log.count(),
+            chunks: chunks.get(),
+            millis: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            on_time: is_on_time,
+        });
+    }
+
+    async fn end_failed(&mut self, error: CallError) {
+        let is_caller_gone = self.is_caller_gone();
+        self.send(AnswerPart::Failed(error)).await;
+        self.thread.log.record(NodeEvent::RequestRefused {
+            request: Some(self.call.head.request.clone()),
+            workspace: Some(self.call.head.workspace.clone()),
+            code: error.code(),
+            outcome: error.state().name(),
+        });
+        // A caller that hung up on a request without effects is owed nothing.
+        if is_caller_gone && self.is_idempotent() {
+            return;
+        }
+        self.record_answer(match error.state() {
+            super::RunState::NotRun => BurnOutcome::Refused,
+            super::RunState::OutcomeUnknown => BurnOutcome::OutcomeUnknown,
+            super::RunState::Failed => BurnOutcome::Failed,
+        });
+    }
+
+    fn record_answer(&self, outcome: BurnOutcome) {
+        let (plan, service) = (self.call.plan.clone(), self.call.head.service.clone());
+        self.report(TrafficReport::Answered(AnswerRecord {
+            plan,
+            service,
+            outcome,
+        }));
+    }
+
+    fn record_routed(&self, route: &TargetRoute) {
+        let load = route.load;
+        self.thread.log.record(NodeEvent::RequestRouted {
+            request: self.call.head.request.clone(),
+            attempt: self.answer.attempt(),
+            service: self.call.head.service.clone(),
+            target: route.target.clone(),
+            domain: route.domain.clone(),
+            own_in_flight: route.own_in_flight(),
+            reported_in_flight: load.map(|load| load.in_flight).unwrap_or_default(),
+            limit: load.map(|load| load.limit).unwrap_or_default(),
+        });
+    }
+
+    fn record_ended(&self, route: &TargetRoute, outcome: RunOutcome, decision: RetryDecision) {
+        let next = match decision {
+            RetryDecision::Retry { .. } => "retry",
+            RetryDecision::GiveUp(_) => "give_up",
+        };
+        self.thread.log.record(NodeEvent::AttemptEnded {
+            request: self.call.head.request.clone(),
+            attempt: self.answer.attempt(),
+            target: route.target.clone(),
+            end: format_compact!("{outcome:?}"),
+            next,
+        });
+    }
+}
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -1,6 +1,7 @@
 //! The processes of amaranthgw: entries, sidecars, operators' commands and the demo.
 
 pub mod control;
+pub mod entry;
 pub mod link;
 pub mod platform;
 pub mod runtime;
--- a/crates/amaranthgw/src/sidecar/control.rs
+++ b/crates/amaranthgw/src/sidecar/control.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use amaranthgw_core::TickSchedule;
+use amaranthgw_core::{SlotCount, TickSchedule};
 use amaranthgw_fleet::config::ServingState;
 use amaranthgw_fleet::gate::GateShift;
 use amaranthgw_fleet::membership::VmRecord;
@@ -154,12 +154,13 @@
     amaranthgw_core::SlotCount,
     CompactString,
 ) {
-    let none = amaranthgw_core::SlotCount::default();
+    let none = SlotCount::default();
     match shift {
         GateShift::Held => (none, none, CompactString::default()),
         GateShift::Opened { leftover } => (none, none, format_compact!("opened, {leftover} left")),
-        GateShift::Raised { from, to, inputs } => (*from, *to, format_compact!("{inputs:?}")),
-        GateShift::Lowered { from, to, inputs } => (*from, *to, format_compact!("{inputs:?}")),
+        GateShift::Raised { from, to, inputs } | GateShift::Lowered { from, to, inputs } => {
+            (*from, *to, format_compact!("{inputs:?}"))
+        }
         GateShift::WentCold {
             from,
             to,
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -83,7 +83,11 @@
         });
         let shared = Arc::clone(&self.shared);
         let events = ReceiverStream::new(receiver).map(move |report| event_of(&shared, report));
-        stream::iter([admitted]).chain(events).map(wrap).boxed()
+        stream::iter([admitted])
+            .chain(events)
+            .map(wrap)
+            .map(Ok)
+            .boxed()
     }
 
     fn refuse(&self, request: Option<&RequestId>, attempt: u32, code: RefusalCode) -> EventStream {
@@ -94,7 +98,7 @@
             code: code.into(),
             report: Some(self.shared.report()),
         };
-        stream::iter([wrap(Event::Refused(refused))]).boxed()
+        stream::iter([Ok(wrap(Event::Refused(refused)))]).boxed()
     }
 
     fn record_admitted(&self, terms: &AttemptTerms, permit: &AdmissionPermit) {
@@ -195,6 +199,6 @@
     }
 }
 
-fn wrap(event: Event) -> Result<RunEvent, Status> {
-    Ok(RunEvent { event: Some(event) })
+fn wrap(event: Event) -> RunEvent {
+    RunEvent { event: Some(event) }
 }
--- a/crates/amaranthgw/src/sidecar/target/http.rs
+++ b/crates/amaranthgw/src/sidecar/target/http.rs
@@ -99,6 +99,6 @@
 pub(super) async fn collect(response: Response<Incoming>) -> Result<Bytes> {
     let collected = response.into_body().collect().await;
     collected
-        .map(|body| body.to_bytes())
+        .map(http_body_util::Collected::to_bytes)
         .map_err(|_broken| TargetError::ConnectionLost)
 }
