--- a/crates/fleet/src/config/change.rs
+++ b/crates/fleet/src/config/change.rs
@@ -49,6 +49,17 @@
     BringBack(OutScope),
 }
 
+impl ConfigEdit {
+    /// What the edit takes out or brings back; `None` for an edit of the lists.
+    #[must_use]
+    pub const fn out_scope(&self) -> Option<&OutScope> {
+        match self {
+            Self::TakeOut(scope) | Self::BringBack(scope) => Some(scope),
+            _ => None,
+        }
+    }
+}
+
 /// Identifier of a change, drawn at random by the operator's process and written as 32 hex digits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ChangeId(u128);
@@ -124,6 +135,29 @@
     pub changes: Vec<ConfigChange>,
 }
 
+impl ConfigChange {
+    /// What a base keeps of the change.
+    #[must_use]
+    pub fn mark(&self) -> ChangeMark {
+        ChangeMark {
+            number: self.number,
+            id: self.id,
+            operator: self.operator.clone(),
+            made_at_unix_ms: self.made_at_unix_ms,
+        }
+    }
+}
+
+impl ConfigLog {
+    /// Number of the last change.
+    #[must_use]
+    pub fn number(&self) -> ChangeNumber {
+        self.changes
+            .last()
+            .map_or(self.base, |change| change.number)
+    }
+}
+
 /// What remains known of a change whose edits are in a base.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeMark {
--- a/crates/fleet/src/config/diff.rs
+++ b/crates/fleet/src/config/diff.rs
@@ -1,6 +1,10 @@
 //! The edits that lead from a configuration to the operators' lists.
 
-use super::{ConfigEdit, ServingState};
+use std::hash::Hash;
+
+use amaranthgw_core::{EntityTable, PlanId, WorkspaceId};
+
+use super::{ConfigEdit, PlanRow, ServingState, WorkspaceRow};
 use crate::lists::OperatorLists;
 
 /// The edits that give `current` the plans and workspaces of `lists`; what is out of service stays.
@@ -9,29 +13,54 @@
 /// workspaces and plans that are in no list any more.
 #[must_use]
 pub fn diff(current: &ServingState, lists: &OperatorLists) -> Vec<ConfigEdit> {
+    list_edits(current, &lists.plans, &lists.workspaces)
+}
+
+/// The edits that lead from the state `from` to the state `to`.
+#[must_use]
+pub fn diff_states(from: &ServingState, to: &ServingState) -> Vec<ConfigEdit> {
+    let mut edits = list_edits(from, &to.plans, &to.workspaces);
+    let taken_out = to.outs.difference(&from.outs).cloned();
+    edits.extend(taken_out.map(ConfigEdit::TakeOut));
+    let brought_back = from.outs.difference(&to.outs).cloned();
+    edits.extend(brought_back.map(ConfigEdit::BringBack));
+    edits
+}
+
+fn list_edits(
+    current: &ServingState,
+    plans: &EntityTable<PlanId, PlanRow>,
+    workspaces: &EntityTable<WorkspaceId, WorkspaceRow>,
+) -> Vec<ConfigEdit> {
     let mut edits = Vec::new();
-    for (plan, row) in lists.plans.iter() {
-        if current.plans.get(plan) != Some(row) {
-            let (plan, row) = (plan.clone(), row.clone());
-            edits.push(ConfigEdit::SetPlan { plan, row });
-        }
+    for (plan, row) in changed_rows(&current.plans, plans) {
+        edits.push(ConfigEdit::SetPlan { plan, row });
     }
-    for (workspace, row) in lists.workspaces.iter() {
-        if current.workspaces.get(workspace) != Some(row) {
-            let (workspace, row) = (workspace.clone(), row.clone());
-            edits.push(ConfigEdit::SetWorkspace { workspace, row });
-        }
+    for (workspace, row) in changed_rows(&current.workspaces, workspaces) {
+        edits.push(ConfigEdit::SetWorkspace { workspace, row });
     }
-    for workspace in current.workspaces.ids() {
-        if !lists.workspaces.contains(workspace) {
-            let workspace = workspace.clone();
-            edits.push(ConfigEdit::RemoveWorkspace { workspace });
-        }
+    for workspace in missing_ids(&current.workspaces, workspaces) {
+        edits.push(ConfigEdit::RemoveWorkspace { workspace });
     }
-    for plan in current.plans.ids() {
-        if !lists.plans.contains(plan) {
-            edits.push(ConfigEdit::RemovePlan { plan: plan.clone() });
-        }
+    for plan in missing_ids(&current.plans, plans) {
+        edits.push(ConfigEdit::RemovePlan { plan });
     }
     edits
 }
+
+/// Rows of `new` that are not the same in `old`.
+fn changed_rows<Id: Hash + Eq + Clone, Row: PartialEq + Clone>(
+    old: &EntityTable<Id, Row>,
+    new: &EntityTable<Id, Row>,
+) -> Vec<(Id, Row)> {
+    let changed = new.iter().filter(|(id, row)| old.get(*id) != Some(*row));
+    changed.map(|(id, row)| (id.clone(), row.clone())).collect()
+}
+
+/// Identifiers of `old` that are not in `new`.
+fn missing_ids<Id: Hash + Eq + Clone, Row>(
+    old: &EntityTable<Id, Row>,
+    new: &EntityTable<Id, Row>,
+) -> Vec<Id> {
+    old.ids().filter(|id| !new.contains(*id)).cloned().collect()
+}
--- a/crates/fleet/src/config/error.rs
+++ b/crates/fleet/src/config/error.rs
@@ -1,6 +1,7 @@
 //! Why a configuration change is refused.
 
-use amaranthgw_core::{ChangeNumber, PlanId, WorkspaceId};
+use amaranthgw_core::{ByteCount, ChangeNumber, PlanId, WorkspaceId};
+use compact_str::CompactString;
 
 /// Why a change cannot be applied; the state it met is left as it was.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +20,15 @@
         /// Its missing plan.
         plan: PlanId,
     },
+    /// The value that would hold the change is larger than the key-value service takes.
+    TooLarge {
+        /// Size of the value.
+        size: ByteCount,
+        /// Largest size.
+        limit: ByteCount,
+    },
+    /// A value of the key-value service or a message is not one of this version.
+    Unreadable(CompactString),
 }
 
 impl std::fmt::Display for ConfigError {
@@ -33,6 +43,13 @@
                     "workspace {workspace} subscribes to plan {plan}, which does not exist"
                 )
             }
+            Self::TooLarge { size, limit } => {
+                write!(
+                    f,
+                    "the change needs a value of {size} bytes; the limit is {limit}"
+                )
+            }
+            Self::Unreadable(message) => write!(f, "the value cannot be read: {message}"),
         }
     }
 }
--- /dev/null
+++ b/crates/fleet/src/config/relay.rs
@@ -0,0 +1,142 @@
+//! Which nodes watch the key-value service and which nodes tell each other.
+
+use std::collections::BTreeMap;
+
+use amaranthgw_core::{DomainId, VmId};
+
+/// Nodes of each failure domain that watch the key-value service.
+pub const WATCHERS_PER_DOMAIN: usize = 2;
+/// Nodes of its own failure domain that a node tells.
+pub const DOMAIN_DEGREE: usize = 4;
+/// Failure domains whose watchers a watcher tells.
+pub const WATCHER_DEGREE: usize = 2;
+
+/// A live VM as the VM list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+}
+
+/// The part of one node in spreading the configuration.
+///
+/// Within a failure domain the nodes are ordered by a hash of their identifiers; the first ones
+/// watch the key-value service. Node `i` of `n` tells the nodes `-(4i + j) mod n` for `j` from 1
+/// to 4, so that a message from any node reaches all others in `ceil(log4(n))` rounds, and nobody
+/// sends or receives more than four copies. The watchers of the failure domains tell each other in
+/// the same way.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RelayPlan {
+    position: usize,
+    domain_size: usize,
+    fleet_size: usize,
+    successors: Vec<VmId>,
+}
+
+impl RelayPlan {
+    /// Creates the plan of the node `node` in the failure domain `domain` from the live VMs.
+    ///
+    /// A node that the VM list does not show yet takes its place as if it were shown.
+    #[must_use]
+    pub fn new(node: &VmId, domain: &DomainId, vms: &[RelayVm]) -> Self {
+        let mut domains: BTreeMap<&DomainId, Vec<(u64, &VmId)>> = BTreeMap::new();
+        for RelayVm { vm, domain } in vms.iter().filter(|row| row.vm != *node) {
+            domains.entry(domain).or_default().push((vm_score(vm), vm));
+        }
+        domains
+            .entry(domain)
+            .or_default()
+            .push((vm_score(node), node));
+        let own = domains
+            .get_mut(domain)
+            .map(std::mem::take)
+            .unwrap_or_default();
+        let own = sorted(own);
+        let position = own.iter().position(|vm| *vm == node).unwrap_or(0);
+        let mut successors = told_by(position, own.len(), DOMAIN_DEGREE, |next| own[next].clone());
+        if position < WATCHERS_PER_DOMAIN {
+            successors.extend(told_watchers(domain, &domains));
+        }
+        Self {
+            position,
+            domain_size: own.len(),
+            fleet_size: vms.len().max(own.len()),
+            successors,
+        }
+    }
+
+    /// Position of the node in its failure domain, counted from 0.
+    #[must_use]
+    pub const fn position(&self) -> usize {
+        self.position
+    }
+
+    /// Whether the node watches the key-value service.
+    #[must_use]
+    pub const fn is_watcher(&self) -> bool {
+        self.position < WATCHERS_PER_DOMAIN
+    }
+
+    /// Nodes in the node's failure domain, itself included.
+    #[must_use]
+    pub const fn domain_size(&self) -> usize {
+        self.domain_size
+    }
+
+    /// Nodes in all failure domains.
+    #[must_use]
+    pub const fn fleet_size(&self) -> usize {
+        self.fleet_size
+    }
+
+    /// The nodes that this one tells.
+    #[must_use]
+    pub fn successors(&self) -> &[VmId] {
+        &self.successors
+    }
+}
+
+/// The watchers of the failure domains that the watchers of `domain` tell.
+fn told_watchers(domain: &DomainId, domains: &BTreeMap<&DomainId, Vec<(u64, &VmId)>>) -> Vec<VmId> {
+    let position = domains.keys().position(|key| *key == domain).unwrap_or(0);
+    let next_domains: Vec<_> = domains.values().collect();
+    let told = told_by(position, domains.len(), WATCHER_DEGREE, |next| {
+        next_domains[next]
+    });
+    let watchers = |vms: &Vec<(u64, &VmId)>| {
+        let sorted = sorted(vms.clone()).into_iter();
+        sorted
+            .take(WATCHERS_PER_DOMAIN)
+            .cloned()
+            .collect::<Vec<_>>()
+    };
+    told.into_iter().flat_map(watchers).collect()
+}
+
+/// What `make` gives for the positions that `position` of `count` tells, without itself.
+fn told_by<T>(position: usize, count: usize, degree: usize, make: impl Fn(usize) -> T) -> Vec<T> {
+    let mut told: Vec<_> = (1..=degree)
+        .map(|step| (count - (position * degree + step) % count) % count)
+        .filter(|next| *next != position)
+        .collect();
+    told.sort_unstable();
+    told.dedup();
+    told.into_iter().map(make).collect()
+}
+
+fn sorted(mut vms: Vec<(u64, &VmId)>) -> Vec<&VmId> {
+    vms.sort_unstable();
+    vms.dedup();
+    vms.into_iter().map(|(_, vm)| vm).collect()
+}
+
+/// A hash that is the same in every build and process.
+fn vm_score(vm: &VmId) -> u64 {
+    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0100_0000_01b3;
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    let hash = vm.as_str().bytes().fold(FNV_OFFSET, mix);
+    fastrand::Rng::with_seed(hash).u64(..)
+}
--- a/crates/fleet/src/config/state.rs
+++ b/crates/fleet/src/config/state.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at a node.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use amaranthgw_core::{
     ChangeNumber, DomainId, EntityTable, MilliSpan, PlanId, RequestRate, ServiceId, SlotCount,
@@ -73,16 +73,52 @@
             let (current, offered) = (self.number, change.number);
             return Err(ConfigError::OutOfOrder { current, offered });
         }
-        let mut state = self.clone();
+        self.check_edits(&change.edits)?;
         for edit in &change.edits {
-            state.apply_edit(edit);
+            self.apply_edit(edit);
         }
-        state.check()?;
-        state.number = change.number;
-        *self = state;
+        self.number = change.number;
         Ok(())
     }
 
+    /// Checks that the state would be valid with `edits`, provided that it is valid now.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConfigError`] where the result would not be valid.
+    pub fn check_edits(&self, edits: &[ConfigEdit]) -> Result<()> {
+        let outcome = EditOutcome::new(edits);
+        for (workspace, plan) in &outcome.workspaces {
+            let Some(plan) = plan else { continue };
+            if !outcome.has_plan(self, plan) {
+                return Err(unknown_plan(workspace, plan));
+            }
+        }
+        if outcome.plans.values().all(|is_kept| *is_kept) {
+            return Ok(());
+        }
+        for (workspace, row) in self.workspaces.iter() {
+            let is_untouched = !outcome.workspaces.contains_key(workspace);
+            if is_untouched && !outcome.has_plan(self, &row.plan) {
+                return Err(unknown_plan(workspace, &row.plan));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks the whole state.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConfigError`] where the state is not valid.
+    pub fn check(&self) -> Result<()> {
+        let missing = |(_, row): &(_, &WorkspaceRow)| !self.plans.contains(&row.plan);
+        let unknown = self.workspaces.iter().find(missing);
+        unknown.map_or(Ok(()), |(workspace, row)| {
+            Err(unknown_plan(workspace, &row.plan))
+        })
+    }
+
     /// Whether operators have taken out the VM or its failure domain.
     #[must_use]
     pub fn is_out(&self, vm: &VmId, domain: &DomainId) -> bool {
@@ -102,14 +138,46 @@
             ConfigEdit::BringBack(scope) => drop(self.outs.remove(&scope)),
         }
     }
+}
 
-    fn check(&self) -> Result<()> {
-        for (workspace, row) in self.workspaces.iter() {
-            if !self.plans.contains(&row.plan) {
-                let (workspace, plan) = (workspace.clone(), row.plan.clone());
-                return Err(ConfigError::UnknownPlan { workspace, plan });
+/// What edits leave behind of the rows they name.
+struct EditOutcome<'a> {
+    /// Whether each named plan exists afterwards.
+    plans: BTreeMap<&'a PlanId, bool>,
+    /// The plan of each named workspace afterwards; `None` where the workspace is removed.
+    workspaces: BTreeMap<&'a WorkspaceId, Option<&'a PlanId>>,
+}
+
+impl<'a> EditOutcome<'a> {
+    fn new(edits: &'a [ConfigEdit]) -> Self {
+        let (mut plans, mut workspaces) = (BTreeMap::new(), BTreeMap::new());
+        for edit in edits {
+            match edit {
+                ConfigEdit::SetPlan { plan, .. } => {
+                    plans.insert(plan, true);
+                }
+                ConfigEdit::RemovePlan { plan } => {
+                    plans.insert(plan, false);
+                }
+                ConfigEdit::SetWorkspace { workspace, row } => {
+                    workspaces.insert(workspace, Some(&row.plan));
+                }
+                ConfigEdit::RemoveWorkspace { workspace } => {
+                    workspaces.insert(workspace, None);
+                }
+                ConfigEdit::TakeOut(_) | ConfigEdit::BringBack(_) => {}
             }
         }
-        Ok(())
+        Self { plans, workspaces }
+    }
+
+    fn has_plan(&self, state: &ServingState, plan: &PlanId) -> bool {
+        let named = self.plans.get(plan).copied();
+        named.unwrap_or_else(|| state.plans.contains(plan))
     }
 }
+
+fn unknown_plan(workspace: &WorkspaceId, plan: &PlanId) -> ConfigError {
+    let (workspace, plan) = (workspace.clone(), plan.clone());
+    ConfigError::UnknownPlan { workspace, plan }
+}
