Plan limits shared between entries by demand

Entries divide each limit through one value per shard of workspaces. A fixed part per entry slot needs no lease and outlives outages of the key-value service.

--- /dev/null
+++ b/crates/fleet/src/limits/divide.rs
@@ -0,0 +1,100 @@
+//! How much of a limit an entry aims at.
+
+use amaranthgw_core::SlotCount;
+
+use super::{MilliRate, ShareAmount, ShareRow, ShareSettings};
+
+/// What an entry knows of one workspace and service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DemandRow {
+    /// What the plan allows the workspace over all entries.
+    pub limit: ShareAmount,
+    /// What callers ask of this entry.
+    pub wanted: ShareAmount,
+    /// Requests in flight at this entry, counted after its last lowered share came into force.
+    pub used: SlotCount,
+}
+
+/// How many times its demand an entry may hold while there is room.
+const HEADROOM: u64 = 2;
+
+/// The fixed part of `limit` that belongs to one entry slot.
+pub(super) fn floor_amount(limit: ShareAmount, settings: &ShareSettings) -> ShareAmount {
+    let slots = u64::from(settings.entry_slots.max(1));
+    let percent = u64::from(settings.floor_percent.min(100));
+    let share = |amount: u64| amount.saturating_mul(percent) / (100 * slots);
+    map_amount(limit, share)
+}
+
+/// The part of `limit` that is divided by demand.
+pub(super) fn pool_amount(limit: ShareAmount, settings: &ShareSettings) -> ShareAmount {
+    let floor = floor_amount(limit, settings);
+    let slots = u64::from(settings.entry_slots.max(1));
+    let floors = map_amount(floor, |amount| amount.saturating_mul(slots));
+    limit.minus(floors)
+}
+
+/// The part of `pool` that `wanted` deserves beside what the others want.
+pub(super) fn fair_amount(
+    pool: ShareAmount,
+    wanted: ShareAmount,
+    others: &ShareRow,
+) -> ShareAmount {
+    let rate = fair_part(pool.rate.get(), wanted.rate.get(), others.wanted.rate.get());
+    let in_flight = fair_part(
+        u64::from(pool.in_flight.get()),
+        u64::from(wanted.in_flight.get()),
+        u64::from(others.wanted.in_flight.get()),
+    );
+    ShareAmount::new(MilliRate::new(rate), slots(in_flight))
+}
+
+/// `amount`, a share of the pool `from`, reduced in proportion where the pool `to` is smaller.
+pub(super) fn scale_amount(amount: ShareAmount, to: ShareAmount, from: ShareAmount) -> ShareAmount {
+    let rate = scale_part(amount.rate.get(), to.rate.get(), from.rate.get());
+    let in_flight = scale_part(
+        u64::from(amount.in_flight.get()),
+        u64::from(to.in_flight.get()),
+        u64::from(from.in_flight.get()),
+    );
+    ShareAmount::new(MilliRate::new(rate), slots(in_flight))
+}
+
+fn fair_part(pool: u64, wanted: u64, others: u64) -> u64 {
+    let total = wanted.saturating_add(others);
+    if total == 0 {
+        return 0;
+    }
+    let part = (u128::from(pool) * u128::from(wanted)).div_ceil(u128::from(total));
+    let part = u64::try_from(part).unwrap_or(u64::MAX);
+    part.min(wanted.saturating_mul(HEADROOM))
+}
+
+fn scale_part(amount: u64, to: u64, from: u64) -> u64 {
+    if to >= from {
+        return amount;
+    }
+    let scaled = u128::from(amount) * u128::from(to) / u128::from(from);
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
+
+/// Whether `new` differs from `old` by more than a tenth in a part.
+pub(super) fn differs(old: ShareAmount, new: ShareAmount) -> bool {
+    const TOLERANCE: u64 = 10;
+    let is_far = |old: u64, new: u64| old.abs_diff(new).saturating_mul(TOLERANCE) > old;
+    is_far(old.rate.get(), new.rate.get())
+        || is_far(
+            u64::from(old.in_flight.get()),
+            u64::from(new.in_flight.get()),
+        )
+}
+
+fn map_amount(amount: ShareAmount, map: impl Fn(u64) -> u64) -> ShareAmount {
+    let rate = MilliRate::new(map(amount.rate.get()));
+    let in_flight = slots(map(u64::from(amount.in_flight.get())));
+    ShareAmount::new(rate, in_flight)
+}
+
+fn slots(count: u64) -> SlotCount {
+    SlotCount::new(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -1,17 +1,31 @@
 //! Plan limits and how entries share them.
 
+mod batcher;
 mod cell;
+mod divide;
 mod error;
 mod in_flight;
+mod key;
+mod own;
+mod peers;
+mod plan;
 mod rate;
 mod rate_meter;
+mod settings;
 mod usage;
+mod value;
 
+pub use batcher::{ReadAnswer, ShareBatcher, ShareCall, WriteAnswer};
+pub use divide::DemandRow;
 pub use error::LimitError;
 pub use in_flight::{InFlightMeter, InFlightPermit};
+pub use key::{HolderId, ShareKey, ShareShard};
+pub use own::LocalShare;
 pub use rate::MilliRate;
 pub use rate_meter::RateMeter;
+pub use settings::ShareSettings;
 pub use usage::UsageMeter;
+pub use value::{KeyShares, RenewalNumber, ShareAmount, ShareRow, ShareValue};
 
 /// Result of asking a limit.
 pub type Result<T> = std::result::Result<T, LimitError>;
