--- /dev/null
+++ b/crates/fleet/tests/it/limits/shares.rs
@@ -0,0 +1,201 @@
+use std::time::Duration;
+
+use amaranthgw_core::SlotCount;
+use amaranthgw_fleet::limits::{MilliRate, ShareAmount, ShareSettings, ShareValue};
+use proptest::prelude::*;
+
+use super::world::{CallFate, ShareWorld};
+
+const LIMIT_RATE: u64 = 100_000;
+const LIMIT_IN_FLIGHT: u32 = 37;
+/// Within the margin of five seconds on a lease of a minute.
+const CLOCK_RATES: [f64; 3] = [1.0, 0.97, 1.03];
+
+#[derive(Clone, Debug)]
+enum ShareStep {
+    Advance(u64),
+    Fill(usize),
+    FinishCall(usize, CallFate),
+    LandLateWrite,
+    Restart(usize),
+    SetWanted(usize, u64, u32),
+    SetStore(bool),
+    SetLimit(u64),
+}
+
+fn share_step() -> impl Strategy<Value = ShareStep> {
+    let entry = 0..CLOCK_RATES.len();
+    let fate = prop_oneof![
+        6 => Just(CallFate::Answered),
+        1 => Just(CallFate::LostBefore),
+        1 => Just(CallFate::LostAfter),
+        1 => Just(CallFate::LandsLater),
+    ];
+    prop_oneof![
+        6 => (1_u64..4_000).prop_map(ShareStep::Advance),
+        2 => (10_000_u64..200_000).prop_map(ShareStep::Advance),
+        4 => entry.clone().prop_map(ShareStep::Fill),
+        14 => (entry.clone(), fate).prop_map(|(index, fate)| ShareStep::FinishCall(index, fate)),
+        2 => Just(ShareStep::LandLateWrite),
+        1 => entry.clone().prop_map(ShareStep::Restart),
+        3 => (entry, 0..2 * LIMIT_RATE, 0..2 * LIMIT_IN_FLIGHT)
+            .prop_map(|(index, rate, in_flight)| ShareStep::SetWanted(index, rate, in_flight)),
+        1 => any::<bool>().prop_map(ShareStep::SetStore),
+        1 => (1..2 * LIMIT_RATE).prop_map(ShareStep::SetLimit),
+    ]
+}
+
+fn share_world(floor_percent: u32) -> ShareWorld {
+    let settings = ShareSettings::new(4).with_floor_percent(floor_percent);
+    let limit = ShareAmount::new(MilliRate::new(LIMIT_RATE), SlotCount::new(LIMIT_IN_FLIGHT));
+    ShareWorld::new(settings, limit, &CLOCK_RATES)
+}
+
+/// Lets every entry act undisturbed for `span`.
+fn run_calm(world: &mut ShareWorld, span: Duration) {
+    let end = world.now + span;
+    while world.now < end {
+        world.advance(Duration::from_millis(250));
+        for index in 0..world.entries.len() {
+            world.tick(index);
+            world.finish_call(index, CallFate::Answered);
+            world.finish_call(index, CallFate::Answered);
+        }
+        assert!(world.total_rate() <= world.limit.rate.get());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_500,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn local_share_sum_within_limit(
+        seed in any::<u64>(),
+        floor_percent in prop_oneof![Just(0_u32), Just(50)],
+        steps in prop::collection::vec(share_step(), 1..160),
+    ) {
+        fastrand::seed(seed);
+        let mut world = share_world(floor_percent);
+        let mut orphans = Vec::new();
+        for step in steps {
+            match step {
+                ShareStep::Advance(millis) => world.advance(Duration::from_millis(millis)),
+                ShareStep::Fill(index) => world.fill(index),
+                ShareStep::FinishCall(index, fate) => {
+                    world.tick(index);
+                    world.finish_call(index, fate);
+                }
+                ShareStep::LandLateWrite => world.land_late_write(),
+                ShareStep::Restart(index) if floor_percent == 0 => {
+                    orphans.extend(world.restart(index));
+                }
+                ShareStep::Restart(_) => {}
+                ShareStep::SetWanted(index, rate, in_flight) => {
+                    world.set_wanted(index, rate, in_flight);
+                }
+                ShareStep::SetStore(is_up) => world.is_store_up = is_up,
+                ShareStep::SetLimit(rate) => world.set_limit(rate),
+            }
+            let now = world.now;
+            orphans.retain(|request| request.ends_at > now);
+            prop_assert!(world.total_rate() <= world.limit.rate.get());
+            prop_assert!(world.in_flight() + orphans.len() <= LIMIT_IN_FLIGHT as usize);
+        }
+    }
+}
+
+#[test]
+fn local_share_follows_demand() {
+    let mut world = share_world(0);
+    world.set_wanted(0, 90_000, 30);
+    world.set_wanted(1, 10_000, 4);
+    run_calm(&mut world, Duration::from_secs(30));
+    assert!(world.rate(0) >= 85_000, "{}", world.rate(0));
+    world.set_wanted(0, 10_000, 4);
+    world.set_wanted(1, 90_000, 30);
+    run_calm(&mut world, Duration::from_secs(30));
+    assert!(world.rate(1) >= 85_000, "{}", world.rate(1));
+}
+
+#[test]
+fn local_share_divided_by_want() {
+    let mut world = share_world(0);
+    for (index, wanted) in [(0, 300_000), (1, 200_000), (2, 100_000)] {
+        world.set_wanted(index, wanted, 20);
+        run_calm(&mut world, Duration::from_secs(20));
+    }
+    run_calm(&mut world, Duration::from_mins(1));
+    let rates = [world.rate(0), world.rate(1), world.rate(2)];
+    for (rate, fair) in rates.into_iter().zip([50_000, 33_333, 16_667]) {
+        assert!(rate.abs_diff(fair) <= fair / 8, "{rates:?}");
+    }
+}
+
+#[test]
+fn local_share_in_flight_drains_to_fair() {
+    let mut world = share_world(0);
+    world.set_wanted(0, 10_000, 40);
+    run_calm(&mut world, Duration::from_secs(5));
+    world.fill(0);
+    assert_eq!(world.in_flight(), LIMIT_IN_FLIGHT as usize);
+    world.set_wanted(1, 10_000, 40);
+    for _ in 0..180 {
+        run_calm(&mut world, Duration::from_secs(1));
+        world.fill(0);
+    }
+    world.fill(1);
+    let other = world.in_flight();
+    assert_eq!(
+        other, LIMIT_IN_FLIGHT as usize,
+        "both together use the whole limit"
+    );
+    world.advance(world.settings.longest_request);
+    run_calm(&mut world, Duration::from_secs(30));
+    world.fill(0);
+    assert!(world.in_flight() <= 20, "{}", world.in_flight());
+}
+
+#[test]
+fn local_share_reclaimed_after_lapse() {
+    let mut world = share_world(0);
+    world.set_wanted(0, 100_000, 10);
+    run_calm(&mut world, Duration::from_secs(10));
+    let _requests = world.restart(0);
+    world.set_wanted(0, 0, 0);
+    world.set_wanted(1, 100_000, 10);
+    run_calm(&mut world, Duration::from_mins(1));
+    assert!(world.rate(1) <= 1_000, "{}", world.rate(1));
+    run_calm(&mut world, Duration::from_secs(30));
+    assert!(world.rate(1) >= 99_000, "{}", world.rate(1));
+}
+
+#[test]
+fn local_share_outage_keeps_floor() {
+    let mut world = share_world(50);
+    world.set_wanted(0, 100_000, 10);
+    run_calm(&mut world, Duration::from_secs(10));
+    assert!(world.rate(0) >= 60_000, "{}", world.rate(0));
+    world.is_store_up = false;
+    run_calm(&mut world, Duration::from_secs(45));
+    assert!(world.rate(0) >= 60_000, "the lease outlives a short outage");
+    run_calm(&mut world, Duration::from_hours(3));
+    assert_eq!(world.rate(0), LIMIT_RATE / 2 / 4);
+    world.is_store_up = true;
+    run_calm(&mut world, Duration::from_secs(20));
+    assert!(world.rate(0) >= 60_000, "{}", world.rate(0));
+}
+
+#[test]
+fn share_value_round_trip() {
+    let mut world = share_world(0);
+    world.set_wanted(0, 100_000, 10);
+    run_calm(&mut world, Duration::from_secs(5));
+    let json = serde_json::to_string(world.value()).expect("serialises");
+    let value: ShareValue = serde_json::from_str(&json).expect("deserialises");
+    assert_eq!(&value, world.value());
+    assert!(json.contains("schools|draft-llm"), "{json}");
+}
--- /dev/null
+++ b/crates/fleet/tests/it/limits/world.rs
@@ -0,0 +1,276 @@
+//! Entries that share one limit through a store, on clocks that run at different rates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{EntityTable, SlotCount, StartMark, StoreRevision};
+use amaranthgw_fleet::limits::{
+    DemandRow, HolderId, InFlightPermit, MilliRate, ReadAnswer, ShareAmount, ShareBatcher,
+    ShareCall, ShareKey, ShareSettings, ShareValue, UsageMeter, WriteAnswer,
+};
+use tokio::time::Instant;
+
+/// What becomes of the call that an entry has open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallFate {
+    Answered,
+    LostBefore,
+    LostAfter,
+    LandsLater,
+}
+
+pub(super) fn share_key() -> ShareKey {
+    "schools|draft-llm".parse().expect("valid key")
+}
+
+/// A request in flight, which ends at the latest when it must.
+pub(super) struct OpenRequest {
+    pub ends_at: Instant,
+    _permit: InFlightPermit,
+}
+
+pub(super) struct EntrySim {
+    start: u64,
+    name: usize,
+    clock_rate: f64,
+    batcher: ShareBatcher,
+    meter: Arc<UsageMeter>,
+    wanted: ShareAmount,
+    open_call: Option<ShareCall>,
+    requests: Vec<OpenRequest>,
+}
+
+pub(super) struct ShareWorld {
+    pub settings: ShareSettings,
+    pub limit: ShareAmount,
+    pub entries: Vec<EntrySim>,
+    pub is_store_up: bool,
+    base: Instant,
+    pub now: Instant,
+    value: ShareValue,
+    revision: StoreRevision,
+    late_writes: Vec<ShareCall>,
+}
+
+impl ShareWorld {
+    pub fn new(settings: ShareSettings, limit: ShareAmount, clock_rates: &[f64]) -> Self {
+        let now = Instant::now();
+        let mut world = Self {
+            settings,
+            limit,
+            entries: Vec::new(),
+            is_store_up: true,
+            base: now,
+            now,
+            value: ShareValue::default(),
+            revision: StoreRevision::new(0),
+            late_writes: Vec::new(),
+        };
+        for (name, clock_rate) in clock_rates.iter().enumerate() {
+            let entry = EntrySim::new(name, 0, *clock_rate, settings, now);
+            world.entries.push(entry);
+            world.apply(name);
+        }
+        world
+    }
+
+    /// The time by the clock of entry `index`.
+    pub fn local_now(&self, index: usize) -> Instant {
+        let since = (self.now - self.base).mul_f64(self.entries[index].clock_rate);
+        self.base + since
+    }
+
+    pub fn advance(&mut self, span: Duration) {
+        self.now += span;
+        let now = self.now;
+        for entry in &mut self.entries {
+            entry.requests.retain(|request| request.ends_at > now);
+        }
+    }
+
+    pub fn set_wanted(&mut self, index: usize, rate: u64, in_flight: u32) {
+        let rate = MilliRate::new(rate);
+        self.entries[index].wanted = ShareAmount::new(rate, SlotCount::new(in_flight));
+    }
+
+    /// Starts as many requests as the entry admits, each as long as a request may be.
+    pub fn fill(&mut self, index: usize) {
+        let now = self.local_now(index);
+        let ends_at = self.now + self.settings.longest_request;
+        let entry = &mut self.entries[index];
+        while let Ok(permit) = entry.meter.in_flight.try_enter(now) {
+            entry.requests.push(OpenRequest {
+                ends_at,
+                _permit: permit,
+            });
+        }
+    }
+
+    pub fn tick(&mut self, index: usize) {
+        let (now, demand) = (self.local_now(index), self.demand(index));
+        let call = self.entries[index].batcher.on_tick(&demand, now);
+        self.apply(index);
+        if let Some(call) = call {
+            self.entries[index].open_call = Some(call);
+        }
+    }
+
+    /// Ends the open call of an entry; a read is followed by its write.
+    pub fn finish_call(&mut self, index: usize, fate: CallFate) {
+        let Some(call) = self.entries[index].open_call.take() else {
+            return;
+        };
+        let fate = if self.is_store_up {
+            fate
+        } else {
+            CallFate::LostBefore
+        };
+        let now = self.local_now(index);
+        if call == ShareCall::Read {
+            let answer = self.read(fate);
+            let demand = self.demand(index);
+            let write = self.entries[index].batcher.on_read(answer, &demand, now);
+            self.entries[index].open_call = write;
+        } else {
+            let answer = self.write(call, fate);
+            self.entries[index].batcher.on_write(answer, now);
+        }
+        self.apply(index);
+    }
+
+    /// Lets a write that was given up for lost reach the store.
+    pub fn land_late_write(&mut self) {
+        if let Some(call) = self.late_writes.pop() {
+            self.write(call, CallFate::LostAfter);
+        }
+    }
+
+    /// Ends the process of an entry and starts another. Its requests run on at the targets.
+    pub fn restart(&mut self, index: usize) -> Vec<OpenRequest> {
+        let now = self.local_now(index);
+        let old = &mut self.entries[index];
+        let (start, rate) = (old.start + 1, old.clock_rate);
+        let new = EntrySim::new(index, start, rate, self.settings, now);
+        let old = std::mem::replace(&mut self.entries[index], new);
+        self.entries[index].wanted = old.wanted;
+        self.apply(index);
+        old.requests
+    }
+
+    pub fn rate(&self, index: usize) -> u64 {
+        let now = self.local_now(index);
+        self.entries[index].meter.rate.rate(now).get()
+    }
+
+    pub fn total_rate(&self) -> u64 {
+        (0..self.entries.len()).map(|index| self.rate(index)).sum()
+    }
+
+    pub fn value(&self) -> &ShareValue {
+        &self.value
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.entries.iter().map(|entry| entry.requests.len()).sum()
+    }
+
+    fn apply(&mut self, index: usize) {
+        let entry = &self.entries[index];
+        let share = entry.batcher.local_share(&share_key(), self.limit);
+        let until = share.leased_until;
+        entry.meter.rate.set_floor(share.floor.rate);
+        entry.meter.rate.set_leased(share.leased.rate, until);
+        entry.meter.in_flight.set_floor(share.floor.in_flight);
+        entry
+            .meter
+            .in_flight
+            .set_leased(share.leased.in_flight, until);
+    }
+
+    pub fn set_limit(&mut self, rate: u64) {
+        self.limit.rate = MilliRate::new(rate);
+        for index in 0..self.entries.len() {
+            let (now, demand) = (self.local_now(index), self.demand(index));
+            if self.entries[index].open_call.is_some() {
+                self.entries[index].batcher.on_tick(&demand, now);
+            } else {
+                self.tick(index);
+            }
+            self.apply(index);
+        }
+    }
+
+    fn demand(&self, index: usize) -> EntityTable<ShareKey, DemandRow> {
+        let entry = &self.entries[index];
+        let row = DemandRow {
+            limit: self.limit,
+            wanted: entry.wanted,
+            used: entry.meter.in_flight.used(),
+        };
+        let is_idle = row.wanted == ShareAmount::default() && row.used.get() == 0;
+        let rows = (!is_idle).then(|| (share_key(), row));
+        rows.into_iter().collect()
+    }
+
+    fn read(&self, fate: CallFate) -> ReadAnswer {
+        if fate != CallFate::Answered {
+            return ReadAnswer::Lost;
+        }
+        let (revision, value) = (self.revision, self.value.clone());
+        ReadAnswer::Found { revision, value }
+    }
+
+    fn write(&mut self, call: ShareCall, fate: CallFate) -> WriteAnswer {
+        if fate == CallFate::LandsLater {
+            self.late_writes.push(call);
+            return WriteAnswer::Lost;
+        }
+        let ShareCall::Write { expect, value } = call else {
+            return WriteAnswer::Lost;
+        };
+        if fate == CallFate::LostBefore {
+            return WriteAnswer::Lost;
+        }
+        let is_current = expect == self.revision;
+        if is_current {
+            self.value = value;
+            self.revision = self.revision.next();
+        }
+        match fate {
+            CallFate::Answered if is_current => WriteAnswer::Written {
+                revision: self.revision,
+            },
+            CallFate::Answered => WriteAnswer::Conflict,
+            _ => WriteAnswer::Lost,
+        }
+    }
+}
+
+impl EntrySim {
+    fn new(
+        name: usize,
+        start: u64,
+        clock_rate: f64,
+        settings: ShareSettings,
+        now: Instant,
+    ) -> Self {
+        let vm = format!("entry-{name}").parse().expect("valid id");
+        let holder = HolderId::new(vm, StartMark::new(start));
+        Self {
+            start,
+            name,
+            clock_rate,
+            batcher: ShareBatcher::new(holder, settings, now).with_slot(),
+            meter: Arc::new(UsageMeter::new(now)),
+            wanted: ShareAmount::default(),
+            open_call: None,
+            requests: Vec::new(),
+        }
+    }
+}
+
+impl std::fmt::Debug for EntrySim {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "entry-{}@{}", self.name, self.start)
+    }
+}
