--- a/crates/fleet/src/gate/evidence.rs
+++ b/crates/fleet/src/gate/evidence.rs
@@ -40,6 +40,8 @@
     Broken,
     /// The target reported its load.
     Load(LoadEvidence),
+    /// The target is back in service after it had left.
+    Returned,
     /// Calls were given up whose end the target has not confirmed.
     Abandoned(SlotCount),
 }
--- a/crates/fleet/src/gate/row.rs
+++ b/crates/fleet/src/gate/row.rs
@@ -66,6 +66,7 @@
             GateEvidence::Answer(answer) => self.record_answer(&answer, now),
             GateEvidence::Failed => self.record_failure(now),
             GateEvidence::Broken => self.go_cold(ColdCause::Broken, now),
+            GateEvidence::Returned => self.go_cold(ColdCause::Returned, now),
             GateEvidence::Load(load) => self.record_load(&load, now),
             GateEvidence::Abandoned(count) => {
                 self.leftover.add(count, now);
--- a/crates/fleet/src/gate/shift.rs
+++ b/crates/fleet/src/gate/shift.rs
@@ -37,6 +37,8 @@
     },
     /// The connection to the target broke.
     Broken,
+    /// The target is back in service after it had left.
+    Returned,
     /// No answer arrived for so long that the evidence is out of date.
     Stale,
 }
@@ -55,6 +57,7 @@
             }
             Self::Failures { failed } => write!(f, "{failed} answers failed"),
             Self::Broken => f.write_str("connection broke"),
+            Self::Returned => f.write_str("back in service"),
             Self::Stale => f.write_str("no recent answer"),
         }
     }
