Schedules of faults for gates and claims

A gate and its slots run against a model of an engine with lagging reports; several batchers run on one simulated value with lost, delayed and refused calls. Freeing an abandoned slot and lowering the limit became one atomic step: as two steps, a permit could be taken in between.

--- a/crates/fleet/src/gate/slots.rs
+++ b/crates/fleet/src/gate/slots.rs
@@ -50,6 +50,16 @@
         GateRefusal::new(reason, limit, in_flight)
     }
 
+    fn with_limit(self, limit: SlotCount, seen: SetbackCount) -> Self {
+        let is_current = self.setbacks == seen;
+        let limit = if is_current {
+            limit.get()
+        } else {
+            limit.get().min(self.limit)
+        };
+        Self { limit, ..self }
+    }
+
     fn admit(self) -> Result<Self> {
         if self.is_alone {
             return Err(self.refusal(RefusalReason::Alone));
@@ -151,15 +161,7 @@
     ///
     /// A setback that the decision did not know keeps the limit from rising.
     pub fn publish(&self, limit: SlotCount, seen: SetbackCount) {
-        self.update(|word| {
-            let is_current = word.setbacks == seen;
-            let limit = if is_current {
-                limit.get()
-            } else {
-                limit.get().min(word.limit)
-            };
-            SlotWord { limit, ..word }
-        });
+        self.update(|word| word.with_limit(limit, seen));
     }
 
     /// Limit in force.
@@ -180,10 +182,15 @@
         SlotCount::new(self.abandoned.load(Ordering::Acquire))
     }
 
-    /// Frees `count` abandoned slots, after the published limit was lowered by as many.
-    pub(super) fn free_abandoned(&self, count: SlotCount) {
+    /// Publishes `limit`, which counts `count` abandoned calls as left over, and frees their
+    /// slots in the same step, so that no request can take them in between.
+    pub(super) fn publish_abandoned(&self, limit: SlotCount, seen: SetbackCount, count: SlotCount) {
         self.abandoned.fetch_sub(count.get(), Ordering::AcqRel);
-        self.free(count);
+        self.update(|word| {
+            let word = word.with_limit(limit, seen);
+            let in_flight = word.in_flight.saturating_sub(count.get());
+            SlotWord { in_flight, ..word }
+        });
     }
 
     fn admit_by(
@@ -217,9 +224,8 @@
         SlotWord::unpack(self.word.load(Ordering::Acquire))
     }
 
-    fn free(&self, count: SlotCount) {
-        self.word
-            .fetch_sub(u64::from(count.get()), Ordering::AcqRel);
+    fn free_one(&self) {
+        self.word.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -253,7 +259,7 @@
     /// Frees the slot: the target has confirmed the end, or was never handed the request.
     pub fn finish(mut self) {
         self.is_finished = true;
-        self.slots.free(SlotCount::new(1));
+        self.slots.free_one();
     }
 }
 
--- a/crates/fleet/src/gate/system.rs
+++ b/crates/fleet/src/gate/system.rs
@@ -6,8 +6,7 @@
 
 /// Runs one tick of a gate: takes in setbacks and abandoned calls, then publishes the limit.
 ///
-/// `seen` holds the setbacks that the gate knew before and is brought up to date. The limit is
-/// lowered before abandoned slots are freed, so that no request can slip in between.
+/// `seen` holds the setbacks that the gate knew before and is brought up to date.
 pub fn publish_gate(
     row: &mut GateRow,
     slots: &AdmissionSlots,
@@ -22,7 +21,6 @@
     }
     let abandoned = slots.abandoned();
     row.record(GateEvidence::Abandoned(abandoned), now);
-    slots.publish(row.limit(), setbacks);
-    slots.free_abandoned(abandoned);
+    slots.publish_abandoned(row.limit(), setbacks, abandoned);
     shift
 }
--- /dev/null
+++ b/crates/fleet/tests/it/claims/bench.rs
@@ -0,0 +1,336 @@
+//! Several batchers on one simulated value of the key-value service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use amaranthgw_core::{ByteCount, MilliSpan, StoreRevision};
+use amaranthgw_fleet::claims::{
+    BodyFingerprint, ClaimAsk, ClaimBatcher, ClaimGrant, ClaimOutput, ClaimRefusal, ClaimSerial,
+    ClaimSettings, ClaimShard, ClaimStamp, ClaimVerdict, ClockReading, HolderNumber, KeyHash,
+    ShardNumber, StoreCall, StoreOrder, StoreReply, StoredAnswer,
+};
+use amaranthgw_fleet::gate::NotRunProof;
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+pub const BATCHERS: usize = 3;
+pub const KEYS: u8 = 3;
+const PATIENCE: Duration = Duration::from_millis(300);
+const RETENTION_MS: u64 = 60_000;
+const SKEW_MS: u64 = 1_000;
+const START_UNIX_MS: u64 = 1_000_000;
+
+pub type CaseResult = std::result::Result<(), TestCaseError>;
+
+/// How a call of a batcher fares.
+#[derive(Clone, Copy, Debug)]
+pub enum CallFate {
+    Answered,
+    AnswerLost,
+    Delayed,
+    Dropped,
+    Down,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum GrantUse {
+    Run,
+    Finish,
+    Release,
+}
+
+pub fn settings() -> ClaimSettings {
+    ClaimSettings {
+        retention: MilliSpan::new(RETENTION_MS),
+        clock_skew: MilliSpan::new(SKEW_MS),
+        max_value: ByteCount::new(20_000),
+        max_answer: ByteCount::new(64),
+        ..ClaimSettings::default()
+    }
+}
+
+pub fn key_hash(key: u8) -> KeyHash {
+    let workspace = "tartu".parse().expect("valid id");
+    let key = format!("key-{key}").parse().expect("valid key");
+    KeyHash::new(&workspace, &key)
+}
+
+pub fn fingerprint(body: u8) -> BodyFingerprint {
+    let service = "booking-desk".parse().expect("valid id");
+    BodyFingerprint::new(&service, "POST /v1/call", &[body])
+}
+
+/// A grant that stands for a key until it is released, or its retention is over.
+#[derive(Clone, Debug)]
+struct HeldGrant {
+    grant: ClaimGrant,
+    granted_at: Instant,
+    has_run: bool,
+}
+
+struct Node {
+    batcher: ClaimBatcher,
+    holder: u64,
+    call: Option<StoreCall>,
+    grants: Vec<(u8, ClaimGrant)>,
+    open: BTreeMap<ClaimStamp, u8>,
+    asked: Vec<u8>,
+}
+
+pub struct Bench {
+    pub now: Instant,
+    start: Instant,
+    revision: u64,
+    value: Option<Vec<u8>>,
+    delayed: Vec<StoreOrder>,
+    nodes: Vec<Node>,
+    next_serial: u64,
+    /// Grants that may have run, by key.
+    held: BTreeMap<u8, HeldGrant>,
+    /// Keys asked of a process that crashed: it may have left a claim that nobody clears.
+    orphaned: Vec<u8>,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            start: now,
+            revision: 0,
+            value: None,
+            delayed: Vec::new(),
+            nodes: (0..BATCHERS)
+                .map(|node| Node::new(node as u64, now))
+                .collect(),
+            next_serial: 0,
+            held: BTreeMap::new(),
+            orphaned: Vec::new(),
+        }
+    }
+
+    /// Clocks of the processes differ by up to twice the skew.
+    fn clock(&self, node: usize) -> ClockReading {
+        let passed = u64::try_from((self.now - self.start).as_millis()).expect("short");
+        let skew = [0, SKEW_MS, 2 * SKEW_MS][node];
+        ClockReading {
+            now: self.now,
+            unix_ms: START_UNIX_MS - SKEW_MS + passed + skew,
+        }
+    }
+
+    pub fn ask(&mut self, node: usize, key: u8, body: u8) -> CaseResult {
+        self.next_serial += 1;
+        let stamp = ClaimStamp {
+            holder: HolderNumber::new(self.nodes[node].holder),
+            serial: ClaimSerial::new(self.next_serial),
+        };
+        let ask = ClaimAsk {
+            stamp,
+            key: key_hash(key),
+            fingerprint: fingerprint(body),
+            request: "r-1".parse().expect("valid id"),
+            give_up_at: self.now + PATIENCE,
+        };
+        self.nodes[node].open.insert(stamp, key);
+        self.nodes[node].asked.push(key);
+        self.nodes[node].batcher.ask(ask, self.now);
+        self.tick(node)
+    }
+
+    pub fn tick(&mut self, node: usize) -> CaseResult {
+        let clock = self.clock(node);
+        let output = self.nodes[node].batcher.tick(clock);
+        self.take_output(node, output)
+    }
+
+    pub fn settle_call(&mut self, node: usize, fate: CallFate) -> CaseResult {
+        let Some(call) = self.nodes[node].call.take() else {
+            return Ok(());
+        };
+        let reply = match fate {
+            CallFate::Answered => self.apply(&call.order),
+            CallFate::AnswerLost => {
+                self.apply(&call.order);
+                StoreReply::Lost
+            }
+            CallFate::Delayed => {
+                self.delayed.push(call.order);
+                StoreReply::Lost
+            }
+            CallFate::Dropped => StoreReply::Lost,
+            CallFate::Down => StoreReply::Down,
+        };
+        let clock = self.clock(node);
+        let output = self.nodes[node].batcher.reply(call.number, reply, clock);
+        self.take_output(node, output)
+    }
+
+    pub fn land_delayed(&mut self) {
+        if let Some(order) = self.delayed.pop() {
+            self.apply(&order);
+        }
+    }
+
+    /// The process forgets everything; its call may yet arrive.
+    pub fn crash(&mut self, node: usize) {
+        let holder = self.nodes[node].holder + 1_000;
+        let fresh = Node::new(holder, self.now);
+        let crashed = std::mem::replace(&mut self.nodes[node], fresh);
+        self.delayed.extend(crashed.call.map(|call| call.order));
+        self.orphaned.extend(crashed.asked);
+    }
+
+    pub fn use_grant(&mut self, node: usize, choice: usize, grant_use: GrantUse) {
+        let Some(position) = choice.checked_rem(self.nodes[node].grants.len()) else {
+            return;
+        };
+        let (key, grant) = self.nodes[node].grants[position];
+        let held = self.held.get_mut(&key).filter(|held| held.grant == grant);
+        let Some(held) = held else {
+            return;
+        };
+        match grant_use {
+            GrantUse::Run if grant.check(self.now).is_ok() => held.has_run = true,
+            GrantUse::Finish if held.has_run => {
+                let answer = answer_of(key);
+                let now = self.now;
+                self.nodes[node].grants.swap_remove(position);
+                self.nodes[node].batcher.finish(&grant, answer, now);
+            }
+            GrantUse::Release if !held.has_run => {
+                self.held.remove(&key);
+                self.nodes[node].grants.swap_remove(position);
+                let proof = NotRunProof::with_connect_refused();
+                self.nodes[node].batcher.release(&grant, proof);
+            }
+            _ => {}
+        }
+    }
+
+    /// The service works again: every ask gets its verdict and every claim settles.
+    pub fn heal(&mut self) -> CaseResult {
+        while !self.delayed.is_empty() {
+            self.land_delayed();
+        }
+        for _ in 0..150 {
+            self.now += Duration::from_millis(20);
+            for node in 0..BATCHERS {
+                self.tick(node)?;
+                self.settle_call(node, CallFate::Answered)?;
+            }
+        }
+        let open = self.nodes.iter().map(|node| node.open.len());
+        prop_assert_eq!(open.sum::<usize>(), 0, "asks without a verdict");
+        Ok(())
+    }
+
+    /// Whether nothing can have claimed the key for good.
+    pub fn must_be_free(&self, key: u8) -> bool {
+        !self.held.contains_key(&key) && !self.orphaned.contains(&key)
+    }
+
+    pub fn holds_grant(&self, node: usize, key: u8) -> bool {
+        self.nodes[node]
+            .grants
+            .iter()
+            .any(|(granted, _)| *granted == key)
+    }
+
+    fn take_output(&mut self, node: usize, output: ClaimOutput) -> CaseResult {
+        if let Some(call) = output.call {
+            prop_assert!(self.nodes[node].call.is_none(), "two calls at once");
+            self.nodes[node].call = Some(call);
+        }
+        for (stamp, verdict) in output.verdicts {
+            let key = self.nodes[node].open.remove(&stamp);
+            let Some(key) = key else {
+                return Err(TestCaseError::fail(format!("second verdict: {verdict:?}")));
+            };
+            self.check_verdict(node, key, verdict)?;
+        }
+        Ok(())
+    }
+
+    fn check_verdict(&mut self, node: usize, key: u8, verdict: ClaimVerdict) -> CaseResult {
+        match verdict {
+            ClaimVerdict::Granted(grant) => self.check_grant(node, key, grant),
+            ClaimVerdict::Finished(answer) => {
+                prop_assert_eq!(answer, answer_of(key));
+                Ok(())
+            }
+            ClaimVerdict::OutcomeUnknown { .. }
+            | ClaimVerdict::Refused(ClaimRefusal::StoreUnavailable | ClaimRefusal::OtherBody) => {
+                Ok(())
+            }
+            ClaimVerdict::Refused(other) => Err(TestCaseError::fail(format!("{other:?}"))),
+        }
+    }
+
+    fn check_grant(&mut self, node: usize, key: u8, grant: ClaimGrant) -> CaseResult {
+        let granted_at = self.now;
+        if let Some(earlier) = self.held.get(&key) {
+            let age = granted_at - earlier.granted_at;
+            prop_assert!(
+                age + PATIENCE >= Duration::from_millis(RETENTION_MS),
+                "key {key} granted again after {age:?}: {earlier:?}, then {grant:?}"
+            );
+        }
+        let has_run = false;
+        self.held.insert(
+            key,
+            HeldGrant {
+                grant,
+                granted_at,
+                has_run,
+            },
+        );
+        self.nodes[node].grants.push((key, grant));
+        Ok(())
+    }
+
+    fn apply(&mut self, order: &StoreOrder) -> StoreReply {
+        match order {
+            StoreOrder::Read => self.read(),
+            StoreOrder::Swap { expect, content } => {
+                if expect.get() != self.revision {
+                    return StoreReply::Conflict;
+                }
+                let encoded = serde_json::to_vec(content).expect("encodes");
+                let bound = usize::try_from(content.size_bound().get()).expect("fits");
+                assert!(encoded.len() <= bound, "{} over {bound}", encoded.len());
+                self.revision += 1;
+                self.value = Some(encoded);
+                let revision = StoreRevision::new(self.revision);
+                StoreReply::Swapped { revision }
+            }
+        }
+    }
+
+    fn read(&self) -> StoreReply {
+        let Some(encoded) = &self.value else {
+            return StoreReply::Absent;
+        };
+        let content: ClaimShard = serde_json::from_slice(encoded).expect("decodes");
+        let revision = StoreRevision::new(self.revision);
+        StoreReply::Value { revision, content }
+    }
+}
+
+impl Node {
+    fn new(holder: u64, now: Instant) -> Self {
+        Self {
+            batcher: ClaimBatcher::new(ShardNumber::new(0), settings(), now),
+            holder,
+            call: None,
+            grants: Vec::new(),
+            open: BTreeMap::new(),
+            asked: Vec::new(),
+        }
+    }
+}
+
+pub fn answer_of(key: u8) -> StoredAnswer {
+    let body = format!("{{\"booked\":{key}}}");
+    StoredAnswer::new(200, body.as_bytes(), 64)
+}
--- a/crates/fleet/tests/it/claims/mod.rs
+++ b/crates/fleet/tests/it/claims/mod.rs
@@ -1,1 +1,3 @@
-
+mod bench;
+mod schedule;
+mod shard;
--- /dev/null
+++ b/crates/fleet/tests/it/claims/schedule.rs
@@ -0,0 +1,109 @@
+//! At most one grant per key over generated schedules of crashes, resends and outages.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use super::bench::{BATCHERS, Bench, CallFate, CaseResult, GrantUse, KEYS};
+
+#[derive(Clone, Debug)]
+enum Event {
+    Ask {
+        node: usize,
+        key: u8,
+        body: u8,
+    },
+    Settle {
+        node: usize,
+        fate: CallFate,
+    },
+    LandDelayed,
+    Use {
+        node: usize,
+        choice: usize,
+        grant_use: GrantUse,
+    },
+    Crash(usize),
+    Advance(u64),
+}
+
+fn any_fate() -> impl Strategy<Value = CallFate> {
+    prop_oneof![
+        8 => Just(CallFate::Answered),
+        2 => Just(CallFate::AnswerLost),
+        2 => Just(CallFate::Delayed),
+        1 => Just(CallFate::Dropped),
+        1 => Just(CallFate::Down),
+    ]
+}
+
+fn any_use() -> impl Strategy<Value = GrantUse> {
+    prop_oneof![
+        Just(GrantUse::Run),
+        Just(GrantUse::Finish),
+        Just(GrantUse::Release),
+    ]
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let node = 0..BATCHERS;
+    let body = prop_oneof![6 => Just(0_u8), 1 => Just(1_u8)];
+    prop_oneof![
+        6 => (node.clone(), 0..KEYS, body)
+            .prop_map(|(node, key, body)| Event::Ask { node, key, body }),
+        12 => (node.clone(), any_fate()).prop_map(|(node, fate)| Event::Settle { node, fate }),
+        2 => Just(Event::LandDelayed),
+        3 => (node.clone(), any::<usize>(), any_use())
+            .prop_map(|(node, choice, grant_use)| Event::Use { node, choice, grant_use }),
+        1 => node.prop_map(Event::Crash),
+        8 => (1..150_u64).prop_map(Event::Advance),
+        1 => (10_000..30_000_u64).prop_map(Event::Advance),
+    ]
+}
+
+fn apply(bench: &mut Bench, event: &Event) -> CaseResult {
+    match *event {
+        Event::Ask { node, key, body } => bench.ask(node, key, body),
+        Event::Settle { node, fate } => bench.settle_call(node, fate),
+        Event::LandDelayed => {
+            bench.land_delayed();
+            Ok(())
+        }
+        Event::Use {
+            node,
+            choice,
+            grant_use,
+        } => {
+            bench.use_grant(node, choice, grant_use);
+            Ok(())
+        }
+        Event::Crash(node) => {
+            bench.crash(node);
+            Ok(())
+        }
+        Event::Advance(millis) => {
+            bench.now += Duration::from_millis(millis);
+            (0..BATCHERS).try_for_each(|node| bench.tick(node))
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(1_500) })]
+
+    #[test]
+    fn claim_at_most_one_grant(events in prop::collection::vec(any_event(), 1..120)) {
+        let mut bench = Bench::new();
+        for event in &events {
+            apply(&mut bench, event)?;
+        }
+        bench.heal()?;
+        for key in 0..KEYS {
+            if bench.must_be_free(key) {
+                bench.ask(0, key, 0)?;
+                bench.heal()?;
+                prop_assert!(bench.holds_grant(0, key), "key {key} is stuck");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/it/claims/shard.rs
@@ -0,0 +1,197 @@
+use std::time::Duration;
+
+use amaranthgw_core::{ByteCount, StoreRevision};
+use amaranthgw_fleet::claims::{
+    ClaimAsk, ClaimBatcher, ClaimGrant, ClaimOutput, ClaimRefusal, ClaimSerial, ClaimSettings,
+    ClaimShard, ClaimStamp, ClaimState, ClaimVerdict, ClockReading, HolderNumber, KeyHash,
+    ShardNumber, StoreOrder, StoreReply, StoredAnswer,
+};
+use tokio::time::Instant;
+use yare::parameterized;
+
+use super::bench::{fingerprint, key_hash, settings};
+
+const UNIX_MS: u64 = 1_000_000;
+
+/// One batcher on a value that always works.
+struct Desk {
+    batcher: ClaimBatcher,
+    now: Instant,
+    revision: u64,
+    content: ClaimShard,
+    serial: u64,
+}
+
+impl Desk {
+    fn new(settings: ClaimSettings) -> Self {
+        let now = Instant::now();
+        Self {
+            batcher: ClaimBatcher::new(ShardNumber::new(0), settings, now),
+            now,
+            revision: 0,
+            content: ClaimShard::new(),
+            serial: 0,
+        }
+    }
+
+    fn clock(&self) -> ClockReading {
+        ClockReading {
+            now: self.now,
+            unix_ms: UNIX_MS,
+        }
+    }
+
+    fn ask(&mut self, key: KeyHash, body: u8) -> ClaimVerdict {
+        self.serial += 1;
+        let ask = ClaimAsk {
+            stamp: ClaimStamp {
+                holder: HolderNumber::new(1),
+                serial: ClaimSerial::new(self.serial),
+            },
+            key,
+            fingerprint: fingerprint(body),
+            request: "r".parse().expect("valid id"),
+            give_up_at: self.now + Duration::from_mins(1),
+        };
+        self.batcher.ask(ask, self.now);
+        self.settle().pop().expect("a verdict")
+    }
+
+    fn settle(&mut self) -> Vec<ClaimVerdict> {
+        let mut verdicts = Vec::new();
+        let mut output = self.batcher.tick(self.clock());
+        for _ in 0..6 {
+            verdicts.extend(output.verdicts.drain(..).map(|(_, verdict)| verdict));
+            self.now += Duration::from_secs(1);
+            output = match output.call.take() {
+                Some(call) => {
+                    let reply = self.reply_to(call.order);
+                    self.batcher.reply(call.number, reply, self.clock())
+                }
+                None => self.batcher.tick(self.clock()),
+            };
+        }
+        verdicts
+    }
+
+    fn reply_to(&mut self, order: StoreOrder) -> StoreReply {
+        if let StoreOrder::Swap { content, .. } = order {
+            self.revision += 1;
+            self.content = content;
+            let revision = StoreRevision::new(self.revision);
+            return StoreReply::Swapped { revision };
+        }
+        StoreReply::Value {
+            revision: StoreRevision::new(self.revision),
+            content: self.content.clone(),
+        }
+    }
+
+    fn grant(&mut self, key: KeyHash) -> ClaimGrant {
+        match self.ask(key, 0) {
+            ClaimVerdict::Granted(grant) => grant,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn ask_shard_full() {
+    let max_value = ByteCount::new(2_000);
+    let mut desk = Desk::new(ClaimSettings {
+        max_value,
+        ..settings()
+    });
+    let mut grants = Vec::new();
+    let refusal = (0..u8::MAX).find_map(|key| match desk.ask(key_hash(key), 0) {
+        ClaimVerdict::Granted(grant) => {
+            grants.push(grant);
+            None
+        }
+        other => Some(other),
+    });
+    let full = ClaimVerdict::Refused(ClaimRefusal::ShardFull);
+    assert_eq!(refusal, Some(full));
+    for grant in &grants {
+        let body = vec![b'"'; 64];
+        let answer = StoredAnswer::new(200, &body, 64);
+        desk.batcher.finish(grant, answer, desk.now);
+    }
+    desk.settle();
+    let encoded = serde_json::to_vec(&desk.content).expect("encodes");
+    assert!(encoded.len() <= 2_000, "{} bytes", encoded.len());
+    let mut entries = desk.content.iter();
+    assert!(entries.all(|(_, entry)| entry.state != ClaimState::Running));
+    assert!(!grants.is_empty());
+}
+
+#[parameterized(
+    ask_again_same_body = { 0, ClaimVerdict::OutcomeUnknown { made_at_unix_ms: UNIX_MS } },
+    ask_again_other_body = { 1, ClaimVerdict::Refused(ClaimRefusal::OtherBody) },
+)]
+fn ask_again(body: u8, expected: ClaimVerdict) {
+    let mut desk = Desk::new(settings());
+    desk.grant(key_hash(0));
+    assert_eq!(desk.ask(key_hash(0), body), expected);
+}
+
+#[test]
+fn ask_unreadable_value_left_alone() {
+    let mut desk = Desk::new(settings());
+    let stamp = ClaimStamp {
+        holder: HolderNumber::new(1),
+        serial: ClaimSerial::new(1),
+    };
+    let ask = ClaimAsk {
+        stamp,
+        key: key_hash(0),
+        fingerprint: fingerprint(0),
+        request: "r".parse().expect("valid id"),
+        give_up_at: desk.now + Duration::from_secs(9),
+    };
+    desk.batcher.ask(ask, desk.now);
+    let call = desk.batcher.tick(desk.clock()).call.expect("a read");
+    assert_eq!(call.order, StoreOrder::Read);
+    let output = desk
+        .batcher
+        .reply(call.number, StoreReply::Unreadable, desk.clock());
+    let refused = ClaimVerdict::Refused(ClaimRefusal::Unreadable);
+    let verdicts = vec![(stamp, refused)];
+    assert_eq!(
+        output,
+        ClaimOutput {
+            call: None,
+            verdicts
+        }
+    );
+}
+
+#[test]
+fn tick_many_asks_one_write() {
+    let mut desk = Desk::new(settings());
+    desk.grant(key_hash(99));
+    let writes_before = desk.revision;
+    for key in 0..40 {
+        let ask = ClaimAsk {
+            stamp: ClaimStamp {
+                holder: HolderNumber::new(1),
+                serial: ClaimSerial::new(1_000 + u64::from(key)),
+            },
+            key: key_hash(key),
+            fingerprint: fingerprint(0),
+            request: "r".parse().expect("valid id"),
+            give_up_at: desk.now + Duration::from_mins(1),
+        };
+        desk.batcher.ask(ask, desk.now);
+    }
+    let verdicts = desk.settle();
+    let is_granted = |verdict: &ClaimVerdict| matches!(verdict, ClaimVerdict::Granted(_));
+    assert_eq!(
+        verdicts
+            .iter()
+            .filter(|verdict| is_granted(verdict))
+            .count(),
+        40
+    );
+    assert_eq!(desk.revision, writes_before + 1);
+}
--- /dev/null
+++ b/crates/fleet/tests/it/gate/latency.rs
@@ -0,0 +1,121 @@
+use std::time::Duration;
+
+use amaranthgw_core::{SlotCount, StartMark};
+use amaranthgw_fleet::gate::{
+    AnswerEvidence, ColdCause, GateEvidence, GateRow, GateSettings, GateShift, GateStage,
+    LoadEvidence,
+};
+use tokio::time::Instant;
+use yare::parameterized;
+
+/// Ramps a gate up on `answers` of the given load and time to the first chunk.
+struct Ramp {
+    row: GateRow,
+    now: Instant,
+}
+
+impl Ramp {
+    fn new() -> Self {
+        let now = Instant::now();
+        let row = GateRow::new(GateSettings::default(), now);
+        let mut ramp = Self { row, now };
+        ramp.report(StartMark::new(7));
+        ramp
+    }
+
+    fn report(&mut self, mark: StartMark) -> GateShift {
+        self.now += Duration::from_secs(1);
+        let load = LoadEvidence {
+            mark,
+            in_flight: SlotCount::new(0),
+            sampled_at: self.now,
+        };
+        self.row.record(GateEvidence::Load(load), self.now)
+    }
+
+    fn answer(&mut self, in_flight: u32, first_chunk_ms: u64, is_in_time: bool) -> GateShift {
+        self.now += Duration::from_millis(100);
+        let answer = AnswerEvidence {
+            admitted_at: self.now,
+            in_flight: SlotCount::new(in_flight),
+            first_chunk: Duration::from_millis(first_chunk_ms),
+            is_in_time,
+        };
+        self.row.record(GateEvidence::Answer(answer), self.now)
+    }
+
+    fn warm_up(&mut self) {
+        while self.row.stage() != GateStage::Full {
+            self.answer(32, 100, true);
+            self.row.tick(self.now);
+        }
+        for _ in 0..40 {
+            self.answer(32, 100, true);
+            self.answer(4, 20, true);
+        }
+    }
+}
+
+#[parameterized(
+    record_answer_steady = { [(32, 100); 4], false },
+    record_answer_one_slow_in_four = { [(32, 100), (32, 3_000), (32, 100), (32, 100)], false },
+    record_answer_less_load = { [(4, 20); 4], false },
+    record_answer_back_to_high_load = { [(4, 20), (4, 20), (32, 100), (32, 100)], false },
+    record_answer_step = { [(32, 400); 4], true },
+    record_answer_step_at_low_load = { [(4, 80); 4], true },
+)]
+fn record_answer(pattern: [(u32, u64); 4], expect_cold: bool) {
+    let mut ramp = Ramp::new();
+    ramp.warm_up();
+    let mut is_cold = false;
+    for (in_flight, first_chunk_ms) in pattern.into_iter().cycle().take(24) {
+        let shift = ramp.answer(in_flight, first_chunk_ms, true);
+        let cause = ColdCause::LatencyStep { ratio_percent: 0 };
+        is_cold |= matches!(shift, GateShift::WentCold { cause: found, .. }
+            if std::mem::discriminant(&found) == std::mem::discriminant(&cause));
+    }
+    assert_eq!(is_cold, expect_cold);
+}
+
+#[parameterized(
+    record_mark_changed = { |ramp: &mut Ramp| ramp.report(StartMark::new(8)) },
+    record_broken = { |ramp: &mut Ramp| ramp.row.record(GateEvidence::Broken, ramp.now) },
+    record_returned = { |ramp: &mut Ramp| ramp.row.record(GateEvidence::Returned, ramp.now) },
+    record_failures = { |ramp: &mut Ramp| {
+        ramp.row.record(GateEvidence::Failed, ramp.now);
+        ramp.row.record(GateEvidence::Failed, ramp.now);
+        ramp.row.record(GateEvidence::Failed, ramp.now)
+    } },
+    tick_stale = { |ramp: &mut Ramp| ramp.row.tick(ramp.now + Duration::from_secs(601)) },
+)]
+fn record_goes_cold(fault: fn(&mut Ramp) -> GateShift) {
+    let mut ramp = Ramp::new();
+    ramp.warm_up();
+    let shift = fault(&mut ramp);
+    assert!(matches!(shift, GateShift::WentCold { .. }), "{shift:?}");
+    assert_eq!(ramp.row.limit(), ramp.row.settings().cold_limit);
+    assert_eq!(ramp.row.stage(), GateStage::Cold);
+}
+
+#[test]
+fn record_late_answers_lower_then_slow_growth() {
+    let mut ramp = Ramp::new();
+    ramp.warm_up();
+    let shift = ramp.answer(32, 100, false);
+    assert!(matches!(shift, GateShift::Held), "one late answer in many");
+    let lowered = (0..20).map(|_| ramp.answer(32, 100, false));
+    let lowered: Vec<_> = lowered.filter(|shift| *shift != GateShift::Held).collect();
+    let GateShift::Lowered { from, to, .. } = lowered[0] else {
+        panic!("{lowered:?}");
+    };
+    assert_eq!((from.get(), to.get()), (32, 22));
+    let limit = ramp.row.limit();
+    ramp.now += Duration::from_secs(3);
+    ramp.row.tick(ramp.now);
+    let raised = (0..40).map(|_| ramp.answer(32, 100, true));
+    let first = raised.into_iter().find(|shift| *shift != GateShift::Held);
+    let Some(GateShift::Raised { to, .. }) = first else {
+        panic!("{first:?}");
+    };
+    assert_eq!(to.get(), limit.get() + 1);
+}
--- a/crates/fleet/tests/it/gate/mod.rs
+++ b/crates/fleet/tests/it/gate/mod.rs
@@ -1,1 +1,4 @@
-
+mod latency;
+mod queue;
+mod schedule;
+mod slots;
--- /dev/null
+++ b/crates/fleet/tests/it/gate/schedule.rs
@@ -0,0 +1,238 @@
+//! A gate and its slots against a model of an engine, over generated schedules of faults.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{MilliSpan, SlotCount, StartMark};
+use amaranthgw_fleet::gate::{
+    AdmissionPermit, AdmissionSlots, AnswerEvidence, GateEvidence, GateRow, GateSettings,
+    GateStage, LoadEvidence, SetbackCount, publish_gate,
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const COLD: u32 = 2;
+const FULL: u32 = 12;
+const SETTLE_MS: u64 = 2_000;
+const MARGIN_MS: u64 = 50;
+const GROWTH_ANSWERS: u32 = 4;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Admit { visible_after_ms: u64 },
+    Finish(usize),
+    Abandon { call: usize, runs_on_ms: u64 },
+    EngineCrash,
+    SidecarRestart,
+    SampleLoad,
+    DeliverLoad,
+    Publish,
+    Advance(u64),
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        12 => (0..MARGIN_MS).prop_map(|visible_after_ms| Event::Admit { visible_after_ms }),
+        8 => any::<usize>().prop_map(Event::Finish),
+        2 => (any::<usize>(), 0..SETTLE_MS)
+            .prop_map(|(call, runs_on_ms)| Event::Abandon { call, runs_on_ms }),
+        1 => Just(Event::EngineCrash),
+        1 => Just(Event::SidecarRestart),
+        3 => Just(Event::SampleLoad),
+        3 => Just(Event::DeliverLoad),
+        6 => Just(Event::Publish),
+        6 => (1..400_u64).prop_map(Event::Advance),
+    ]
+}
+
+/// A call as the engine sees it; `ends_at` is set once nobody waits for it.
+struct EngineCall {
+    permit: Option<AdmissionPermit>,
+    admitted_at: Instant,
+    visible_at: Instant,
+    ends_at: Option<Instant>,
+}
+
+struct Bench {
+    now: Instant,
+    row: GateRow,
+    slots: Arc<AdmissionSlots>,
+    seen: SetbackCount,
+    mark: StartMark,
+    calls: Vec<EngineCall>,
+    sample: Option<LoadEvidence>,
+    /// Answers since the engine or the sidecar last started.
+    answers: u32,
+}
+
+fn settings() -> GateSettings {
+    GateSettings {
+        cold_limit: SlotCount::new(COLD),
+        full_limit: SlotCount::new(FULL),
+        growth_window: MilliSpan::new(10),
+        growth_answers: GROWTH_ANSWERS,
+        settle_time: MilliSpan::new(SETTLE_MS),
+        report_margin: MilliSpan::new(MARGIN_MS),
+        ..GateSettings::default()
+    }
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            row: GateRow::new(settings(), now),
+            slots: AdmissionSlots::new(SlotCount::new(COLD)),
+            seen: SetbackCount::default(),
+            mark: StartMark::new(1),
+            calls: Vec::new(),
+            sample: None,
+            answers: 0,
+        }
+    }
+
+    fn apply(&mut self, event: &Event) -> std::result::Result<(), TestCaseError> {
+        match *event {
+            Event::Admit { visible_after_ms } => self.admit(visible_after_ms)?,
+            Event::Finish(call) => self.finish(call),
+            Event::Abandon { call, runs_on_ms } => self.abandon(call, runs_on_ms),
+            Event::EngineCrash => self.crash_engine(),
+            Event::SidecarRestart => self.restart_sidecar(),
+            Event::SampleLoad => self.sample_load(),
+            Event::DeliverLoad => self.deliver_load(),
+            Event::Publish => {
+                publish_gate(&mut self.row, &self.slots, &mut self.seen, self.now);
+            }
+            Event::Advance(millis) => self.advance(millis),
+        }
+        Ok(())
+    }
+
+    fn admit(&mut self, visible_after_ms: u64) -> std::result::Result<(), TestCaseError> {
+        let Ok(permit) = self.slots.try_admit() else {
+            return Ok(());
+        };
+        self.calls.push(EngineCall {
+            permit: Some(permit),
+            admitted_at: self.now,
+            visible_at: self.now + Duration::from_millis(visible_after_ms),
+            ends_at: None,
+        });
+        let running = u32::try_from(self.calls.len()).expect("few calls");
+        prop_assert!(running <= FULL, "{running} calls run, full limit {FULL}");
+        if self.answers < GROWTH_ANSWERS {
+            prop_assert!(running <= COLD, "{running} calls run without evidence");
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, call: usize) {
+        let Some(position) = self.waited_for(call) else {
+            return;
+        };
+        let call = self.calls.swap_remove(position);
+        let permit = call.permit.expect("a call that is waited for");
+        let answer = AnswerEvidence {
+            admitted_at: call.admitted_at,
+            in_flight: permit.in_flight(),
+            first_chunk: Duration::from_millis(20),
+            is_in_time: true,
+        };
+        permit.finish();
+        self.answers += 1;
+        self.row.record(GateEvidence::Answer(answer), self.now);
+    }
+
+    fn abandon(&mut self, call: usize, runs_on_ms: u64) {
+        if let Some(position) = self.waited_for(call) {
+            let call = &mut self.calls[position];
+            call.permit = None;
+            call.ends_at = Some(self.now + Duration::from_millis(runs_on_ms));
+        }
+    }
+
+    /// The traffic thread sees its connections break before any new process can accept one.
+    fn crash_engine(&mut self) {
+        self.slots.set_back();
+        self.calls.clear();
+        self.mark = self.mark.next();
+        self.answers = 0;
+    }
+
+    fn restart_sidecar(&mut self) {
+        self.slots = AdmissionSlots::new(SlotCount::new(COLD));
+        self.row = GateRow::new(settings(), self.now);
+        self.seen = SetbackCount::default();
+        self.sample = None;
+        self.answers = 0;
+        let ends_at = self.now + Duration::from_millis(SETTLE_MS - 1);
+        for call in &mut self.calls {
+            call.permit = None;
+            call.ends_at = call.ends_at.or(Some(ends_at));
+        }
+    }
+
+    fn sample_load(&mut self) {
+        let visible = self.calls.iter().filter(|call| call.visible_at <= self.now);
+        self.sample = Some(LoadEvidence {
+            mark: self.mark,
+            in_flight: SlotCount::new(u32::try_from(visible.count()).expect("few calls")),
+            sampled_at: self.now,
+        });
+    }
+
+    fn deliver_load(&mut self) {
+        if let Some(load) = self.sample.take() {
+            self.row.record(GateEvidence::Load(load), self.now);
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        let now = self.now;
+        self.calls
+            .retain(|call| call.ends_at.is_none_or(|ends_at| now < ends_at));
+    }
+
+    fn waited_for(&self, call: usize) -> Option<usize> {
+        let waited = self.calls.iter().enumerate();
+        let waited: Vec<_> = waited.filter(|(_, call)| call.permit.is_some()).collect();
+        let position = call.checked_rem(waited.len())?;
+        Some(waited[position].0)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(2_000) })]
+
+    #[test]
+    fn publish_gate_any_schedule(events in prop::collection::vec(any_event(), 1..160)) {
+        let mut bench = Bench::new();
+        for event in &events {
+            bench.apply(event)?;
+        }
+    }
+}
+
+#[test]
+fn publish_gate_reaches_full() {
+    let mut bench = Bench::new();
+    for _ in 0..400 {
+        for event in [Event::SampleLoad, Event::DeliverLoad, Event::Publish] {
+            bench.apply(&event).expect("within limits");
+        }
+        while bench.slots.in_flight() < bench.slots.limit() {
+            let visible_after_ms = 0;
+            bench
+                .apply(&Event::Admit { visible_after_ms })
+                .expect("within limits");
+        }
+        bench.apply(&Event::Finish(0)).expect("within limits");
+        bench.apply(&Event::Advance(20)).expect("within limits");
+    }
+    assert_eq!(bench.row.stage(), GateStage::Full);
+    assert_eq!(bench.slots.limit(), SlotCount::new(FULL));
+    bench.crash_engine();
+    assert_eq!(bench.slots.limit(), SlotCount::new(COLD));
+}
--- /dev/null
+++ b/crates/fleet/tests/it/gate/slots.rs
@@ -0,0 +1,111 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use amaranthgw_core::SlotCount;
+use amaranthgw_fleet::gate::{
+    AdmissionSlots, GateRow, GateSettings, NotRunCause, NotRunProof, RefusalReason, publish_gate,
+};
+use tokio::time::Instant;
+
+#[test]
+fn try_admit_many_threads() {
+    const LIMIT: u32 = 5;
+    let slots = AdmissionSlots::new(SlotCount::new(2));
+    slots.publish(SlotCount::new(LIMIT), slots.setbacks());
+    let running = AtomicU32::new(0);
+    let admitted = AtomicU32::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                for _ in 0..20_000 {
+                    let Ok(permit) = slots.try_admit() else {
+                        continue;
+                    };
+                    let now_running = running.fetch_add(1, Ordering::SeqCst) + 1;
+                    assert!(now_running <= LIMIT, "{now_running} run");
+                    admitted.fetch_add(1, Ordering::Relaxed);
+                    running.fetch_sub(1, Ordering::SeqCst);
+                    permit.finish();
+                }
+            });
+        }
+    });
+    assert!(admitted.into_inner() > 0);
+    assert_eq!(slots.in_flight(), SlotCount::new(0));
+}
+
+/// Abandoned calls run on at the target for good; the others must stay below what is left.
+#[test]
+fn publish_gate_many_threads() {
+    const ABANDONED_PER_THREAD: usize = 1;
+    let now = Instant::now();
+    let settings = GateSettings {
+        cold_limit: SlotCount::new(10),
+        ..GateSettings::default()
+    };
+    let limit = settings.cold_limit.get();
+    let slots = AdmissionSlots::new(settings.cold_limit);
+    let mut row = GateRow::new(settings, now - Duration::from_hours(1));
+    let mut seen = slots.setbacks();
+    publish_gate(&mut row, &slots, &mut seen, now);
+    let running = AtomicU32::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                for turn in 0..20_000 {
+                    let Ok(permit) = slots.try_admit() else {
+                        continue;
+                    };
+                    let now_running = running.fetch_add(1, Ordering::SeqCst) + 1;
+                    assert!(now_running <= limit, "{now_running} run");
+                    if turn < ABANDONED_PER_THREAD {
+                        drop(permit);
+                        continue;
+                    }
+                    running.fetch_sub(1, Ordering::SeqCst);
+                    permit.finish();
+                }
+            });
+        }
+        for _ in 0..20_000 {
+            publish_gate(&mut row, &slots, &mut seen, now);
+        }
+    });
+    publish_gate(&mut row, &slots, &mut seen, now);
+    assert_eq!(row.leftover().get(), running.into_inner());
+    assert_eq!(slots.in_flight(), SlotCount::new(0));
+}
+
+#[test]
+fn publish_unknown_setback() {
+    let slots = AdmissionSlots::new(SlotCount::new(2));
+    let seen = slots.setbacks();
+    slots.publish(SlotCount::new(9), seen);
+    slots.set_back();
+    slots.publish(SlotCount::new(9), seen);
+    assert_eq!(slots.limit(), SlotCount::new(2));
+    slots.publish(SlotCount::new(9), slots.setbacks());
+    assert_eq!(slots.limit(), SlotCount::new(9));
+}
+
+#[test]
+fn try_admit_alone_excludes_others() {
+    let slots = AdmissionSlots::new(SlotCount::new(2));
+    slots.publish(SlotCount::new(9), slots.setbacks());
+    let ordinary = slots.try_admit().expect("a free slot");
+    slots.reserve_alone();
+    let reason = |slots: &Arc<AdmissionSlots>| slots.try_admit().expect_err("reserved").reason();
+    assert_eq!(reason(&slots), RefusalReason::Alone);
+    let refusal = slots.try_admit_alone().expect_err("other work runs");
+    assert_eq!(refusal.reason(), RefusalReason::NotEmpty);
+    let proof = NotRunProof::from(refusal);
+    assert_eq!(proof.cause(), NotRunCause::Gate(RefusalReason::NotEmpty));
+    ordinary.finish();
+    let suspect = slots.try_admit_alone().expect("an empty target");
+    assert_eq!(reason(&slots), RefusalReason::Alone);
+    slots.try_admit_alone().expect_err("one suspect runs");
+    suspect.finish();
+    slots.end_alone();
+    slots.try_admit().expect("open again").finish();
+}
