--- /dev/null
+++ b/crates/amaranthgw/src/control/border.rs
@@ -0,0 +1,80 @@
+//! Starts the actors that every node runs towards the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_fleet::membership::NodeIdentity;
+use ractor::{Actor, ActorRef};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::{
+    ConfigActor, ConfigArguments, ConfigInput, ConfigSink, VmListActor, VmListArguments,
+    VmListSink, forward_reports,
+};
+use crate::peer::{GrpcPeerLink, PeerTell};
+use crate::platform::{HttpStore, HttpVmList};
+use crate::runtime::{Result, RuntimeError};
+use crate::telemetry::EventLog;
+
+const VM_LIST_PERIOD: Duration = Duration::from_millis(500);
+
+/// The platform as one node reaches it.
+#[derive(Clone, Debug)]
+pub struct PlatformBorder {
+    /// Where the node runs.
+    pub identity: NodeIdentity,
+    /// Address of the key-value service.
+    pub store: SocketAddr,
+    /// Address of the VM list.
+    pub vm_list: SocketAddr,
+    /// Where events go.
+    pub log: EventLog,
+}
+
+impl PlatformBorder {
+    /// Starts to follow the configuration; messages of peers come in through `told`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RuntimeError::Actor`] where the actor can't be started.
+    pub async fn start_config(
+        &self,
+        sink: ConfigSink,
+        told: UnboundedReceiver<PeerTell>,
+    ) -> Result<ActorRef<ConfigInput>> {
+        let arguments = ConfigArguments {
+            identity: self.identity.clone(),
+            store: Arc::new(HttpStore::new(self.store)),
+            peers: Arc::new(GrpcPeerLink::new()),
+            sink,
+            log: self.log.clone(),
+        };
+        let spawned = Actor::spawn(None, ConfigActor, arguments).await;
+        let (config, _ended) = spawned.map_err(|_failed| RuntimeError::Actor)?;
+        let to_config = config.clone();
+        let forward = move |tells: Vec<PeerTell>| {
+            for tell in tells {
+                drop(to_config.cast(ConfigInput::Told(tell)));
+            }
+        };
+        tokio::spawn(forward_reports(told, forward));
+        Ok(config)
+    }
+
+    /// Starts to read the VM list.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RuntimeError::Actor`] where the actor can't be started.
+    pub async fn start_vm_list(&self, sink: VmListSink) -> Result<()> {
+        let arguments = VmListArguments {
+            client: Box::new(HttpVmList::new(self.vm_list)),
+            sink,
+            period: VM_LIST_PERIOD,
+            log: self.log.clone(),
+        };
+        let spawned = Actor::spawn(None, VmListActor, arguments).await;
+        spawned.map(drop).map_err(|_failed| RuntimeError::Actor)
+    }
+}
--- a/crates/amaranthgw/src/control/config_actor.rs
+++ b/crates/amaranthgw/src/control/config_actor.rs
@@ -1,31 +1,38 @@
-//! Follows the configuration in the key-value service.
+//! Follows the configuration in the key-value service and through peers.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::StoreRevision;
-use amaranthgw_fleet::config::{ConfigBase, ConfigLog, ServingState};
-use compact_str::{CompactString, format_compact};
+use amaranthgw_core::{EntityTable, VmId};
+use amaranthgw_fleet::config::{
+    ConfigFollower, FollowerEffect, RelayPlan, RelayVm, ServingState, StoreCall, StoreReply,
+};
+use amaranthgw_fleet::membership::{NodeIdentity, VmRecord, VmState};
+use compact_str::format_compact;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::time::Instant;
 
-use crate::platform::{PlatformError, StoreClient, StoreValue};
+use crate::peer::{PeerLink, PeerTell};
+use crate::platform::{StoreClient, perform_config_call};
 use crate::telemetry::{EventLog, NodeEvent};
 
-const LOG_KEY: &str = "config/log";
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(50);
 
 /// Receives each newer configuration.
 pub type ConfigSink = Box<dyn Fn(Arc<ServingState>) + Send + Sync>;
 
-/// Watches the configuration log and passes on each newer configuration.
+/// Keeps the accepted configuration in force and helps to spread it.
 #[derive(Debug)]
 pub struct ConfigActor;
 
 /// What the actor works with.
 pub struct ConfigArguments {
+    /// Where the node runs.
+    pub identity: NodeIdentity,
     /// The key-value service.
     pub store: Arc<dyn StoreClient>,
+    /// The other nodes.
+    pub peers: Arc<dyn PeerLink>,
     /// Where configurations go.
     pub sink: ConfigSink,
     /// Where events go.
@@ -44,17 +51,26 @@
 #[derive(Debug)]
 pub struct ConfigState {
     arguments: ConfigArguments,
-    revision: StoreRevision,
-    state: ServingState,
+    follower: ConfigFollower,
+    vms: EntityTable<VmId, VmRecord>,
     is_available: bool,
 }
 
-/// Asks the actor to wait for the next change.
-#[derive(Clone, Copy, Debug)]
-pub struct WatchConfig;
+/// Inputs of the actor.
+#[derive(Debug)]
+pub enum ConfigInput {
+    /// Time has passed.
+    Tick,
+    /// The key-value service replied.
+    Reply(StoreReply),
+    /// A peer sent a message.
+    Told(PeerTell),
+    /// The VM list changed.
+    Vms(Vec<VmRecord>),
+}
 
 impl Actor for ConfigActor {
-    type Msg = WatchConfig;
+    type Msg = ConfigInput;
     type State = ConfigState;
     type Arguments = ConfigArguments;
 
@@ -63,11 +79,11 @@
         myself: ActorRef<Self::Msg>,
         args: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
-        myself.cast(WatchConfig)?;
+        myself.send_interval(TICK, || ConfigInput::Tick);
         Ok(ConfigState {
             arguments: args,
-            revision: StoreRevision::default(),
-            state: ServingState::default(),
+            follower: ConfigFollower::new(fastrand::u64(..), Instant::now()),
+            vms: EntityTable::new(),
             is_available: true,
         })
     }
@@ -75,92 +91,99 @@
     async fn handle(
         &self,
         myself: ActorRef<Self::Msg>,
-        _message: Self::Msg,
+        message: Self::Msg,
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
-        if state.watch().await {
-            myself.cast(WatchConfig)?;
-        } else {
-            myself.send_after(RETRY_AFTER, || WatchConfig);
+        let now = Instant::now();
+        let effects = match message {
+            ConfigInput::Tick => state.follower.tick(now),
+            ConfigInput::Reply(reply) => {
+                state.note_reply(&reply);
+                state.follower.on_reply(reply, now)
+            }
+            ConfigInput::Told(tell) => state.follower.on_message(&tell.from, tell.message, now),
+            ConfigInput::Vms(records) => {
+                state.take_vms(records);
+                Vec::new()
+            }
+        };
+        for effect in effects {
+            state.carry_out(&myself, effect);
         }
         Ok(())
     }
 }
 
 impl ConfigState {
-    /// Waits for one change and tells whether the service answered.
-    async fn watch(&mut self) -> bool {
-        let store = Arc::clone(&self.arguments.store);
-        let answer = store.watch(LOG_KEY, self.revision, WATCH_WAIT).await;
-        match answer {
-            Ok(Some(value)) => self.take_in(value).await,
-            Ok(None) => {
-                self.note_available();
-                true
-            }
-            Err(error) => self.note_unavailable(&error),
+    fn take_vms(&mut self, records: Vec<VmRecord>) {
+        let vms = records
+            .into_iter()
+            .map(|record| (record.vm.clone(), record))
+            .collect();
+        if self.vms == vms {
+            return;
         }
+        self.vms = vms;
+        let is_live = |record: &&VmRecord| record.state == VmState::Live;
+        let relay_vm = |record: &VmRecord| RelayVm {
+            vm: record.vm.clone(),
+            domain: record.domain.clone(),
+        };
+        let live: Vec<_> = self.vms.rows().filter(is_live).map(relay_vm).collect();
+        let identity = &self.arguments.identity;
+        self.follower
+            .set_relay(RelayPlan::new(&identity.vm, &identity.domain, &live));
     }
 
-    async fn take_in(&mut self, value: StoreValue) -> bool {
-        self.note_available();
-        let Ok(log) = serde_json::from_slice::<ConfigLog>(&value.bytes) else {
-            return self.note_unusable("the configuration log is malformed".into());
-        };
-        if log.base > self.state.number && !self.load_base(&log).await {
-            return false;
-        }
-        let previous = self.state.number;
-        for change in log.changes.iter().filter(|change| change.number > previous) {
-            if let Err(error) = self.state.apply(change) {
-                return self.note_unusable(format_compact!("{error}"));
+    fn carry_out(&self, myself: &ActorRef<ConfigInput>, effect: FollowerEffect) {
+        let log = &self.arguments.log;
+        let change = self.follower.number();
+        match effect {
+            FollowerEffect::Store(call) => self.call_store(myself.clone(), call),
+            FollowerEffect::Tell { peer, message } => self.tell(&peer, message),
+            FollowerEffect::InForce(_) => {
+                (self.arguments.sink)(Arc::new(self.follower.state().clone()));
+            }
+            FollowerEffect::Refused(error) => {
+                let reason = format_compact!("{error}");
+                log.record(NodeEvent::ConfigUnusable { change, reason });
+            }
+            FollowerEffect::Diverged(number) => {
+                let reason = format_compact!("change {number} differs from the one in force");
+                log.record(NodeEvent::ConfigUnusable { change, reason });
             }
         }
-        self.revision = value.revision;
-        if self.state.number > previous {
-            (self.arguments.sink)(Arc::new(self.state.clone()));
-        }
-        true
     }
 
-    async fn load_base(&mut self, log: &ConfigLog) -> bool {
-        let key = format!("config/base/{}", log.base);
-        let read = self.arguments.store.read(&key).await;
-        let value = match read {
-            Ok(Some(value)) => value,
-            Ok(None) => return self.note_unusable("the configuration base is absent".into()),
-            Err(error) => return self.note_unavailable(&error),
-        };
-        match serde_json::from_slice::<ConfigBase>(&value.bytes) {
-            Ok(base) if base.state.number == log.base => self.state = base.state,
-            _ => return self.note_unusable("the configuration base is malformed".into()),
-        }
-        true
+    fn call_store(&self, myself: ActorRef<ConfigInput>, call: StoreCall) {
+        let store = Arc::clone(&self.arguments.store);
+        tokio::spawn(async move {
+            let reply = perform_config_call(store.as_ref(), &call).await;
+            drop(myself.cast(ConfigInput::Reply(reply)));
+        });
     }
 
-    fn note_available(&mut self) {
-        if !self.is_available {
-            self.is_available = true;
-            self.arguments.log.record(NodeEvent::StoreRecovered {});
-        }
+    fn tell(&self, peer: &VmId, message: amaranthgw_fleet::config::ConfigMessage) {
+        let Some(record) = self.vms.get(peer) else {
+            return;
+        };
+        let (address, from) = (record.address, self.arguments.identity.vm.clone());
+        let peers = Arc::clone(&self.arguments.peers);
+        // A message that is lost is made up for by the next offer.
+        tokio::spawn(async move { peers.tell(address, from, message).await });
     }
 
-    fn note_unavailable(&mut self, error: &PlatformError) -> bool {
-        if self.is_available {
-            self.is_available = false;
-            let reason = format_compact!("{error}");
-            self.arguments
-                .log
-                .record(NodeEvent::StoreUnavailable { reason });
+    fn note_reply(&mut self, reply: &StoreReply) {
+        let is_available = !matches!(reply, StoreReply::Failed | StoreReply::Lost);
+        if self.is_available == is_available {
+            return;
         }
-        false
-    }
-
-    fn note_unusable(&self, reason: CompactString) -> bool {
-        let change = self.state.number;
-        self.arguments
-            .log
-            .record(NodeEvent::ConfigUnusable { change, reason });
-        false
+        self.is_available = is_available;
+        let reason = "no usable answer".into();
+        self.arguments.log.record(if is_available {
+            NodeEvent::StoreRecovered {}
+        } else {
+            NodeEvent::StoreUnavailable { reason }
+        });
     }
 }
--- a/crates/amaranthgw/src/entry/control.rs
+++ b/crates/amaranthgw/src/entry/control.rs
@@ -8,12 +8,15 @@
 use amaranthgw_fleet::entry::{EntryOutput, EntrySnapshot, EntryWorld, entry_schedule};
 use amaranthgw_fleet::membership::VmRecord;
 use amaranthgw_fleet::routing::{RouteSnapshot, ServiceRoutes, TargetRoute};
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use bytes::Bytes;
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::Instant;
 
 use super::probe::probe;
+use super::reporter::{burn_json, status_json};
 use super::shared::{EntryShared, TrafficReport};
 use crate::link::TargetLink;
+use crate::peer::ReportKind;
 use crate::runtime::StopPhase;
 use crate::telemetry::{EventLog, NodeEvent};
 
@@ -51,6 +54,8 @@
     Config(Arc<ServingState>),
     /// A newer VM list.
     VmList(Vec<VmRecord>),
+    /// A report for an operator, as JSON.
+    Report(ReportKind, RpcReplyPort<Bytes>),
 }
 
 impl Actor for EntryControl {
@@ -95,6 +100,8 @@
                 state.world.inbox.vm_list = Some(records);
                 state.tick();
             }
+            // An operator that no longer waits needs no report.
+            ControlMessage::Report(kind, port) => drop(port.send(state.report(kind))),
         }
         Ok(())
     }
@@ -128,6 +135,14 @@
         }
     }
 
+    fn report(&mut self, kind: ReportKind) -> Bytes {
+        match kind {
+            ReportKind::Burn => burn_json(&mut self.world),
+            ReportKind::Status => status_json(&self.world, self.shared.stop.phase()),
+            ReportKind::Explain | ReportKind::Unspecified => Bytes::new(),
+        }
+    }
+
     fn carry_out(&self, output: EntryOutput) {
         match output {
             EntryOutput::Publish(snapshot) => self.publish(snapshot),
--- a/crates/amaranthgw/src/entry/mod.rs
+++ b/crates/amaranthgw/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod probe;
 mod process;
+mod reporter;
 mod run;
 mod shared;
 
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthgw_fleet::entry::EntryWorld;
-use amaranthgw_fleet::membership::NodeIdentity;
+use amaranthgw_fleet::membership::{NodeIdentity, VmRecord};
 use amaranthgw_fleet::retries::RetrySettings;
 use amaranthgw_fleet::routing::DomainNearPolicy;
 use amaranthgw_fleet::settings::EntrySettings;
@@ -14,21 +14,20 @@
 use ractor::{Actor, ActorRef};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, timeout};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
 
 use super::control::{ControlArguments, ControlMessage, EntryControl};
 use super::listener::serve_callers;
+use super::reporter::EntryReporter;
 use super::shared::{EntryShared, TrafficReport, TrafficThread};
-use crate::control::{
-    ConfigActor, ConfigArguments, VmListActor, VmListArguments, forward_reports, report_channel,
-};
+use crate::control::{ConfigInput, PlatformBorder, forward_reports, report_channel};
 use crate::link::GrpcLink;
-use crate::platform::{HttpStore, HttpVmList};
-use crate::runtime::{
-    Result, RuntimeError, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread,
-};
+use crate::peer::PeerService;
+use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, NodeEvent};
+use crate::wire::node::peer_server::PeerServer;
 
-const VM_LIST_PERIOD: Duration = Duration::from_millis(500);
 /// Time that the platform's balancer gets to notice that the entry leaves.
 const NOTICE_TIME: Duration = Duration::from_secs(2);
 
@@ -48,6 +47,7 @@
     /// Returns a [`RuntimeError`] where an address is in use or a thread can't be started.
     pub fn start(settings: &EntrySettings, log: &EventLog) -> Result<Self> {
         let listener = Arc::new(SharedListener::new(settings.caller_listen)?);
+        let node_listener = SharedListener::new(settings.node_listen)?;
         let address = listener.address();
         let stop = StopSignal::new();
         let (reports, receiver) = report_channel();
@@ -75,7 +75,7 @@
             threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
         }
         let (settings, log) = (settings.clone(), log.clone());
-        let control = move || run_control(settings, shared, receiver, log);
+        let control = move || run_control(settings, shared, receiver, node_listener, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
         Ok(Self {
             address,
@@ -110,15 +110,11 @@
     settings: EntrySettings,
     shared: Arc<EntryShared>,
     receiver: UnboundedReceiver<TrafficReport>,
+    node_listener: SharedListener,
     log: EventLog,
 ) {
-    let identity = NodeIdentity {
-        vm: settings.vm.clone(),
-        domain: settings.domain.clone(),
-        region: settings.region.clone(),
-    };
     let arguments = ControlArguments {
-        world: EntryWorld::new(identity, Instant::now()),
+        world: EntryWorld::new(identity(&settings), Instant::now()),
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
         log: log.clone(),
@@ -127,7 +123,7 @@
     let Ok((control, _ended)) = started else {
         return;
     };
-    if start_borders(&settings, &control, receiver, &log)
+    if start_borders(&settings, &control, receiver, &node_listener, &log)
         .await
         .is_err()
     {
@@ -160,31 +156,46 @@
     settings: &EntrySettings,
     control: &ActorRef<ControlMessage>,
     receiver: UnboundedReceiver<TrafficReport>,
+    node_listener: &SharedListener,
     log: &EventLog,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
     let to_control = control.clone();
     let forward = move |batch| drop(to_control.cast(ControlMessage::Reports(batch)));
     tokio::spawn(forward_reports(receiver, forward));
-    let to_control = control.clone();
-    let config = ConfigArguments {
-        store: Arc::new(HttpStore::new(settings.store)),
-        sink: Box::new(move |state| drop(to_control.cast(ControlMessage::Config(state)))),
+    let (tells, told) = report_channel();
+    let reporter = EntryReporter {
+        control: control.clone(),
         log: log.clone(),
     };
-    let to_control = control.clone();
-    let vms = VmListArguments {
-        client: Box::new(HttpVmList::new(settings.vm_list)),
-        sink: Box::new(move |records| drop(to_control.cast(ControlMessage::VmList(records)))),
-        period: VM_LIST_PERIOD,
+    let peer = PeerServer::new(PeerService::new(tells, Arc::new(reporter)));
+    let incoming = TcpListenerStream::new(node_listener.handle()?);
+    tokio::spawn(
+        Server::builder()
+            .add_service(peer)
+            .serve_with_incoming(incoming),
+    );
+    let border = PlatformBorder {
+        identity: identity(settings),
+        store: settings.store,
+        vm_list: settings.vm_list,
         log: log.clone(),
     };
-    let actor_error = |_failed| RuntimeError::Actor;
-    Actor::spawn(None, ConfigActor, config)
-        .await
-        .map_err(actor_error)?;
-    Actor::spawn(None, VmListActor, vms)
-        .await
-        .map_err(actor_error)?;
-    Ok(())
+    let to_control = control.clone();
+    let sink = move |state| drop(to_control.cast(ControlMessage::Config(state)));
+    let config = border.start_config(Box::new(sink), told).await?;
+    let to_control = control.clone();
+    let sink = move |records: Vec<VmRecord>| {
+        drop(config.cast(ConfigInput::Vms(records.clone())));
+        drop(to_control.cast(ControlMessage::VmList(records)));
+    };
+    border.start_vm_list(Box::new(sink)).await
+}
+
+fn identity(settings: &EntrySettings) -> NodeIdentity {
+    NodeIdentity {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+    }
 }
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod entry;
 pub mod link;
+pub mod peer;
 pub mod platform;
 pub mod runtime;
 pub mod sidecar;
--- /dev/null
+++ b/crates/amaranthgw/src/peer/link.rs
@@ -0,0 +1,132 @@
+//! The way from one node to another.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use amaranthgw_core::VmId;
+use amaranthgw_fleet::config::ConfigMessage;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use tonic::transport::{Channel, Endpoint};
+
+use super::ReportKind;
+use crate::wire::node::peer_client::PeerClient;
+use crate::wire::node::{ReportRequest, TellRequest};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_REPORT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Result of a call of a peer.
+pub type Result<T> = std::result::Result<T, PeerError>;
+
+/// Why a call of a peer failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerError {
+    /// The peer could not be reached or did not answer in time.
+    Unreachable,
+    /// The message could not be encoded.
+    Malformed,
+}
+
+impl std::fmt::Display for PeerError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable => f.write_str("the node could not be reached"),
+            Self::Malformed => f.write_str("the message could not be encoded"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// Calls of other nodes.
+pub trait PeerLink: std::fmt::Debug + Send + Sync {
+    /// Sends a message about the configuration from the node on `from` to the one at `address`.
+    fn tell(
+        &self,
+        address: SocketAddr,
+        from: VmId,
+        message: ConfigMessage,
+    ) -> BoxFuture<'_, Result<()>>;
+
+    /// Asks the node at `address` for a report as JSON.
+    fn report(
+        &self,
+        address: SocketAddr,
+        kind: ReportKind,
+        subject: String,
+    ) -> BoxFuture<'_, Result<Bytes>>;
+}
+
+/// Keeps one connection to each peer it talks to.
+#[derive(Debug, Default)]
+pub struct GrpcPeerLink {
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl GrpcPeerLink {
+    /// Creates a link without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<PeerClient<Channel>> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(&address) {
+            return Ok(new_client(channel.clone()));
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}"));
+        let endpoint = endpoint.map_err(|_invalid| PeerError::Malformed)?;
+        let channel = endpoint
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(CALL_TIMEOUT)
+            .tcp_nodelay(true)
+            .connect_lazy();
+        channels.insert(address, channel.clone());
+        Ok(new_client(channel))
+    }
+}
+
+fn new_client(channel: Channel) -> PeerClient<Channel> {
+    PeerClient::new(channel).max_decoding_message_size(MAX_REPORT_BYTES)
+}
+
+impl PeerLink for GrpcPeerLink {
+    fn tell(
+        &self,
+        address: SocketAddr,
+        from: VmId,
+        message: ConfigMessage,
+    ) -> BoxFuture<'_, Result<()>> {
+        Box::pin(async move {
+            let message = serde_json::to_vec(&message).map_err(|_invalid| PeerError::Malformed)?;
+            let request = TellRequest {
+                from: from.to_string(),
+                message: message.into(),
+            };
+            let answer = self.client(address)?.tell(request).await;
+            answer.map(drop).map_err(|_status| PeerError::Unreachable)
+        })
+    }
+
+    fn report(
+        &self,
+        address: SocketAddr,
+        kind: ReportKind,
+        subject: String,
+    ) -> BoxFuture<'_, Result<Bytes>> {
+        Box::pin(async move {
+            let request = ReportRequest {
+                kind: kind.into(),
+                subject,
+            };
+            let answer = self.client(address)?.report(request).await;
+            let reply = answer.map_err(|_status| PeerError::Unreachable)?;
+            Ok(reply.into_inner().json)
+        })
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/peer/service.rs
@@ -0,0 +1,75 @@
+//! The gRPC service that nodes offer to each other and to operators.
+
+use std::sync::Arc;
+
+use amaranthgw_core::VmId;
+use amaranthgw_fleet::config::ConfigMessage;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use tonic::{Request, Response, Status};
+
+use crate::control::ReportSender;
+use crate::wire::node::peer_server::Peer;
+use crate::wire::node::{
+    ExchangeReply, ExchangeRequest, ReportReply, ReportRequest, TellReply, TellRequest,
+};
+
+pub use crate::wire::node::ReportKind;
+
+/// A message about the configuration that a peer sent.
+#[derive(Clone, Debug)]
+pub struct PeerTell {
+    /// VM of the peer.
+    pub from: VmId,
+    /// The message.
+    pub message: ConfigMessage,
+}
+
+/// Makes the reports of a node.
+pub trait NodeReporter: std::fmt::Debug + Send + Sync {
+    /// The report of `kind` on `subject` as JSON; empty where the node has none of that kind.
+    fn report(&self, kind: ReportKind, subject: String) -> BoxFuture<'_, Bytes>;
+}
+
+/// Serves peers and operators.
+#[derive(Clone, Debug)]
+pub struct PeerService {
+    tells: ReportSender<PeerTell>,
+    reporter: Arc<dyn NodeReporter>,
+}
+
+impl PeerService {
+    /// Creates a service that passes messages to `tells` and asks `reporter` for reports.
+    #[must_use]
+    pub fn new(tells: ReportSender<PeerTell>, reporter: Arc<dyn NodeReporter>) -> Self {
+        Self { tells, reporter }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn tell(&self, request: Request<TellRequest>) -> Result<Response<TellReply>, Status> {
+        let request = request.into_inner();
+        let malformed = || Status::invalid_argument("malformed message");
+        let from = request.from.parse().map_err(|_invalid| malformed())?;
+        let message = serde_json::from_slice(&request.message).map_err(|_invalid| malformed())?;
+        self.tells.send(PeerTell { from, message });
+        Ok(Response::new(TellReply {}))
+    }
+
+    async fn report(
+        &self,
+        request: Request<ReportRequest>,
+    ) -> Result<Response<ReportReply>, Status> {
+        let request = request.into_inner();
+        let json = self.reporter.report(request.kind(), request.subject).await;
+        Ok(Response::new(ReportReply { json }))
+    }
+
+    async fn exchange(
+        &self,
+        _request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        Err(Status::unimplemented("this node is in no rank group"))
+    }
+}
--- a/crates/amaranthgw/src/platform/mod.rs
+++ b/crates/amaranthgw/src/platform/mod.rs
@@ -1,10 +1,12 @@
 //! Clients of the platform: the key-value service and the VM list.
 
+mod config_store;
 mod error;
 mod http;
 mod store;
 mod vms;
 
+pub use config_store::perform_config_call;
 pub use error::PlatformError;
 pub use http::HttpCaller;
 pub use store::{HttpStore, StoreClient, StoreValue, SwapAnswer};
--- a/crates/amaranthgw/src/platform/store.rs
+++ b/crates/amaranthgw/src/platform/store.rs
@@ -45,6 +45,13 @@
         value: Bytes,
     ) -> BoxFuture<'a, Result<SwapAnswer>>;
 
+    /// Removes the value of `key` if its revision is `expected`.
+    fn remove<'a>(
+        &'a self,
+        key: &'a str,
+        expected: StoreRevision,
+    ) -> BoxFuture<'a, Result<SwapAnswer>>;
+
     /// Waits until the revision of `key` exceeds `after`; `None` where that takes over `wait`.
     fn watch<'a>(
         &'a self,
@@ -83,12 +90,15 @@
         }
     }
 
-    async fn put(&self, key: &str, expected: StoreRevision, value: Bytes) -> Result<SwapAnswer> {
+    async fn change(
+        &self,
+        method: Method,
+        key: &str,
+        expected: StoreRevision,
+        value: Bytes,
+    ) -> Result<SwapAnswer> {
         let path = format!("/v1/values/{key}?expect={expected}");
-        let response = self
-            .caller
-            .call(Method::PUT, &path, value, CALL_TIMEOUT)
-            .await?;
+        let response = self.caller.call(method, &path, value, CALL_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => revision_of(&response).map(SwapAnswer::Swapped),
             StatusCode::CONFLICT => revision_of(&response).map(SwapAnswer::Conflict),
@@ -110,7 +120,15 @@
         expected: StoreRevision,
         value: Bytes,
     ) -> BoxFuture<'a, Result<SwapAnswer>> {
-        Box::pin(self.put(key, expected, value))
+        Box::pin(self.change(Method::PUT, key, expected, value))
+    }
+
+    fn remove<'a>(
+        &'a self,
+        key: &'a str,
+        expected: StoreRevision,
+    ) -> BoxFuture<'a, Result<SwapAnswer>> {
+        Box::pin(self.change(Method::DELETE, key, expected, Bytes::new()))
     }
 
     fn watch<'a>(
--- a/crates/amaranthgw/src/sidecar/mod.rs
+++ b/crates/amaranthgw/src/sidecar/mod.rs
@@ -3,8 +3,8 @@
 mod attempt;
 mod control;
 mod load_actor;
-mod peer;
 mod process;
+mod reporter;
 mod service;
 mod shared;
 pub mod target;
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -7,7 +7,7 @@
 use amaranthgw_core::ChangeNumber;
 use amaranthgw_fleet::entry::TargetStatus;
 use amaranthgw_fleet::gate::{GateRow, GateSettings};
-use amaranthgw_fleet::membership::NodeIdentity;
+use amaranthgw_fleet::membership::{NodeIdentity, VmRecord};
 use amaranthgw_fleet::routing::{ServiceKind, TargetStage};
 use amaranthgw_fleet::settings::SidecarSettings;
 use amaranthgw_fleet::sidecar::{GateEntry, ServedTarget, SidecarWorld, TargetEvidence};
@@ -20,20 +20,19 @@
 
 use super::control::{ControlArguments, ControlMessage, SidecarControl};
 use super::load_actor::LoadActor;
+use super::reporter::SidecarReporter;
 use super::service::SidecarService;
 use super::shared::SidecarShared;
 use super::target::{EngineClient, PlainClient, TargetClient};
-use crate::control::{
-    ConfigActor, ConfigArguments, VmListActor, VmListArguments, forward_reports, report_channel,
-};
-use crate::platform::{HttpStore, HttpVmList};
+use crate::control::{ConfigInput, PlatformBorder, forward_reports, report_channel};
+use crate::peer::{PeerService, PeerTell};
 use crate::runtime::{
     Result, RuntimeError, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread,
 };
 use crate::telemetry::{EventLog, NodeEvent};
+use crate::wire::node::peer_server::PeerServer;
 use crate::wire::node::sidecar_server::SidecarServer;
 
-const VM_LIST_PERIOD: Duration = Duration::from_millis(500);
 /// Time that connections get to close once no request is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,6 +55,7 @@
         let address = listener.address();
         let stop = StopSignal::new();
         let (evidence, receiver) = report_channel();
+        let (tells, told) = report_channel();
         let entry = GateEntry::new(served_target(settings), new_gate(settings));
         let shared = Arc::new(SidecarShared {
             served: entry.served.clone(),
@@ -68,12 +68,19 @@
         });
         let mut threads = ThreadGroup::default();
         for index in 0..settings.traffic_threads {
-            let (shared, listener, log) = (
-                Arc::clone(&shared),
-                Arc::clone(&listener),
-                log.with_own_journal(),
-            );
-            let serve = move || serve_traffic(shared, listener, log);
+            let log = log.with_own_journal();
+            let reporter = SidecarReporter {
+                vm: settings.vm.clone(),
+                domain: settings.domain.clone(),
+                shared: Arc::clone(&shared),
+                log: log.clone(),
+            };
+            let services = ThreadServices {
+                sidecar: SidecarService::new(Arc::clone(&shared), log),
+                peer: PeerService::new(tells.clone(), Arc::new(reporter)),
+            };
+            let (stop, listener) = (stop.clone(), Arc::clone(&listener));
+            let serve = move || serve_traffic(services, stop, listener);
             threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
         }
         let world = SidecarWorld::new(identity(settings)).with_target(entry);
@@ -83,7 +90,11 @@
             log: log.clone(),
         };
         let (settings, log) = (settings.clone(), log.clone());
-        let control = move || run_control(settings, arguments, receiver, log);
+        let inputs = ControlInputs {
+            evidence: receiver,
+            told,
+        };
+        let control = move || run_control(settings, arguments, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
         Ok(Self {
             address,
@@ -159,19 +170,30 @@
     }
 }
 
-async fn serve_traffic(shared: Arc<SidecarShared>, listener: Arc<SharedListener>, log: EventLog) {
+/// The services of one traffic thread.
+struct ThreadServices {
+    sidecar: SidecarService,
+    peer: PeerService,
+}
+
+/// What traffic threads send to the control thread.
+struct ControlInputs {
+    evidence: UnboundedReceiver<TargetEvidence>,
+    told: UnboundedReceiver<PeerTell>,
+}
+
+async fn serve_traffic(services: ThreadServices, stop: StopSignal, listener: Arc<SharedListener>) {
     // A handle to a socket that is already bound can only fail when the process is out of files.
     let Ok(handle) = listener.handle() else {
         return;
     };
-    let stop = shared.stop.clone();
-    let service = SidecarServer::new(SidecarService::new(shared, log));
     let incoming = TcpListenerStream::new(handle);
     let ending = stop.clone();
     let shutdown = async move { ending.reached(StopPhase::Ending).await };
     let serving = Server::builder()
         .tcp_nodelay(true)
-        .add_service(service)
+        .add_service(SidecarServer::new(services.sidecar))
+        .add_service(PeerServer::new(services.peer))
         .serve_with_incoming_shutdown(incoming, shutdown);
     tokio::pin!(serving);
     tokio::select! {
@@ -183,7 +205,7 @@
 async fn run_control(
     settings: SidecarSettings,
     arguments: ControlArguments,
-    receiver: UnboundedReceiver<TargetEvidence>,
+    inputs: ControlInputs,
     log: EventLog,
 ) {
     let stop = arguments.shared.stop.clone();
@@ -192,7 +214,7 @@
     let Ok((control, _ended)) = started else {
         return;
     };
-    if start_borders(&settings, &control, shared, receiver, &log)
+    if start_borders(&settings, &control, shared, inputs, &log)
         .await
         .is_err()
     {
@@ -214,35 +236,30 @@
     settings: &SidecarSettings,
     control: &ActorRef<ControlMessage>,
     shared: Arc<SidecarShared>,
-    receiver: UnboundedReceiver<TargetEvidence>,
+    inputs: ControlInputs,
     log: &EventLog,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
     let to_control = control.clone();
     let forward = move |batch| drop(to_control.cast(ControlMessage::Evidence(batch)));
-    tokio::spawn(forward_reports(receiver, forward));
+    tokio::spawn(forward_reports(inputs.evidence, forward));
     let to_control = control.clone();
-    let config = ConfigArguments {
-        store: Arc::new(HttpStore::new(settings.store)),
-        sink: Box::new(move |state| drop(to_control.cast(ControlMessage::Config(state)))),
+    let sink = move |state| drop(to_control.cast(ControlMessage::Config(state)));
+    let border = PlatformBorder {
+        identity: identity(settings),
+        store: settings.store,
+        vm_list: settings.vm_list,
         log: log.clone(),
     };
+    let config = border.start_config(Box::new(sink), inputs.told).await?;
     let to_control = control.clone();
-    let vms = VmListArguments {
-        client: Box::new(HttpVmList::new(settings.vm_list)),
-        sink: Box::new(move |records| drop(to_control.cast(ControlMessage::VmList(records)))),
-        period: VM_LIST_PERIOD,
-        log: log.clone(),
+    let sink = move |records: Vec<VmRecord>| {
+        drop(config.cast(ConfigInput::Vms(records.clone())));
+        drop(to_control.cast(ControlMessage::VmList(records)));
     };
-    let actor_error = |_failed| RuntimeError::Actor;
-    Actor::spawn(None, ConfigActor, config)
-        .await
-        .map_err(actor_error)?;
-    Actor::spawn(None, VmListActor, vms)
-        .await
-        .map_err(actor_error)?;
+    border.start_vm_list(Box::new(sink)).await?;
     Actor::spawn(None, LoadActor, shared)
         .await
-        .map_err(actor_error)?;
+        .map_err(|_failed| RuntimeError::Actor)?;
     Ok(())
 }
--- a/crates/amaranthgw/src/telemetry/log.rs
+++ b/crates/amaranthgw/src/telemetry/log.rs
@@ -79,6 +79,14 @@
         entries
     }
 
+    /// The kept events that name `subject` as JSON.
+    #[must_use]
+    pub fn explain_json(&self, subject: &str) -> bytes::Bytes {
+        serde_json::to_vec(&self.explain(subject))
+            .unwrap_or_default()
+            .into()
+    }
+
     fn write(&self, event: &NodeEvent) {
         let fields = EventFields(event);
         let logger = &self.logger;
--- a/crates/amaranthgw/src/wire/convert.rs
+++ b/crates/amaranthgw/src/wire/convert.rs
@@ -85,6 +85,17 @@
     }
 }
 
+/// Short name of a stage for reports.
+#[must_use]
+pub const fn stage_name(stage: TargetStage) -> &'static str {
+    match stage {
+        TargetStage::Warming => "warming",
+        TargetStage::Warm => "warm",
+        TargetStage::Leaving => "leaving",
+        TargetStage::Unreachable => "unreachable",
+    }
+}
+
 /// Short name of a break code for logs and errors.
 #[must_use]
 pub const fn break_code_name(code: node::BreakCode) -> &'static str {
--- a/crates/amaranthgw/src/wire/mod.rs
+++ b/crates/amaranthgw/src/wire/mod.rs
@@ -13,5 +13,6 @@
 pub mod node;
 
 pub use convert::{
-    WireError, break_code_name, refusal_code_name, report_from_status, status_from_report,
+    WireError, break_code_name, refusal_code_name, report_from_status, stage_name,
+    status_from_report,
 };
--- a/crates/amaranthgw/src/wire/node.rs
+++ b/crates/amaranthgw/src/wire/node.rs
@@ -122,25 +122,16 @@
     pub kind: i32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SyncRequest {
+pub struct TellRequest {
+    /// VM of the sender.
     #[prost(string, tag = "1")]
-    pub vm: ::prost::alloc::string::String,
-    /// Last change in force at the caller.
-    #[prost(uint64, tag = "2")]
-    pub change: u64,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SyncReply {
-    /// Last change in force at the callee.
-    #[prost(uint64, tag = "1")]
-    pub change: u64,
-    /// A whole configuration as JSON, where the caller's is older than the callee's changes.
+    pub from: ::prost::alloc::string::String,
+    /// The message as JSON.
     #[prost(bytes = "bytes", tag = "2")]
-    pub base: ::prost::bytes::Bytes,
-    /// Changes after the base or after the caller's change, each as JSON.
-    #[prost(bytes = "bytes", repeated, tag = "3")]
-    pub changes: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    pub message: ::prost::bytes::Bytes,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TellReply {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReportRequest {
     #[prost(enumeration = "ReportKind", tag = "1")]
@@ -774,19 +765,19 @@
             self.inner = self.inner.max_encoding_message_size(limit);
             self
         }
-        /// Exchanges configuration: the caller offers what it has and pulls what it lacks.
-        pub async fn sync(
+        /// Carries a message about the configuration.
+        pub async fn tell(
             &mut self,
-            request: impl tonic::IntoRequest<super::SyncRequest>,
-        ) -> std::result::Result<tonic::Response<super::SyncReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::TellRequest>,
+        ) -> std::result::Result<tonic::Response<super::TellReply>, tonic::Status> {
             self.inner.ready().await.map_err(|e| {
                 tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
             })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static("/amaranthgw.node.v1.Peer/Sync");
+            let path = http::uri::PathAndQuery::from_static("/amaranthgw.node.v1.Peer/Tell");
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("amaranthgw.node.v1.Peer", "Sync"));
+                .insert(GrpcMethod::new("amaranthgw.node.v1.Peer", "Tell"));
             self.inner.unary(req, path, codec).await
         }
         /// Reports service-level burn, the state of the node or the reasons of its decisions, as JSON.
@@ -834,11 +825,11 @@
     /// Generated trait containing gRPC methods that should be implemented for use with PeerServer.
     #[async_trait]
     pub trait Peer: std::marker::Send + std::marker::Sync + 'static {
-        /// Exchanges configuration: the caller offers what it has and pulls what it lacks.
-        async fn sync(
+        /// Carries a message about the configuration.
+        async fn tell(
             &self,
-            request: tonic::Request<super::SyncRequest>,
-        ) -> std::result::Result<tonic::Response<super::SyncReply>, tonic::Status>;
+            request: tonic::Request<super::TellRequest>,
+        ) -> std::result::Result<tonic::Response<super::TellReply>, tonic::Status>;
         /// Reports service-level burn, the state of the node or the reasons of its decisions, as JSON.
         async fn report(
             &self,
@@ -924,18 +915,18 @@
         }
         fn call(&mut self, req: http::Request<B>) -> Self::Future {
             match req.uri().path() {
-                "/amaranthgw.node.v1.Peer/Sync" => {
+                "/amaranthgw.node.v1.Peer/Tell" => {
                     #[allow(non_camel_case_types)]
-                    struct SyncSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::SyncRequest> for SyncSvc<T> {
-                        type Response = super::SyncReply;
+                    struct TellSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::TellRequest> for TellSvc<T> {
+                        type Response = super::TellReply;
                         type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::SyncRequest>,
+                            request: tonic::Request<super::TellRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move { <T as Peer>::sync(&inner, request).await };
+                            let fut = async move { <T as Peer>::tell(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -945,7 +936,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = SyncSvc(inner);
+                        let method = TellSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
--- a/crates/fleet/src/sidecar/systems/evidence.rs
+++ b/crates/fleet/src/sidecar/systems/evidence.rs
@@ -57,7 +57,7 @@
     match &evidence {
         GateEvidence::Answer(answer) => entry.smooth_first_chunk(answer.first_chunk),
         GateEvidence::Load(load) => observe_mark(entry, target, load, outbox),
-        GateEvidence::Failed | GateEvidence::Broken | GateEvidence::Abandoned(_) => {}
+        _ => {}
     }
     evidence
 }
--- a/crates/standins/src/plain/standin.rs
+++ b/crates/standins/src/plain/standin.rs
@@ -96,6 +96,7 @@
 
     fn control(&self, call: &Call) -> std::result::Result<Reply, CallError> {
         match (call.method(), call.segments().as_slice()) {
+            ("GET", ["v1", "load"]) => Ok(json_reply(StatusCode::OK, &lock(&self.world).load())),
             ("GET", ["admin", "log"]) => Ok(json_reply(StatusCode::OK, lock(&self.world).log())),
             ("POST", ["admin", "plain"]) => {
                 let control = call.json()?;
--- a/crates/standins/src/plain/world.rs
+++ b/crates/standins/src/plain/world.rs
@@ -1,6 +1,6 @@
 //! Runs of the plain service.
 
-use amaranthgw_core::{AttemptNumber, MilliSpan, RequestId, SlotCount};
+use amaranthgw_core::{AttemptNumber, MilliSpan, RequestId, SlotCount, StartMark};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -22,10 +22,20 @@
     lose_answers: Option<u64>,
 }
 
+/// Answer to `GET /v1/load`.
+#[derive(Debug, Serialize)]
+pub(super) struct PlainLoad {
+    start_mark: StartMark,
+    in_flight: SlotCount,
+    queued: SlotCount,
+    age_ms: u64,
+}
+
 /// State of the plain service.
 #[derive(Debug)]
 pub(super) struct PlainWorld {
     settings: PlainSettings,
+    start_mark: StartMark,
     lose_answers: u64,
     log: PlainLog,
 }
@@ -42,6 +52,7 @@
     pub(super) fn new(settings: PlainSettings) -> Self {
         Self {
             settings,
+            start_mark: StartMark::new(fastrand::u64(1..)),
             lose_answers: 0,
             log: PlainLog::default(),
         }
@@ -76,6 +87,16 @@
         }
     }
 
+    /// The load now.
+    pub(super) fn load(&self) -> PlainLoad {
+        PlainLoad {
+            start_mark: self.start_mark,
+            in_flight: self.log.in_flight,
+            queued: SlotCount::default(),
+            age_ms: 0,
+        }
+    }
+
     pub(super) fn log(&self) -> &PlainLog {
         &self.log
     }
