Stand-ins: weight store, rank group, fault proxy and the kinds by name

A group step needs every rank of one generation with its map loaded; a switch within one generation takes effect on each rank alone, so a test can cause and find a mixed step. Ranks load experts one after the other, by time or from the weight store, whose rate all callers share. run_standin runs any kind as the work of a process.

--- a/crates/standins/src/engine/life.rs
+++ b/crates/standins/src/engine/life.rs
@@ -2,8 +2,7 @@
 
 use amaranthgw_core::StartMark;
 
-/// Start marks stay below this bound, so that any JSON reader keeps them exact.
-const START_MARK_BOUND: u64 = 1 << 53;
+use crate::marks::new_start_mark;
 
 /// What a start begins anew.
 #[derive(Clone, Copy, Debug)]
@@ -18,7 +17,7 @@
     /// Begins a life with a new start mark.
     pub(super) fn new() -> Self {
         Self {
-            start_mark: StartMark::new(fastrand::u64(1..START_MARK_BOUND)),
+            start_mark: new_start_mark(),
             is_warm: false,
             finished: 0,
         }
--- a/crates/standins/src/engine/log.rs
+++ b/crates/standins/src/engine/log.rs
@@ -43,7 +43,7 @@
 
 #[derive(Debug, Serialize)]
 struct LogRow {
-    #[serde(rename = "at_ms", with = "crate::millis")]
+    #[serde(rename = "at_ms", with = "crate::units::millis")]
     at: MilliSpan,
     #[serde(flatten)]
     event: EngineEvent,
--- a/crates/standins/src/engine/messages.rs
+++ b/crates/standins/src/engine/messages.rs
@@ -65,7 +65,7 @@
 pub(super) struct LoadReply {
     #[serde(flatten)]
     pub(super) report: LoadReport,
-    #[serde(rename = "age_ms", with = "crate::millis")]
+    #[serde(rename = "age_ms", with = "crate::units::millis")]
     pub(super) age: MilliSpan,
 }
 
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -14,23 +14,23 @@
         /// Finished requests after which a cold engine is warm.
         warm_after, with_warm_after: u64 = 8;
         /// Time of one decoding step, in which each running request gets one chunk.
-        #[serde(rename = "token_ms", with = "crate::millis")]
+        #[serde(rename = "token_ms", with = "crate::units::millis")]
         token_span, with_token_span: MilliSpan = MilliSpan::new(20);
         /// Largest number of chunks of one decoding step, by priority; 0: no limit.
         chunks_per_step, with_chunks_per_step: usize = 0;
         /// Time before the first chunk of a prompt whose prefix is not cached.
-        #[serde(rename = "prefill_ms", with = "crate::millis")]
+        #[serde(rename = "prefill_ms", with = "crate::units::millis")]
         prefill_span, with_prefill_span: MilliSpan = MilliSpan::new(60);
         /// Time before the first chunk of a prompt whose prefix is cached.
-        #[serde(rename = "cached_prefill_ms", with = "crate::millis")]
+        #[serde(rename = "cached_prefill_ms", with = "crate::units::millis")]
         cached_prefill_span, with_cached_prefill_span: MilliSpan = MilliSpan::new(10);
         /// Largest number of cached prefixes.
         prefix_slots, with_prefix_slots: usize = 32;
         /// How far the load report lags behind.
-        #[serde(rename = "load_lag_ms", with = "crate::millis")]
+        #[serde(rename = "load_lag_ms", with = "crate::units::millis")]
         load_lag, with_load_lag: MilliSpan = MilliSpan::new(200);
         /// Time for which the engine refuses everything after it fell over.
-        #[serde(rename = "restart_ms", with = "crate::millis")]
+        #[serde(rename = "restart_ms", with = "crate::units::millis")]
         restart_span, with_restart_span: MilliSpan = MilliSpan::new(1_000);
         /// Whether an order with an old fencing number is refused.
         honour_fencing, with_honour_fencing: bool = true;
--- a/crates/standins/src/engine/standin.rs
+++ b/crates/standins/src/engine/standin.rs
@@ -32,7 +32,7 @@
         let switch = ConnectionSwitch::new();
         let handler = EngineHandler::new(self.settings.clone(), switch.clone(), Instant::now());
         let handler = Arc::new(handler);
-        let running = RunningStandin::new(address);
+        let running = RunningStandin::new().with_address(address);
         let running = running.with_task(run_steps(Arc::clone(&handler)));
         Ok(running.with_task(serve(listener, handler, switch)))
     }
--- /dev/null
+++ b/crates/standins/src/group/shares.rs
@@ -0,0 +1,107 @@
+//! The ranks' shares of a step's tokens, and the step times that follow.
+
+use std::time::Duration;
+
+use amaranthgw_core::{EntityTable, ExpertId, LayerId, RankId};
+
+use super::maps::MapShare;
+use super::messages::LayerTokens;
+use super::rows::RankRow;
+use super::settings::GroupSettings;
+
+/// The tokens of each expert and how many ranks hold it, in one layer.
+#[derive(Debug)]
+struct LayerLoad {
+    tokens: Vec<f64>,
+    holders: Vec<u32>,
+}
+
+/// The load of all experts under the maps that the ranks use.
+#[derive(Debug)]
+pub(super) struct ExpertLoads {
+    layers: Vec<LayerLoad>,
+}
+
+impl ExpertLoads {
+    /// Works out the load of a step.
+    pub(super) fn new(settings: &GroupSettings, ranks: &EntityTable<RankId, RankRow>) -> Self {
+        let layers = (0..settings.layers).map(LayerId::new);
+        let layers = layers
+            .map(|layer| LayerLoad::new(settings, ranks, layer))
+            .collect();
+        Self { layers }
+    }
+
+    /// The tokens of each expert of `share`; ranks that hold the same expert split its tokens.
+    pub(super) fn share_tokens(&self, share: &MapShare) -> Vec<LayerTokens> {
+        let layers = share.iter().filter_map(|(layer, experts)| {
+            let load = self.layers.get(usize::from(layer.get()))?;
+            let tokens = experts
+                .iter()
+                .map(|expert| (*expert, load.tokens_each(*expert)));
+            Some(LayerTokens {
+                layer: *layer,
+                tokens: tokens.collect(),
+            })
+        });
+        layers.collect()
+    }
+
+    /// Number of popular experts that no rank holds.
+    pub(super) fn missing(&self) -> usize {
+        self.layers.iter().map(LayerLoad::missing).sum()
+    }
+}
+
+impl LayerLoad {
+    fn new(settings: &GroupSettings, ranks: &EntityTable<RankId, RankRow>, layer: LayerId) -> Self {
+        let mut holders = vec![0; usize::from(settings.experts)];
+        let shares = ranks.rows().filter_map(|row| row.maps.share(row.version));
+        for expert in shares.filter_map(|share| share.get(&layer)).flatten() {
+            if let Some(count) = holders.get_mut(usize::from(expert.get())) {
+                *count += 1;
+            }
+        }
+        Self {
+            tokens: expert_tokens(settings, layer),
+            holders,
+        }
+    }
+
+    fn tokens_each(&self, expert: ExpertId) -> f64 {
+        let expert = usize::from(expert.get());
+        match (self.tokens.get(expert), self.holders.get(expert)) {
+            (Some(tokens), Some(holders @ 1..)) => tokens / f64::from(*holders),
+            _ => 0.0,
+        }
+    }
+
+    fn missing(&self) -> usize {
+        let experts = self.tokens.iter().zip(&self.holders);
+        experts
+            .filter(|(tokens, holders)| **tokens > 0.0 && **holders == 0)
+            .count()
+    }
+}
+
+/// A rank's own time in a step with `tokens`.
+pub(super) fn step_span(settings: &GroupSettings, tokens: &[LayerTokens]) -> Duration {
+    let all = tokens.iter().flat_map(|layer| &layer.tokens);
+    let sum = all.map(|(_, tokens)| tokens).sum::<f64>();
+    settings.base_span + settings.token_span.mul_f64(sum)
+}
+
+fn expert_tokens(settings: &GroupSettings, layer: LayerId) -> Vec<f64> {
+    let experts = usize::from(settings.experts);
+    let rows = &settings.popularity;
+    let row = rows.get(usize::from(layer.get())).or(rows.last());
+    let mut weights = row.map_or_else(|| vec![1.0; experts], Clone::clone);
+    weights.resize(experts, 0.0);
+    let sum = weights.iter().map(|weight| weight.max(0.0)).sum::<f64>();
+    let tokens = f64::from(settings.tokens_per_step);
+    let scale = if sum > 0.0 { tokens / sum } else { 0.0 };
+    weights
+        .iter()
+        .map(|weight| weight.max(0.0) * scale)
+        .collect()
+}
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -1,12 +1,14 @@
-//! The HTTP server side that all stand-ins share.
+//! The HTTP side that all stand-ins share.
 
 mod call;
+mod client;
 mod reply;
 mod server;
 
 pub(crate) use call::{Call, CallError, parse_segment};
+pub(crate) use client::{FetchError, fetch};
 pub(crate) use reply::{
     BrokenStream, NoAnswer, Reply, ReplyFuture, ReplyResult, bytes_reply, empty_reply, json_reply,
     stream_reply,
 };
-pub(crate) use server::{CallHandler, ConnectionSwitch, bind, serve};
+pub(crate) use server::{CallHandler, ConnectionSwitch, accept_each, bind, serve};
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -70,13 +70,23 @@
     handler: Arc<dyn CallHandler>,
     switch: ConnectionSwitch,
 ) {
+    accept_each(listener, |stream| {
+        Connection::new(Arc::clone(&handler), &switch).serve(stream)
+    })
+    .await;
+}
+
+/// Accepts connections and spawns what `start` makes of each; drops all when it is dropped.
+pub(crate) async fn accept_each<Served>(listener: TcpListener, start: impl Fn(TcpStream) -> Served)
+where
+    Served: Future<Output = ()> + Send + 'static,
+{
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let connection = Connection::new(Arc::clone(&handler), &switch);
-                    connections.spawn(connection.serve(stream));
+                    connections.spawn(start(stream));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,20 +6,31 @@
 
 mod engine;
 mod error;
+mod group;
 mod http;
+mod kind;
 mod lagged;
 mod lock;
-mod millis;
+mod marks;
 mod orders;
 mod plain;
+mod proxy;
+mod run;
 mod running;
 mod settings;
 mod store;
+mod units;
 mod vms;
+mod weights;
 
 pub use engine::{EngineSettings, EngineStandin, chunk_text, prefix_hash};
 pub use error::{Result, StandinError};
+pub use group::{GroupSettings, GroupStandin};
+pub use kind::StandinKind;
 pub use plain::{PlainSettings, PlainStandin};
+pub use proxy::{ProxySettings, ProxyStandin};
+pub use run::run_standin;
 pub use running::{RunningStandin, Standin};
 pub use store::{StoreSettings, StoreStandin};
 pub use vms::{ListedVm, VmListBody, VmListSettings, VmListStandin, VmRole, VmState};
+pub use weights::{WeightSettings, WeightStandin};
--- a/crates/standins/src/plain/standin.rs
+++ b/crates/standins/src/plain/standin.rs
@@ -25,7 +25,7 @@
     /// Settings of the plain service.
     PlainSettings {
         /// Time that each call takes.
-        #[serde(rename = "call_ms", with = "crate::millis")]
+        #[serde(rename = "call_ms", with = "crate::units::millis")]
         call_span, with_call_span: MilliSpan = MilliSpan::new(20);
     }
 }
@@ -49,7 +49,7 @@
         let (listener, address) = bind(listen)?;
         let world = Mutex::new(PlainWorld::new(self.settings.clone()));
         let handler = Arc::new(PlainHandler { world });
-        let running = RunningStandin::new(address);
+        let running = RunningStandin::new().with_address(address);
         Ok(running.with_task(serve(listener, handler, ConnectionSwitch::new())))
     }
 }
--- /dev/null
+++ b/crates/standins/src/proxy/standin.rs
@@ -0,0 +1,83 @@
+//! Start of the proxy and its connections.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::control::ProxyControl;
+use super::faults::{FaultWatch, ProxyFaults, ProxyMode, wait_for_close, wait_while_held};
+use super::pump::pump_both;
+use crate::error::{Result, StandinError};
+use crate::http::{ConnectionSwitch, accept_each, bind, serve};
+use crate::running::{RunningStandin, Standin};
+use crate::settings::settings_type;
+
+/// Any free port of the loopback address.
+const FREE_LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+settings_type! {
+    /// Settings of the proxy.
+    ProxySettings {
+        /// Where connections are passed on to; required.
+        upstream, with_upstream: Option<SocketAddr> = None;
+        /// Address of the control port.
+        control, with_control: SocketAddr = FREE_LOOPBACK;
+    }
+}
+
+/// A TCP proxy that injects faults.
+#[derive(Clone, Debug)]
+pub struct ProxyStandin {
+    settings: ProxySettings,
+}
+
+impl ProxyStandin {
+    /// Creates the proxy.
+    #[must_use]
+    pub fn new(settings: ProxySettings) -> Self {
+        Self { settings }
+    }
+}
+
+impl Standin for ProxyStandin {
+    fn start(&self, listen: SocketAddr) -> Result<RunningStandin> {
+        let upstream = self.settings.upstream.ok_or(StandinError::NoUpstream)?;
+        let (listener, address) = bind(listen)?;
+        let (control, control_address) = bind(self.settings.control)?;
+        let (changes, faults) = watch::channel(ProxyFaults::default());
+        let handler = Arc::new(ProxyControl::new(changes));
+        let running = RunningStandin::new()
+            .with_address(address)
+            .with_control(control_address);
+        let running = running.with_task(serve(control, handler, ConnectionSwitch::new()));
+        Ok(running.with_task(pass_connections(listener, upstream, faults)))
+    }
+}
+
+async fn pass_connections(listener: TcpListener, upstream: SocketAddr, faults: FaultWatch) {
+    accept_each(listener, |client| pass(client, upstream, faults.clone())).await;
+}
+
+async fn pass(client: TcpStream, upstream: SocketAddr, mut faults: FaultWatch) {
+    if faults.borrow_and_update().mode == ProxyMode::Refuse {
+        return;
+    }
+    tokio::select! {
+        () = wait_for_close(faults.clone()) => {}
+        () = connect_and_pump(client, upstream, faults) => {}
+    }
+}
+
+async fn connect_and_pump(client: TcpStream, upstream: SocketAddr, mut faults: FaultWatch) {
+    if wait_while_held(&mut faults).await.is_none() {
+        return;
+    }
+    let Ok(upstream) = TcpStream::connect(upstream).await else {
+        return;
+    };
+    if client.set_nodelay(true).is_ok() && upstream.set_nodelay(true).is_ok() {
+        pump_both(client, upstream, &faults).await;
+    }
+}
--- a/crates/standins/src/running.rs
+++ b/crates/standins/src/running.rs
@@ -32,14 +32,24 @@
 }
 
 impl RunningStandin {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            addresses: vec![address],
+            addresses: Vec::new(),
             control: None,
             tasks: JoinSet::new(),
         }
     }
 
+    pub(crate) fn with_address(mut self, address: SocketAddr) -> Self {
+        self.addresses.push(address);
+        self
+    }
+
+    pub(crate) fn with_control(mut self, address: SocketAddr) -> Self {
+        self.control = Some(address);
+        self
+    }
+
     pub(crate) fn with_task(mut self, task: impl Future<Output = ()> + Send + 'static) -> Self {
         self.tasks.spawn(task);
         self
@@ -63,6 +73,22 @@
         self.control
     }
 
+    /// Writes one line `listening <ip:port>` for each address and `control <ip:port>` for the
+    /// test controls where they have a port of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing to `out`.
+    pub fn announce(&self, out: &mut dyn std::io::Write) -> std::io::Result<()> {
+        for address in &self.addresses {
+            writeln!(out, "listening {address}")?;
+        }
+        if let Some(address) = self.control {
+            writeln!(out, "control {address}")?;
+        }
+        out.flush()
+    }
+
     /// Closes the listening ports and all connections, and waits until that is done.
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
--- a/crates/standins/src/store/calls.rs
+++ b/crates/standins/src/store/calls.rs
@@ -40,7 +40,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LeaseBody {
-    #[serde(rename = "ttl_ms", with = "crate::millis")]
+    #[serde(rename = "ttl_ms", with = "crate::units::millis")]
     ttl: MilliSpan,
 }
 
--- a/crates/standins/src/store/faults.rs
+++ b/crates/standins/src/store/faults.rs
@@ -23,7 +23,7 @@
 #[serde(default, deny_unknown_fields)]
 pub(super) struct StoreFaults {
     pub(super) mode: FaultMode,
-    #[serde(rename = "delay_ms", with = "crate::millis")]
+    #[serde(rename = "delay_ms", with = "crate::units::millis")]
     delay: MilliSpan,
     lose_answers: u64,
 }
--- a/crates/standins/src/store/standin.rs
+++ b/crates/standins/src/store/standin.rs
@@ -38,7 +38,7 @@
         let (listener, address) = bind(listen)?;
         let switch = ConnectionSwitch::new();
         let handler = Arc::new(StoreHandler::new(self.settings.clone(), switch.clone()));
-        let running = RunningStandin::new(address);
+        let running = RunningStandin::new().with_address(address);
         let running = running.with_task(end_leases(Arc::clone(&handler)));
         Ok(running.with_task(serve(listener, handler, switch)))
     }
--- a/crates/standins/src/vms/standin.rs
+++ b/crates/standins/src/vms/standin.rs
@@ -23,7 +23,7 @@
     /// Settings of the VM list.
     VmListSettings {
         /// How far the answers lag behind.
-        #[serde(rename = "lag_ms", with = "crate::millis")]
+        #[serde(rename = "lag_ms", with = "crate::units::millis")]
         lag, with_lag: MilliSpan = MilliSpan::new(1_000);
         /// The list at the start, visible at once.
         list, with_list: VmListBody = VmListBody::default();
@@ -48,7 +48,7 @@
     fn start(&self, listen: SocketAddr) -> Result<RunningStandin> {
         let (listener, address) = bind(listen)?;
         let handler = Arc::new(VmListHandler::new(self.settings.clone()));
-        let running = RunningStandin::new(address);
+        let running = RunningStandin::new().with_address(address);
         Ok(running.with_task(serve(listener, handler, ConnectionSwitch::new())))
     }
 }
@@ -61,7 +61,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LagBody {
-    #[serde(rename = "lag_ms", with = "crate::millis")]
+    #[serde(rename = "lag_ms", with = "crate::units::millis")]
     lag: MilliSpan,
 }
 
--- a/crates/standins/tests/it/main.rs
+++ b/crates/standins/tests/it/main.rs
@@ -2,6 +2,10 @@
 
 mod client;
 mod engine;
+mod group;
+mod kind;
 mod plain;
+mod proxy;
 mod store;
 mod vms;
+mod weights;
