Shares shrink from the largest pool seen since the cycle began

A schedule of the property test showed the sum pass the limit: a holder that read under one limit and wrote under another forgot the larger limit in between, under which others had taken more, and then scaled its share from too small a pool. Pools are now noted from the start of a cycle. Ruled out: rounding of the floors.

--- a/crates/fleet/src/limits/batcher.rs
+++ b/crates/fleet/src/limits/batcher.rs
@@ -133,19 +133,22 @@
         self.own.rows.ids()
     }
 
-    /// Starts a cycle where one is due; a key belongs in `demand` while anyone asks for it or
-    /// has requests in flight.
+    /// Starts a cycle where one is due. Has to be called at each change of a limit, too.
+    ///
+    /// A key belongs in `demand` while anyone asks for it or has requests in flight.
     pub fn on_tick(
         &mut self,
         demand: &EntityTable<ShareKey, DemandRow>,
         now: Instant,
     ) -> Option<ShareCall> {
-        self.note_limits(demand);
+        self.note_pools(demand);
         if !matches!(self.phase, CallPhase::Idle) || !self.is_cycle_due(demand, now) {
             return None;
         }
         let targets = self.plan(demand).targets(&self.seen);
         self.own.lower(&targets);
+        self.own.forget_pools();
+        self.note_pools(demand);
         self.phase = CallPhase::Reading;
         Some(ShareCall::Read)
     }
@@ -206,7 +209,7 @@
         now: Instant,
     ) -> Option<ShareCall> {
         self.peers.observe(&value, now);
-        self.settle(&value, demand);
+        self.settle(&value);
         let mut next = value.clone();
         self.peers
             .reclaim(&mut next, &self.holder, &self.settings, now);
@@ -223,12 +226,10 @@
         Some(self.start_write(next, now))
     }
 
-    /// Remembers the largest pool since the shares were divided.
-    fn note_limits(&mut self, demand: &EntityTable<ShareKey, DemandRow>) {
-        for (key, row) in self.own.rows.iter_mut() {
-            if let Some(demand) = demand.get(key) {
-                row.pool = row.pool.max(pool_amount(demand.limit, &self.settings));
-            }
+    fn note_pools(&mut self, demand: &EntityTable<ShareKey, DemandRow>) {
+        for (key, row) in demand.iter() {
+            let pool = pool_amount(row.limit, &self.settings);
+            self.own.note_pool(key, pool);
         }
     }
 
@@ -259,7 +260,7 @@
     }
 
     /// Takes over the stored shares, unless a write whose fate is unknown may still replace them.
-    fn settle(&mut self, value: &ShareValue, demand: &EntityTable<ShareKey, DemandRow>) {
+    fn settle(&mut self, value: &ShareValue) {
         let may_land = |write: &WriteRow| write.expect >= self.revision;
         if self.open_writes.iter().any(may_land) {
             return;
@@ -275,7 +276,6 @@
         }
         self.open_writes.clear();
         self.own.adopt(value, &self.holder, lease_until);
-        self.note_limits(demand);
     }
 
     fn start_write(&mut self, mut value: ShareValue, now: Instant) -> ShareCall {
--- a/crates/fleet/src/limits/own.rs
+++ b/crates/fleet/src/limits/own.rs
@@ -34,6 +34,8 @@
     pub rows: EntityTable<ShareKey, OwnRow>,
     pub lease_until: Option<Instant>,
     aims: EntityTable<ShareKey, ShareAmount>,
+    /// The largest pool of each key since the current cycle began.
+    seen_pools: EntityTable<ShareKey, ShareAmount>,
 }
 
 impl OwnTable {
@@ -50,7 +52,7 @@
                 let own = OwnRow {
                     ceiling: row.held,
                     granted: row.held.min(used),
-                    pool: shares.pool,
+                    pool: shares.pool.max(self.seen_pool(key)),
                 };
                 self.rows.insert(key.clone(), own);
             }
@@ -58,6 +60,25 @@
         self.lease_until = self.lease_until.max(lease_until);
     }
 
+    /// Notes the pool that `key` has at present.
+    ///
+    /// Another entry may divide it before this one sees the value again, so that under a later,
+    /// smaller limit the shares are reduced from the largest pool since.
+    pub fn note_pool(&mut self, key: &ShareKey, pool: ShareAmount) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.pool = row.pool.max(pool);
+        }
+        let seen = self
+            .seen_pools
+            .get_or_insert_with(key.clone(), ShareAmount::default);
+        *seen = seen.max(pool);
+    }
+
+    /// Forgets the pools noted before the cycle that begins.
+    pub fn forget_pools(&mut self) {
+        self.seen_pools.clear();
+    }
+
     /// Lowers what is used of each key to at most what `targets` says.
     pub fn lower(&mut self, targets: &EntityTable<ShareKey, ShareAmount>) {
         for (key, row) in self.rows.iter_mut() {
@@ -135,4 +156,8 @@
     fn aim(&self, key: &ShareKey) -> ShareAmount {
         self.aims.get(key).copied().unwrap_or_default()
     }
+
+    fn seen_pool(&self, key: &ShareKey) -> ShareAmount {
+        self.seen_pools.get(key).copied().unwrap_or_default()
+    }
 }
--- a/crates/fleet/src/retries/mod.rs
+++ b/crates/fleet/src/retries/mod.rs
@@ -10,7 +10,7 @@
 pub use decision::{GiveUpReason, RepeatRule, RetryAsk, RetryDecision, RetrySettings};
 pub use outcome::{AttemptLog, FailureCause, RunOutcome, UnknownCause};
 pub use proof::{EntryRefusal, NotRunProof, ProofError, ProofKind, RefusalReason, SidecarRefusal};
-pub use shed::{ShedLine, ShedReason, ShedVerdict, WeightLoad};
+pub use shed::{ShedAsk, ShedLine, ShedReason, ShedVerdict, WeightLoad};
 
 /// Result of establishing a proof.
 pub type Result<T> = std::result::Result<T, ProofError>;
--- a/crates/fleet/src/retries/proof.rs
+++ b/crates/fleet/src/retries/proof.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use amaranthgw_core::{AttemptNumber, MilliSpan};
+use amaranthgw_core::{AttemptNumber, MilliSpan, RequestId};
 use serde::{Deserialize, Serialize};
 
 use super::Result;
@@ -26,8 +26,10 @@
 }
 
 /// A sidecar's statement that it refused an attempt before the hand-over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SidecarRefusal {
+    /// The refused request.
+    pub request: RequestId,
     /// The refused attempt.
     pub attempt: AttemptNumber,
     /// Why it was refused.
@@ -79,12 +81,21 @@
 }
 
 impl NotRunProof {
-    /// Creates the proof from the sidecar's refusal of the attempt `current`.
+    /// Creates the proof from the sidecar's refusal of the attempt `current` of `request`.
     ///
     /// # Errors
     ///
-    /// Returns [`ProofError::OtherAttempt`] where the refusal speaks of another attempt.
-    pub fn with_sidecar_refusal(current: AttemptNumber, refusal: SidecarRefusal) -> Result<Self> {
+    /// Returns [`ProofError::OtherRequest`] or [`ProofError::OtherAttempt`] where the refusal
+    /// speaks of something else.
+    pub fn with_sidecar_refusal(
+        request: &RequestId,
+        current: AttemptNumber,
+        refusal: &SidecarRefusal,
+    ) -> Result<Self> {
+        if refusal.request != *request {
+            let refused = refusal.request.clone();
+            return Err(ProofError::OtherRequest { refused });
+        }
         if refusal.attempt != current {
             let refused = refusal.attempt;
             return Err(ProofError::OtherAttempt { current, refused });
@@ -121,8 +132,13 @@
 }
 
 /// Why something does not prove that an attempt did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ProofError {
+    /// The refusal belongs to another request.
+    OtherRequest {
+        /// The request that was refused.
+        refused: RequestId,
+    },
     /// The refusal belongs to another attempt.
     OtherAttempt {
         /// The attempt in question.
@@ -140,6 +156,9 @@
 impl std::fmt::Display for ProofError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            Self::OtherRequest { refused } => {
+                write!(f, "the refusal belongs to request {refused}")
+            }
             Self::OtherAttempt { current, refused } => {
                 write!(
                     f,
--- a/crates/fleet/src/retries/shed.rs
+++ b/crates/fleet/src/retries/shed.rs
@@ -22,6 +22,19 @@
     admitted_at_weight: f32,
 }
 
+/// What the decision needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct ShedAsk {
+    /// What a late answer costs relative to the other plans.
+    pub refund_weight: u32,
+    /// Shortest time in which the answer can be whole.
+    pub needed: Duration,
+    /// When the answer is due.
+    pub deadline: Instant,
+    /// Random number in `0.0..1.0`.
+    pub draw: f32,
+}
+
 /// Why a request is shed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShedReason {
@@ -77,21 +90,13 @@
         Self::new()
     }
 
-    /// Decides on a request with `refund_weight`, due at `deadline`, that needs `needed` to
-    /// finish; `draw` is a random number in `0.0..1.0`.
+    /// Decides on a request at the time `now`.
     #[must_use]
-    pub fn decide(
-        self,
-        refund_weight: u32,
-        needed: Duration,
-        deadline: Instant,
-        now: Instant,
-        draw: f32,
-    ) -> ShedVerdict {
-        if now + needed > deadline {
+    pub fn decide(self, ask: &ShedAsk, now: Instant) -> ShedVerdict {
+        if now + ask.needed > ask.deadline {
             return ShedVerdict::Shed(ShedReason::DeadlineTooNear);
         }
-        if self.admits(refund_weight, draw) {
+        if self.admits(ask.refund_weight, ask.draw) {
             return ShedVerdict::Admit;
         }
         ShedVerdict::Shed(ShedReason::CheaperThanOthers)
--- a/crates/fleet/tests/it/retries/mod.rs
+++ b/crates/fleet/tests/it/retries/mod.rs
@@ -1,1 +1,4 @@
+//! Retries, their budget, and what is shed.
 
+mod decisions;
+mod shedding;
