Command line, operators' verbs and tests with separate processes

Two entries and six sidecars in three failure domains serve both kinds of call; a domain goes out and comes back, an entry stops without cutting an answer off, and an answer moves when its sidecar is killed.

--- a/crates/amaranthgw/src/entry/attempt.rs
+++ b/crates/amaranthgw/src/entry/attempt.rs
@@ -130,9 +130,20 @@
                 self.observe(route, status);
                 Some(self.finish(attempt, chunk_count))
             }
-            AttemptStep::Refused { code, status } => {
+            AttemptStep::Refused {
+                code,
+                request,
+                attempt: refused_attempt,
+                status,
+            } => {
                 self.observe_refusal(route, code, status);
-                Some(refused(attempt, code))
+                let reason = refusal_reason(code);
+                let refusal = SidecarRefusal {
+                    request,
+                    attempt: refused_attempt,
+                    reason,
+                };
+                Some(self.refused(attempt, &refusal))
             }
             AttemptStep::Broken { code, status } => {
                 self.observe(route, status);
@@ -186,6 +197,15 @@
         )
     }
 
+    /// The outcome of an attempt that its sidecar refused; a refusal of another one proves nothing.
+    fn refused(&self, attempt: AttemptNumber, refusal: &SidecarRefusal) -> RunOutcome {
+        let request = &self.call.head.request;
+        NotRunProof::with_sidecar_refusal(request, attempt, refusal).map_or(
+            RunOutcome::OutcomeUnknown(UnknownCause::ConnectionLost),
+            RunOutcome::NotRun,
+        )
+    }
+
     fn observe(&self, route: &TargetRoute, status: Option<TargetStatus>) {
         let Some(status) = status else { return };
         let target = route.target.clone();
@@ -214,8 +234,8 @@
     }
 }
 
-fn refused(attempt: AttemptNumber, code: RefusalCode) -> RunOutcome {
-    let reason = match code {
+const fn refusal_reason(code: RefusalCode) -> RefusalReason {
+    match code {
         RefusalCode::GateFull | RefusalCode::NotAlone => RefusalReason::GateFull,
         RefusalCode::Leaving => RefusalReason::Leaving,
         RefusalCode::Expired => RefusalReason::DeadlineTooNear,
@@ -223,12 +243,7 @@
         | RefusalCode::Invalid
         | RefusalCode::TargetUnreachable
         | RefusalCode::Unspecified => RefusalReason::NotReady,
-    };
-    let refusal = SidecarRefusal { attempt, reason };
-    NotRunProof::with_sidecar_refusal(attempt, refusal).map_or(
-        RunOutcome::OutcomeUnknown(UnknownCause::ConnectionLost),
-        RunOutcome::NotRun,
-    )
+    }
 }
 
 const fn broken(code: BreakCode) -> RunOutcome {
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub struct EntryProcess {
     address: SocketAddr,
+    node_address: SocketAddr,
     stop: StopSignal,
     threads: ThreadGroup,
 }
@@ -49,6 +50,7 @@
         let listener = Arc::new(SharedListener::new(settings.caller_listen)?);
         let node_listener = SharedListener::new(settings.node_listen)?;
         let address = listener.address();
+        let node_address = node_listener.address();
         let stop = StopSignal::new();
         let (reports, receiver) = report_channel();
         let shared = Arc::new(EntryShared {
@@ -79,6 +81,7 @@
         threads.push(spawn_thread("control".to_owned(), control)?);
         Ok(Self {
             address,
+            node_address,
             stop,
             threads,
         })
@@ -90,6 +93,12 @@
         self.address
     }
 
+    /// Address that peers and operators reach the entry at.
+    #[must_use]
+    pub const fn node_address(&self) -> SocketAddr {
+        self.node_address
+    }
+
     /// The signal that stops the process.
     #[must_use]
     pub fn stop_signal(&self) -> StopSignal {
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -1,5 +1,6 @@
 //! The processes of amaranthgw: entries, sidecars, operators' commands and the demo.
 
+pub mod cli;
 pub mod control;
 pub mod entry;
 pub mod link;
--- a/crates/amaranthgw/src/link/grpc.rs
+++ b/crates/amaranthgw/src/link/grpc.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use amaranthgw_core::{ChunkSequence, TargetId};
+use amaranthgw_core::{AttemptNumber, ChunkSequence, TargetId};
 use amaranthgw_fleet::entry::TargetStatus;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
@@ -142,13 +142,15 @@
                 status,
             })
         }
-        Event::Refused(refused) => {
-            let code = refused.code();
-            Ok(AttemptStep::Refused {
-                code,
-                status: status_of(refused.report)?,
-            })
-        }
+        Event::Refused(refused) => Ok(AttemptStep::Refused {
+            code: refused.code(),
+            request: refused
+                .request
+                .parse()
+                .map_err(|_invalid| LinkError::Malformed)?,
+            attempt: AttemptNumber::new(refused.attempt),
+            status: status_of(refused.report)?,
+        }),
         Event::Broken(broken) => {
             let code = broken.code();
             Ok(AttemptStep::Broken {
--- a/crates/amaranthgw/src/link/step.rs
+++ b/crates/amaranthgw/src/link/step.rs
@@ -75,6 +75,10 @@
     Refused {
         /// Why.
         code: RefusalCode,
+        /// The refused request.
+        request: RequestId,
+        /// The refused attempt.
+        attempt: AttemptNumber,
         /// State of the target.
         status: Option<TargetStatus>,
     },
--- a/crates/amaranthgw/src/main.rs
+++ b/crates/amaranthgw/src/main.rs
@@ -1,3 +1,10 @@
-//! Entry point.
+//! The amaranthgw program.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    amaranthgw::cli::run()
+}
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -68,6 +68,7 @@
     fn start(&self, terms: AttemptTerms, permit: AdmissionPermit) -> EventStream {
         self.record_admitted(&terms, &permit);
         let (reports, receiver) = channel(CHUNK_BUFFER);
+        let (request, attempt) = (terms.call.request.clone(), terms.call.attempt);
         let now = Instant::now();
         let driver = AttemptDriver {
             shared: Arc::clone(&self.shared),
@@ -82,7 +83,8 @@
             report: Some(self.shared.report()),
         });
         let shared = Arc::clone(&self.shared);
-        let events = ReceiverStream::new(receiver).map(move |report| event_of(&shared, report));
+        let events = ReceiverStream::new(receiver)
+            .map(move |report| event_of(&shared, &request, attempt, report));
         stream::iter([admitted])
             .chain(events)
             .map(wrap)
@@ -97,6 +99,8 @@
         let refused = Refused {
             code: code.into(),
             report: Some(self.shared.report()),
+            request: request.map(RequestId::to_string).unwrap_or_default(),
+            attempt,
         };
         stream::iter([Ok(wrap(Event::Refused(refused)))]).boxed()
     }
@@ -178,7 +182,12 @@
     }
 }
 
-fn event_of(shared: &SidecarShared, report: AttemptReport) -> Event {
+fn event_of(
+    shared: &SidecarShared,
+    request: &RequestId,
+    attempt: AttemptNumber,
+    report: AttemptReport,
+) -> Event {
     match report {
         AttemptReport::Chunk { sequence, data } => Event::Chunk(Chunk {
             sequence: sequence.get(),
@@ -191,6 +200,8 @@
         AttemptReport::Refused(code) => Event::Refused(Refused {
             code: code.into(),
             report: Some(shared.report()),
+            request: request.to_string(),
+            attempt: attempt.get(),
         }),
         AttemptReport::Broken(code) => Event::Broken(Broken {
             code: code.into(),
--- a/crates/amaranthgw/src/wire/node.rs
+++ b/crates/amaranthgw/src/wire/node.rs
@@ -85,6 +85,11 @@
     pub code: i32,
     #[prost(message, optional, tag = "2")]
     pub report: ::core::option::Option<TargetReport>,
+    /// The request and attempt that were refused.
+    #[prost(string, tag = "3")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub attempt: u32,
 }
 /// The attempt ended without a whole answer after its hand-over to the target.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- /dev/null
+++ b/crates/amaranthgw/tests/it/env/fleet.rs
@@ -0,0 +1,287 @@
+//! A small fleet: three failure domains, each with targets and their sidecars.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use http::Method;
+use serde_json::{Value, json};
+
+use super::process::run_command;
+use super::{CallerClient, TestProcess, eventually};
+
+/// Failure domains of the fleet.
+pub const DOMAINS: [&str; 3] = ["tartu-a", "tartu-b", "elva-c"];
+
+/// An entry or sidecar of the fleet.
+#[derive(Debug)]
+pub struct TestNode {
+    /// Its VM.
+    pub vm: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: TestProcess,
+}
+
+/// A target with its sidecar.
+#[derive(Debug)]
+pub struct TestTarget {
+    /// The target.
+    pub target: String,
+    /// Its service.
+    pub service: String,
+    /// The stand-in.
+    pub process: TestProcess,
+    /// The sidecar.
+    pub sidecar: TestNode,
+}
+
+impl TestTarget {
+    /// Calls of the stand-in.
+    pub fn client(&self) -> CallerClient {
+        CallerClient::new(self.process.address("listening"))
+    }
+}
+
+/// The fleet with the platform's stand-ins.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// The key-value service.
+    pub store: TestProcess,
+    /// The VM list.
+    pub vms: TestProcess,
+    /// The targets with their sidecars.
+    pub targets: Vec<TestTarget>,
+    /// The entries.
+    pub entries: Vec<TestNode>,
+    files: PathBuf,
+}
+
+const ENGINE_SETTINGS: &str = r#"{"cold_slots":2,"warm_slots":8,"warm_after":4,"token_ms":5,"prefill_ms":5,"restart_ms":300,"load_lag_ms":50}"#;
+const PLAIN_SETTINGS: &str = r#"{"call_ms":10}"#;
+const CUSTOMERS: &str = r#"{"customers": [{"workspace": "care-homes", "plan": "gold"}]}"#;
+const PLANS: &str = r#"{
+  // Limits above what any test asks for.
+  "plans": [{
+    "plan": "gold", "deadline": "30s", "first_token": "10s", "token_gap": "10s",
+    "objective": 9900, "refund_weight": 5,
+    "uses": [
+      {"service": "draft-llm", "rate": "1000/s", "in_flight": 1000},
+      {"service": "booking-desk", "rate": "1000/s", "in_flight": 1000}
+    ]
+  }]
+}"#;
+
+impl TestFleet {
+    /// Starts two entries, and an engine and a plain service in each failure domain.
+    pub async fn start(name: &str) -> Self {
+        let store = start_standin("store", "{}");
+        let vms = start_standin("vms", r#"{"lag_ms":0}"#);
+        let files = std::env::temp_dir().join(format!("amaranthgw-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&files).expect("a folder for settings");
+        let mut fleet = Self {
+            store,
+            vms,
+            targets: Vec::new(),
+            entries: Vec::new(),
+            files,
+        };
+        for domain in DOMAINS {
+            fleet.add_target("draft-llm", "model", domain);
+            fleet.add_target("booking-desk", "plain", domain);
+        }
+        fleet.add_entry(DOMAINS[0]);
+        fleet.add_entry(DOMAINS[1]);
+        fleet.publish_vms(&[]).await;
+        fleet.apply_lists();
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    /// A caller at the entry with this index.
+    pub fn caller(&self, entry: usize) -> CallerClient {
+        CallerClient::new(self.entries[entry].process.address("listening"))
+    }
+
+    /// Runs an operator's command with the addresses that it needs, and expects exit code 0.
+    pub fn operate(&self, arguments: &[&str]) -> String {
+        let (code, text) = self.try_operate(arguments);
+        assert_eq!(code, 0, "{arguments:?}: {text}");
+        text
+    }
+
+    /// Runs an operator's command with the addresses that it needs.
+    pub fn try_operate(&self, arguments: &[&str]) -> (i32, String) {
+        let store = self.store.address("listening").to_string();
+        let vms = self.vms.address("listening").to_string();
+        let mut all = vec![arguments[0]];
+        match arguments[0] {
+            "apply" | "back" => all.extend(["--store", &store, "--operator", "test"]),
+            "out" => {
+                all.extend(["--store", &store, "--operator", "test", "--vm-list", &vms]);
+            }
+            "status" => all.extend(["--store", &store, "--vm-list", &vms]),
+            _ => all.extend(["--vm-list", &vms]),
+        }
+        all.extend(&arguments[1..]);
+        run_command(&all)
+    }
+
+    /// Puts the VM list in place, with the VMs of `leaving` marked as leaving.
+    pub async fn publish_vms(&self, leaving: &[&str]) {
+        let state = |vm: &str| {
+            if leaving.contains(&vm) {
+                "leaving"
+            } else {
+                "live"
+            }
+        };
+        let targets = self.targets.iter().map(|row| {
+            json!({
+                "vm": row.sidecar.vm, "domain": row.sidecar.domain, "region": "ee-south",
+                "role": "sidecar", "service": row.service, "target": row.target,
+                "address": row.sidecar.address, "state": state(&row.sidecar.vm),
+            })
+        });
+        let entries = self.entries.iter().map(|row| {
+            json!({
+                "vm": row.vm, "domain": row.domain, "region": "ee-south", "role": "entry",
+                "address": row.address, "state": state(&row.vm),
+            })
+        });
+        let vms: Vec<Value> = targets.chain(entries).collect();
+        let client = CallerClient::new(self.vms.address("listening"));
+        let body = json!({ "vms": vms }).to_string();
+        let answer = client.send(Method::PUT, "/admin/vms", &[], body).await;
+        assert!(answer.expect("an answer").status.is_success());
+    }
+
+    /// Puts the lists of the tests in force.
+    pub fn apply_lists(&self) {
+        let customers = self.write("customers.jsonc", CUSTOMERS);
+        let plans = self.write("plans.jsonc", PLANS);
+        self.operate(&["apply", "--customers", &customers, "--plans", &plans]);
+    }
+
+    /// Writes a file and gives its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.files.join(name);
+        let mut file = std::fs::File::create(&path).expect("a file");
+        file.write_all(text.as_bytes()).expect("text is written");
+        path.to_string_lossy().into_owned()
+    }
+
+    /// The state of the nodes as `status` prints it.
+    pub fn status(&self) -> Value {
+        let text = self.operate(&["status", "--json"]);
+        serde_json::from_str(&text).expect("JSON")
+    }
+
+    /// Starts one more entry in `domain`; the VM list does not name it yet.
+    pub fn add_entry(&mut self, domain: &str) {
+        let vm = format!("entry-{}", self.entries.len());
+        let settings = json!({
+            "vm": vm, "domain": domain, "region": "ee-south",
+            "caller_listen": "127.0.0.1:0", "node_listen": "127.0.0.1:0",
+            "metrics_listen": "127.0.0.1:0",
+            "store": self.store.address("listening"), "vm_list": self.vms.address("listening"),
+            "tick": "10ms",
+        });
+        let file = self.write(&format!("{vm}.json"), &settings.to_string());
+        let process = TestProcess::start(&["entry", "--settings", &file], &["node", "listening"]);
+        let address = process.address("node");
+        self.entries.push(TestNode {
+            vm,
+            domain: domain.to_owned(),
+            address,
+            process,
+        });
+    }
+
+    /// Starts one more target with its sidecar; the VM list does not name it yet.
+    pub fn add_target(&mut self, service: &str, kind: &str, domain: &str) {
+        let (standin, settings) = if kind == "model" {
+            ("engine", ENGINE_SETTINGS)
+        } else {
+            ("plain", PLAIN_SETTINGS)
+        };
+        let process = start_standin(standin, settings);
+        let target = format!("{service}-{}", self.targets.len());
+        let sidecar = self.start_sidecar(&target, service, kind, domain, &process);
+        let service = service.to_owned();
+        self.targets.push(TestTarget {
+            target,
+            service,
+            process,
+            sidecar,
+        });
+    }
+
+    fn start_sidecar(
+        &self,
+        target: &str,
+        service: &str,
+        kind: &str,
+        domain: &str,
+        process: &TestProcess,
+    ) -> TestNode {
+        let vm = format!("vm-{target}");
+        let settings = json!({
+            "vm": vm, "domain": domain, "region": "ee-south",
+            "node_listen": "127.0.0.1:0", "metrics_listen": "127.0.0.1:0",
+            "store": self.store.address("listening"), "vm_list": self.vms.address("listening"),
+            "target": {
+                "id": target, "service": service, "kind": kind,
+                "address": process.address("listening"),
+            },
+            "gate": { "cold_limit": 2, "full_limit": 8 },
+            "tick": "10ms",
+        });
+        let file = self.write(&format!("{vm}.json"), &settings.to_string());
+        let process = TestProcess::start(&["sidecar", "--settings", &file], &["listening"]);
+        let address = process.address("listening");
+        TestNode {
+            vm,
+            domain: domain.to_owned(),
+            address,
+            process,
+        }
+    }
+
+    /// Waits until every entry answers both kinds of call.
+    pub async fn wait_until_ready(&self) {
+        for entry in 0..self.entries.len() {
+            eventually("ready entry", || async move {
+                let caller = self.caller(entry);
+                let ready = caller.send(Method::GET, "/readyz", &[], "").await?;
+                let model = caller.generate("draft-llm", "warm-up", "hello", 1).await?;
+                let plain = caller.call("booking-desk", "warm-up", &[], "hello").await?;
+                let all = [ready.status, model.status, plain.status];
+                all.iter().all(http::StatusCode::is_success).then_some(())
+            })
+            .await;
+        }
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        // Only settings lie there.
+        let _removed = std::fs::remove_dir_all(&self.files);
+    }
+}
+
+fn start_standin(kind: &str, settings: &str) -> TestProcess {
+    let arguments = [
+        "standin",
+        "--listen",
+        "127.0.0.1:0",
+        "--settings",
+        settings,
+        kind,
+    ];
+    TestProcess::start(&arguments, &["listening"])
+}
--- /dev/null
+++ b/crates/amaranthgw/tests/it/env/process.rs
@@ -0,0 +1,92 @@
+//! One process of the binary.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+/// A running process; it is killed when dropped.
+#[derive(Debug)]
+pub struct TestProcess {
+    child: Child,
+    lines: Vec<(String, SocketAddr)>,
+}
+
+impl TestProcess {
+    /// Starts the binary and waits until it has printed an address for each of `labels`.
+    pub fn start(arguments: &[&str], labels: &[&str]) -> Self {
+        let is_logging = std::env::var_os("AMARANTHGW_TEST_LOG").is_some();
+        let stderr = if is_logging {
+            Stdio::inherit()
+        } else {
+            Stdio::null()
+        };
+        let mut child = Command::new(env!("CARGO_BIN_EXE_amaranthgw"))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .spawn()
+            .expect("the binary starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut reader = BufReader::new(stdout).lines();
+        let mut lines = Vec::new();
+        while lines.len() < labels.len() {
+            let line = reader
+                .next()
+                .expect("the process prints its addresses")
+                .expect("text");
+            let (label, address) = line.split_once(' ').expect("label and address");
+            lines.push((label.to_owned(), address.parse().expect("an address")));
+        }
+        Self { child, lines }
+    }
+
+    /// The address printed behind `label`.
+    pub fn address(&self, label: &str) -> SocketAddr {
+        let found = self.lines.iter().find(|(found, _)| found == label);
+        found.expect("a printed label").1
+    }
+
+    /// Sends `signal`, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{signal}"), &self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "kill -{signal}");
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// The exit code, once the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let status = self
+            .child
+            .try_wait()
+            .expect("the process can be waited for");
+        status.map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ended = self.child.kill();
+        let _waited = self.child.wait();
+    }
+}
+
+/// Runs the binary to its end and gives its exit code and what it printed.
+pub fn run_command(arguments: &[&str]) -> (i32, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_amaranthgw"))
+        .args(arguments)
+        .output()
+        .expect("the binary runs");
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    (output.status.code().unwrap_or(-1), text)
+}
--- /dev/null
+++ b/crates/amaranthgw/tests/it/leave.rs
@@ -0,0 +1,141 @@
+use std::time::Duration;
+
+use http::Method;
+use serde_json::Value;
+
+use crate::env::{CallerClient, TestFleet, eventually};
+
+/// Hand-overs that the targets in `domain` have logged.
+async fn work_in(fleet: &TestFleet, domain: &str) -> usize {
+    let mut work = 0;
+    for target in fleet
+        .targets
+        .iter()
+        .filter(|row| row.sidecar.domain == domain)
+    {
+        let log = target.client().get("/admin/log").await.expect("a log");
+        work += log["runs"].as_array().map_or(0, Vec::len);
+        let events = log["events"].as_array().into_iter().flatten();
+        work += events
+            .filter(|event| event.to_string().contains("hand_over"))
+            .count();
+    }
+    work
+}
+
+async fn call_both(caller: &CallerClient, index: usize) {
+    let model = caller
+        .generate("draft-llm", &format!("m-{index}"), "moved", 3)
+        .await;
+    assert!(model.expect("an answer").status.is_success());
+    let plain = caller
+        .call("booking-desk", &format!("b-{index}"), &[], "seat")
+        .await;
+    assert!(plain.expect("an answer").status.is_success());
+}
+
+/// Waits until every node has the accepted configuration in force.
+async fn wait_in_force(fleet: &TestFleet) {
+    eventually("configuration in force everywhere", || async {
+        let status = fleet.status();
+        let nodes = status["nodes"].as_array().expect("nodes");
+        let is_in_force = |node: &Value| node["change"] == status["accepted"];
+        nodes.iter().all(is_in_force).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn out_domain_gets_no_new_work_and_comes_back() {
+    let fleet = TestFleet::start("domain").await;
+    fleet.operate(&["out", "domain", "tartu-a"]);
+    wait_in_force(&fleet).await;
+    let before = work_in(&fleet, "tartu-a").await;
+    for index in 0..12 {
+        call_both(&fleet.caller(index % 2), index).await;
+    }
+    assert_eq!(work_in(&fleet, "tartu-a").await, before);
+    fleet.operate(&["back", "domain", "tartu-a"]);
+    eventually("work in the domain that came back", || async {
+        call_both(&fleet.caller(0), 100).await;
+        (work_in(&fleet, "tartu-a").await > before).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn out_unknown_domain_is_refused() {
+    let fleet = TestFleet::start("unknown-domain").await;
+    let (code, text) = fleet.try_operate(&["out", "domain", "tartu-x"]);
+    assert_eq!(code, 2, "{text}");
+}
+
+#[tokio::test]
+async fn stop_entry_ends_running_answers() {
+    let mut fleet = TestFleet::start("stop-entry").await;
+    let caller = fleet.caller(0);
+    let call = tokio::spawn(async move {
+        caller
+            .generate("draft-llm", "long", "a long answer", 600)
+            .await
+            .expect("an answer")
+    });
+    eventually("running answer", || async {
+        let logs = fleet.status();
+        let nodes = logs["nodes"].as_array().expect("nodes").clone();
+        nodes
+            .iter()
+            .any(|node| node["in_flight"].as_u64() > Some(0))
+            .then_some(())
+    })
+    .await;
+    fleet.entries[0].process.signal("TERM");
+    eventually("refusing readiness", || async {
+        let ready = fleet
+            .caller(0)
+            .send(Method::GET, "/readyz", &[], "")
+            .await?;
+        (ready.status == 503).then_some(())
+    })
+    .await;
+    let answer = call.await.expect("the call ends");
+    assert!(answer.is_clean, "the answer was cut off");
+    assert_eq!(answer.lines().len(), 601);
+    let code = wait_exit(&mut fleet).await;
+    assert_eq!(code, 0);
+}
+
+async fn wait_exit(fleet: &mut TestFleet) -> i32 {
+    loop {
+        if let Some(code) = fleet.entries[0].process.exit_code() {
+            return code;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn kill_sidecar_resumes_the_answer_elsewhere() {
+    let mut fleet = TestFleet::start("kill-sidecar").await;
+    let caller = fleet.caller(0);
+    let call = tokio::spawn(async move {
+        caller
+            .generate("draft-llm", "resumed", "an answer that moves", 400)
+            .await
+            .expect("an answer")
+    });
+    let busy = eventually("running answer", || async {
+        let status = fleet.status();
+        let nodes = status["nodes"].as_array().expect("nodes").clone();
+        let node = nodes
+            .iter()
+            .find(|node| node["in_flight"].as_u64() > Some(0))?;
+        node["vm"].as_str().map(str::to_owned)
+    })
+    .await;
+    let target = fleet.targets.iter_mut().find(|row| row.sidecar.vm == busy);
+    target.expect("the busy sidecar").sidecar.process.kill();
+    let answer = call.await.expect("the call ends");
+    assert!(answer.is_clean, "the answer was cut off");
+    assert_eq!(answer.lines().len(), 401);
+}
--- /dev/null
+++ b/crates/amaranthgw/tests/it/serve.rs
@@ -0,0 +1,59 @@
+use amaranthgw_standins::chunk_text;
+use serde_json::json;
+
+use crate::env::{CallAnswer, TestFleet};
+
+/// The lines of a whole answer to `prompt`.
+fn expected_lines(prompt: &str, chunks: u64) -> Vec<serde_json::Value> {
+    let chunk = |sequence| json!({ "sequence": sequence, "text": chunk_text(prompt, sequence) });
+    let end = json!({ "end": { "chunks": chunks } });
+    (0..chunks).map(chunk).chain([end]).collect()
+}
+
+fn assert_whole(answer: &CallAnswer, prompt: &str, chunks: u64) {
+    assert!(answer.status.is_success(), "{answer:?}");
+    assert!(answer.is_clean, "{answer:?}");
+    assert_eq!(answer.lines(), expected_lines(prompt, chunks));
+}
+
+#[tokio::test]
+async fn serve_whole_answers_through_both_entries() {
+    let fleet = TestFleet::start("whole").await;
+    for index in 0..24 {
+        let prompt = format!("prompt number {index}");
+        let caller = fleet.caller(index % 2);
+        let answer = caller
+            .generate("draft-llm", &format!("g-{index}"), &prompt, 20)
+            .await;
+        assert_whole(&answer.expect("an answer"), &prompt, 20);
+    }
+}
+
+#[tokio::test]
+async fn serve_plain_calls_once_each() {
+    let fleet = TestFleet::start("plain").await;
+    for index in 0..24 {
+        let body = format!("book seat {index}");
+        let caller = fleet.caller(index % 2);
+        let answer = caller
+            .call("booking-desk", &format!("p-{index}"), &[], &body)
+            .await;
+        let answer = answer.expect("an answer");
+        assert!(answer.status.is_success(), "{answer:?}");
+        assert_eq!(answer.body, format!("ran:{body}"));
+    }
+    for index in 0..24 {
+        let request = format!("p-{index}");
+        let mut runs = 0;
+        for target in fleet
+            .targets
+            .iter()
+            .filter(|row| row.service == "booking-desk")
+        {
+            let log = target.client().get("/admin/log").await.expect("a log");
+            let rows = log["runs"].as_array().expect("runs");
+            runs += rows.iter().filter(|row| row["request"] == request).count();
+        }
+        assert_eq!(runs, 1, "{request}");
+    }
+}
--- a/crates/fleet/src/settings/rule.rs
+++ b/crates/fleet/src/settings/rule.rs
@@ -18,6 +18,8 @@
     Id,
     /// An IP address with a port, as text.
     Address,
+    /// An address to listen on; port 0 takes a free port.
+    Listen,
     /// A whole number from the first to the second.
     Number(u64, u64),
     /// A number of bytes from the first to the second.
@@ -44,6 +46,7 @@
         match self {
             Self::Id => parsed::<DomainId>(value).is_some(),
             Self::Address => parsed::<SocketAddr>(value).is_some_and(|address| address.port() > 0),
+            Self::Listen => parsed::<SocketAddr>(value).is_some(),
             Self::Number(min, max) => number().is_some_and(|number| in_range(number, *min, *max)),
             Self::Bytes(min, max) => {
                 number().is_some_and(|number| in_range(number, min.get(), max.get()))
@@ -63,6 +66,7 @@
         match self {
             Self::Id => f.write_str("a text of 1 to 64 letters, digits or any of . _ - : /"),
             Self::Address => f.write_str("a text like 10.0.0.1:8080 with a port from 1 to 65535"),
+            Self::Listen => f.write_str("a text like 10.0.0.1:8080; port 0 takes a free port"),
             Self::Number(min, max) => write!(f, "a whole number from {min} to {max}"),
             Self::Bytes(min, max) => write!(f, "a whole number of bytes from {min} to {max}"),
             Self::Span(min, max) => write!(f, "a text like 250ms, 3s or 2min from {min} to {max}"),
