Stand-ins: the key-value service reads its calls in a module of its own

The handler file held both the reading of requests and the answers to them, which made it the longest file of the crate. No behaviour changes.

--- a/crates/standins/src/store/calls.rs
+++ b/crates/standins/src/store/calls.rs
@@ -3,30 +3,25 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, MilliSpan, StoreRevision};
+use amaranthgw_core::{FencingNumber, StoreRevision};
 use compact_str::{CompactString, ToCompactString};
 use http::{HeaderValue, StatusCode};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::StoreSettings;
-use super::faults::{FaultMode, StoreFaults};
-use super::ids::{LeaseId, StoreKey};
+use super::faults::FaultMode;
+use super::ids::StoreKey;
+use super::request::StoreCall;
 use super::rows::StoredValue;
 use super::world::{self, StoreWorld, WatchState, WriteRefusal};
 use crate::http::{
-    Call, CallError, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult,
-    bytes_reply, empty_reply, json_reply, parse_segment,
+    Call, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult, bytes_reply,
+    empty_reply, json_reply,
 };
 use crate::lock::lock;
 
-/// Largest time that a watch waits.
-const MAX_WATCH: Duration = Duration::from_mins(10);
-
-/// Result of a call that may be malformed.
-type Result<T> = std::result::Result<T, CallError>;
-
 /// Answers the calls of one key-value service.
 #[derive(Debug)]
 pub(super) struct StoreHandler {
@@ -37,13 +32,6 @@
     pub(super) leases_changed: Notify,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct LeaseBody {
-    #[serde(rename = "ttl_ms", with = "crate::units::millis")]
-    ttl: MilliSpan,
-}
-
 #[derive(Debug, Serialize)]
 struct LeaseReply {
     lease: CompactString,
@@ -55,57 +43,6 @@
     revision: StoreRevision,
 }
 
-/// A call of the service, read from its request.
-#[derive(Debug)]
-enum StoreCall {
-    Get(StoreKey),
-    Put(StoreKey, StoreRevision, Option<LeaseId>),
-    Delete(StoreKey, StoreRevision),
-    Watch(StoreKey, StoreRevision, Duration),
-    Grant(Duration),
-    Renew(LeaseId),
-    EndLease(LeaseId),
-    SetFaults(StoreFaults),
-    Counts,
-    Unknown,
-}
-
-impl StoreCall {
-    fn read(call: &Call) -> Result<Self> {
-        Ok(match (call.method(), call.segments().as_slice()) {
-            ("GET", ["v1", "values", key @ ..]) => Self::Get(StoreKey::with_segments(key)),
-            ("PUT", ["v1", "values", key @ ..]) => {
-                let lease = call.query("lease")?;
-                Self::Put(
-                    StoreKey::with_segments(key),
-                    call.required_query("expect")?,
-                    lease,
-                )
-            }
-            ("DELETE", ["v1", "values", key @ ..]) => {
-                Self::Delete(StoreKey::with_segments(key), call.required_query("expect")?)
-            }
-            ("GET", ["v1", "watch", key @ ..]) => {
-                let wait = Duration::from_millis(call.required_query("wait_ms")?);
-                let after = call.required_query("after")?;
-                Self::Watch(StoreKey::with_segments(key), after, wait.min(MAX_WATCH))
-            }
-            ("POST", ["v1", "leases"]) => Self::Grant(call.json::<LeaseBody>()?.ttl.duration()),
-            ("POST", ["v1", "leases", lease, "renew"]) => {
-                Self::Renew(parse_segment(lease, "lease")?)
-            }
-            ("DELETE", ["v1", "leases", lease]) => Self::EndLease(parse_segment(lease, "lease")?),
-            ("POST", ["admin", "faults"]) => Self::SetFaults(call.json()?),
-            ("GET", ["admin", "counts"]) => Self::Counts,
-            _ => Self::Unknown,
-        })
-    }
-
-    fn is_admin(&self) -> bool {
-        matches!(self, Self::SetFaults(_) | Self::Counts)
-    }
-}
-
 impl StoreHandler {
     pub(super) fn new(settings: StoreSettings, switch: ConnectionSwitch) -> Self {
         Self {
--- a/crates/standins/src/store/mod.rs
+++ b/crates/standins/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod faults;
 mod ids;
+mod request;
 mod rows;
 mod standin;
 mod world;
