Stand-ins: hand-over of an engine in a module of its own, more tests of generation

The tables and the admission of requests shared one long file. The new tests cover the order by priority, the eviction of cached prefixes, and that a fall-over closes idle connections. No behaviour changes.

--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -1,5 +1,6 @@
 //! The model engine: continuous batching, cold starts, fall-overs, late load reports and orders.
 
+mod admission;
 mod calls;
 mod life;
 mod log;
--- a/crates/standins/src/engine/world.rs
+++ b/crates/standins/src/engine/world.rs
@@ -3,23 +3,18 @@
 use std::time::Duration;
 
 use amaranthgw_core::{EntityTable, MilliSpan, RequestId, SlotCount};
-use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::Instant;
 
 use super::EngineSettings;
 use super::life::EngineLife;
 use super::log::{EngineEvent, EngineLog};
-use super::messages::{EngineControl, GenerateBody, LoadReply, LoadReport};
+use super::messages::{EngineControl, LoadReply, LoadReport};
 use super::prefixes::PrefixCache;
 use super::rows::{RunNumber, RunRow};
 use super::stream::StreamPart;
-use super::text::{prefix_hash, text_hash};
 use crate::lagged::LaggedValue;
 use crate::orders::{FencingGuard, OrderBody};
 
-/// A prompt that contains this makes the engine fall over.
-const CRASH_PROMPT: &str = "crash-engine";
-
 /// Result of a hand-over.
 pub(super) type Result<T> = std::result::Result<T, EngineDown>;
 
@@ -49,9 +44,9 @@
     pub(super) has_fallen: bool,
     /// When the next decoding step is due.
     pub(super) next_step: Instant,
-    prefixes: PrefixCache,
+    pub(super) prefixes: PrefixCache,
     load: LaggedValue<LoadReport>,
-    last_run: RunNumber,
+    pub(super) last_run: RunNumber,
 }
 
 impl EngineWorld {
@@ -74,25 +69,6 @@
         world
     }
 
-    /// Takes over a request and returns its answer, or falls over.
-    pub(super) fn hand_over(
-        &mut self,
-        body: GenerateBody,
-        now: Instant,
-    ) -> Result<UnboundedReceiver<StreamPart>> {
-        self.check_up(now)?;
-        self.reap(now);
-        self.log_hand_over(&body, now);
-        let bears = self.in_flight() < self.slots();
-        if !bears || body.prompt.contains(CRASH_PROMPT) {
-            self.fall_over(now);
-            return Err(EngineDown);
-        }
-        let parts = self.add_run(body, now);
-        self.report_load(now);
-        Ok(parts)
-    }
-
     /// Stops every run of `request` and returns their number.
     pub(super) fn cancel(&mut self, request: RequestId, now: Instant) -> Result<usize> {
         self.check_up(now)?;
@@ -203,7 +179,8 @@
         (!self.runs.is_empty()).then_some(self.next_step)
     }
 
-    fn check_up(&mut self, now: Instant) -> Result<()> {
+    /// Fails while the engine is down.
+    pub(super) fn check_up(&mut self, now: Instant) -> Result<()> {
         self.restart_if_due(now);
         if self.down_until.is_some() {
             return Err(EngineDown);
@@ -223,57 +200,10 @@
         self.log.add(now, EngineEvent::Start { start_mark });
     }
 
-    fn log_hand_over(&mut self, body: &GenerateBody, now: Instant) {
-        let in_flight = self.in_flight().next();
-        let event = EngineEvent::HandOver {
-            request: body.request.clone(),
-            attempt: body.attempt,
-            in_flight,
-        };
-        self.log.add(now, event);
-        self.log.note_load(self.life.is_warm, in_flight);
-    }
-
-    fn add_run(&mut self, body: GenerateBody, now: Instant) -> UnboundedReceiver<StreamPart> {
-        let (stream, parts) = unbounded_channel();
-        self.last_run = self.last_run.next();
-        let is_cached = self
-            .prefixes
-            .use_prefix(prefix_hash(&body.prompt), self.last_run);
-        let row = RunRow {
-            prompt_hash: text_hash(body.prompt.as_bytes()),
-            request: body.request,
-            attempt: body.attempt,
-            priority: body.priority,
-            next: body.resume_from,
-            chunks: body.max_tokens,
-            first_chunk_at: now + self.prefill(is_cached),
-            is_decoding: false,
-            stream,
-        };
-        self.runs.insert(self.last_run, row);
-        parts
-    }
-
-    fn prefill(&self, is_cached: bool) -> Duration {
-        if is_cached {
-            self.settings.cached_prefill_span.duration()
-        } else {
-            self.settings.prefill_span.duration()
-        }
-    }
-
-    fn in_flight(&self) -> SlotCount {
+    /// Requests in flight.
+    pub(super) fn in_flight(&self) -> SlotCount {
         slot_count(self.runs.len())
     }
-
-    fn slots(&self) -> SlotCount {
-        if self.life.is_warm {
-            self.settings.warm_slots
-        } else {
-            self.settings.cold_slots
-        }
-    }
 }
 
 fn slot_count(count: usize) -> SlotCount {
--- a/crates/standins/tests/it/engine.rs
+++ b/crates/standins/tests/it/engine.rs
@@ -5,6 +5,8 @@
 use amaranthgw_core::{MilliSpan, SlotCount};
 use amaranthgw_standins::{EngineSettings, EngineStandin, RunningStandin, chunk_text, prefix_hash};
 use serde_json::{Value, json};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 use crate::client::{self, TestClient};
 
@@ -128,10 +130,64 @@
 
 #[tokio::test]
 async fn generate_crash_prompt() {
-    let (_running, engine) = start(quick_settings());
+    let (running, engine) = start(quick_settings());
+    let mut idle = TcpStream::connect(running.address())
+        .await
+        .expect("connection");
     let body = json!({ "request": "r-1", "prompt": "now crash-engine now" });
     engine.post(GENERATE, body).await.expect_err("no answer");
     assert_eq!(event_names(engine).await, ["hand_over", "fall_over"]);
+    assert_eq!(idle.read(&mut [0]).await.expect("closed"), 0);
+}
+
+#[tokio::test]
+async fn generate_by_priority() {
+    let (_running, engine) = start(quick_settings().with_chunks_per_step(1));
+    engine
+        .control("/admin/engine", json!({ "stall_ms": 600_000 }))
+        .await;
+    let mut streams = Vec::new();
+    for (request, priority) in [("low", -1), ("high", 5)] {
+        let mut body = generate(request, 3, 0);
+        body["priority"] = json!(priority);
+        streams.push(engine.open_post(GENERATE, &body).await.expect("reply"));
+    }
+    engine
+        .control("/admin/engine", json!({ "stall_ms": 0 }))
+        .await;
+    for stream in streams {
+        assert_eq!(
+            client::read(stream).await.expect("reply").lines(),
+            answer(0, 3)
+        );
+    }
+    let events = events(engine).await;
+    let ends = events.iter().filter(|event| event["event"] == "end");
+    assert_eq!(
+        ends.map(|event| &event["request"]).collect::<Vec<_>>(),
+        ["high", "low"]
+    );
+}
+
+#[tokio::test]
+async fn generate_cached_prefix() {
+    let settings = quick_settings().with_prefix_slots(1);
+    let settings = settings.with_cached_prefill_span(MilliSpan::new(60_000));
+    let (_running, engine) = start(settings);
+    let other = json!({ "request": "r-2", "prompt": "another prompt" });
+    for body in [generate("r-1", 1, 0), other, generate("r-3", 1, 0)] {
+        assert!(engine.post(GENERATE, body).await.expect("reply").is_whole);
+    }
+    let cached = engine
+        .open_post(GENERATE, &generate("r-4", 1, 0))
+        .await
+        .expect("reply");
+    let load = engine.json("/v1/load").await;
+    assert_eq!(
+        (&load["queued"], &load["in_flight"]),
+        (&json!(1), &json!(1))
+    );
+    drop(cached);
 }
 
 #[tokio::test]
