Stand-ins: a test of the plain service's load, its start mark within JSON's exact range

The mark was drawn from all 64 bits, which a JSON reader with floating-point numbers cannot keep exact; it now comes from where the other stand-ins take theirs.

--- a/crates/standins/src/plain/standin.rs
+++ b/crates/standins/src/plain/standin.rs
@@ -73,7 +73,9 @@
 impl PlainHandler {
     async fn answer(&self, call: &Call) -> ReplyResult {
         if (call.method(), call.segments().as_slice()) != ("POST", &["v1", "call"]) {
-            return Ok(self.control(call).unwrap_or_else(|error| error.reply()));
+            return Ok(self
+                .answer_at_once(call)
+                .unwrap_or_else(|error| error.reply()));
         }
         match run_row(call) {
             Ok(row) => self.run(row, &call.body).await,
@@ -94,7 +96,8 @@
         ))
     }
 
-    fn control(&self, call: &Call) -> std::result::Result<Reply, CallError> {
+    /// Answers the calls that run nothing.
+    fn answer_at_once(&self, call: &Call) -> std::result::Result<Reply, CallError> {
         match (call.method(), call.segments().as_slice()) {
             ("GET", ["v1", "load"]) => Ok(json_reply(StatusCode::OK, &lock(&self.world).load())),
             ("GET", ["admin", "log"]) => Ok(json_reply(StatusCode::OK, lock(&self.world).log())),
--- a/crates/standins/src/plain/world.rs
+++ b/crates/standins/src/plain/world.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::PlainSettings;
+use crate::marks::new_start_mark;
 
 /// One run of a call.
 #[derive(Clone, Debug, Serialize)]
@@ -28,7 +29,8 @@
     start_mark: StartMark,
     in_flight: SlotCount,
     queued: SlotCount,
-    age_ms: u64,
+    #[serde(rename = "age_ms", with = "crate::units::millis")]
+    age: MilliSpan,
 }
 
 /// State of the plain service.
@@ -52,7 +54,7 @@
     pub(super) fn new(settings: PlainSettings) -> Self {
         Self {
             settings,
-            start_mark: StartMark::new(fastrand::u64(1..)),
+            start_mark: new_start_mark(),
             lose_answers: 0,
             log: PlainLog::default(),
         }
@@ -93,7 +95,7 @@
             start_mark: self.start_mark,
             in_flight: self.log.in_flight,
             queued: SlotCount::default(),
-            age_ms: 0,
+            age: MilliSpan::default(),
         }
     }
 
--- a/crates/standins/tests/it/plain.rs
+++ b/crates/standins/tests/it/plain.rs
@@ -55,11 +55,17 @@
     while plain.json("/admin/log").await["in_flight"] == 0 {
         tokio::task::yield_now().await;
     }
+    let load = plain.json("/v1/load").await;
+    let mark = load["start_mark"].as_u64().expect("start mark");
+    let in_flight = json!({ "start_mark": mark, "in_flight": 1, "queued": 0, "age_ms": 0 });
+    assert_eq!(load, in_flight);
     abandoned.abort();
     while plain.json("/admin/log").await["in_flight"] == 1 {
         tokio::task::yield_now().await;
     }
     assert_eq!(plain.json("/admin/log").await["runs"][0]["body"], "x");
+    let idle = json!({ "start_mark": mark, "in_flight": 0, "queued": 0, "age_ms": 0 });
+    assert_eq!(plain.json("/v1/load").await, idle);
 }
 
 #[tokio::test]
