Stand-ins: what is down answers nothing, also to malformed and unknown calls

A call was read before the state was looked at, so a store, engine or rank that was down still answered 400 and 404. Unknown calls of the key-value service no longer count as writes. The test of lease renewal took the third loss of a lease for a fault, which a machine that is slow enough could bring about; now a loss counts as a fault exactly where the renewals were on time. Answers that must not end in a test have no end at all.

--- a/crates/standins/src/engine/calls.rs
+++ b/crates/standins/src/engine/calls.rs
@@ -73,6 +73,9 @@
     }
 
     fn answer(&self, call: &Call, now: Instant) -> Result<Reply> {
+        if !call.is_admin() {
+            lock(&self.world).check_up(now)?;
+        }
         match (call.method(), call.segments().as_slice()) {
             ("POST", ["v1", "generate"]) => self.generate(call, now),
             ("POST", ["v1", "cancel", request @ ..]) => self.cancel(&request.join("/"), now),
--- a/crates/standins/src/group/calls.rs
+++ b/crates/standins/src/group/calls.rs
@@ -77,6 +77,10 @@
     }
 
     fn answer(&self, call: &Call, now: Instant) -> Result {
+        let is_down = lock(&self.shared.world).running(self.rank, now).is_none();
+        if is_down && !call.is_admin() {
+            return Ok(None);
+        }
         match (call.method(), call.segments().as_slice()) {
             ("POST", ["v1", "orders"]) => self.order(call, now),
             ("GET", ["v1", "group"]) => {
--- a/crates/standins/src/store/calls.rs
+++ b/crates/standins/src/store/calls.rs
@@ -11,14 +11,14 @@
 use tokio::time::Instant;
 
 use super::StoreSettings;
-use super::faults::FaultMode;
+use super::faults::{FaultMode, StoreFaults};
 use super::ids::StoreKey;
 use super::request::StoreCall;
 use super::rows::StoredValue;
 use super::world::{self, StoreWorld, WatchState, WriteRefusal};
 use crate::http::{
-    Call, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult, bytes_reply,
-    empty_reply, json_reply,
+    Call, CallError, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult,
+    bytes_reply, empty_reply, json_reply,
 };
 use crate::lock::lock;
 
@@ -61,44 +61,58 @@
     }
 
     async fn answer(&self, request: &Call) -> ReplyResult {
+        if request.is_admin() {
+            let reply = self.control(request);
+            return Ok(reply.unwrap_or_else(|error| error.reply()));
+        }
+        let half_delay = self.half_delay()?;
         let call = match StoreCall::read(request) {
             Ok(call) => call,
             Err(error) => return Ok(error.reply()),
         };
-        if call.is_admin() {
-            return Ok(self.control(call));
-        }
-        let half_delay = self.admit(&call)?;
+        self.count(&call);
         tokio::time::sleep(half_delay).await;
         let reply = self.carry_out(call, request).await?;
         tokio::time::sleep(half_delay).await;
         Ok(reply)
     }
 
-    fn control(&self, call: StoreCall) -> Reply {
-        let mut world = lock(&self.world);
-        if let StoreCall::SetFaults(faults) = call {
-            world.faults = faults;
-            if world.faults.mode == FaultMode::Down {
-                self.switch.cut_all();
+    fn control(&self, request: &Call) -> std::result::Result<Reply, CallError> {
+        match (request.method(), request.segments().as_slice()) {
+            ("POST", ["admin", "faults"]) => Ok(self.set_faults(request.json()?)),
+            ("GET", ["admin", "counts"]) => {
+                Ok(json_reply(StatusCode::OK, &lock(&self.world).counts))
             }
-            return empty_reply(StatusCode::OK);
+            _ => Ok(empty_reply(StatusCode::NOT_FOUND)),
         }
-        json_reply(StatusCode::OK, &world.counts)
     }
 
-    /// Counts the call and returns half of its delay, unless the service is down.
-    fn admit(&self, call: &StoreCall) -> std::result::Result<Duration, NoAnswer> {
-        let mut world = lock(&self.world);
+    fn set_faults(&self, faults: StoreFaults) -> Reply {
+        let is_down = faults.mode == FaultMode::Down;
+        lock(&self.world).faults = faults;
+        if is_down {
+            self.switch.cut_all();
+        }
+        empty_reply(StatusCode::OK)
+    }
+
+    /// Half of the delay of a call that arrives now, unless the service is down.
+    fn half_delay(&self) -> std::result::Result<Duration, NoAnswer> {
+        let world = lock(&self.world);
         if world.faults.mode == FaultMode::Down {
             return Err(NoAnswer);
         }
+        Ok(world.faults.half_delay())
+    }
+
+    fn count(&self, call: &StoreCall) {
+        let counts = &mut lock(&self.world).counts;
         match call {
-            StoreCall::Get(_) => world.counts.reads += 1,
-            StoreCall::Watch(..) => world.counts.watches += 1,
-            _ => world.counts.writes += 1,
+            StoreCall::Get(_) => counts.reads += 1,
+            StoreCall::Watch(..) => counts.watches += 1,
+            StoreCall::Unknown => {}
+            _ => counts.writes += 1,
         }
-        Ok(world.faults.half_delay())
     }
 
     async fn carry_out(&self, call: StoreCall, request: &Call) -> ReplyResult {
--- a/crates/standins/src/store/request.rs
+++ b/crates/standins/src/store/request.rs
@@ -5,7 +5,6 @@
 use amaranthgw_core::{MilliSpan, StoreRevision};
 use serde::Deserialize;
 
-use super::faults::StoreFaults;
 use super::ids::{LeaseId, StoreKey};
 use crate::http::{Call, CallError, parse_segment};
 
@@ -32,8 +31,6 @@
     Grant(Duration),
     Renew(LeaseId),
     EndLease(LeaseId),
-    SetFaults(StoreFaults),
-    Counts,
     Unknown,
 }
 
@@ -63,14 +60,7 @@
                 Self::Renew(parse_segment(lease, "lease")?)
             }
             ("DELETE", ["v1", "leases", lease]) => Self::EndLease(parse_segment(lease, "lease")?),
-            ("POST", ["admin", "faults"]) => Self::SetFaults(call.json()?),
-            ("GET", ["admin", "counts"]) => Self::Counts,
             _ => Self::Unknown,
         })
     }
-
-    /// Whether this is a test control.
-    pub(super) fn is_admin(&self) -> bool {
-        matches!(self, Self::SetFaults(_) | Self::Counts)
-    }
 }
--- a/crates/standins/tests/it/engine.rs
+++ b/crates/standins/tests/it/engine.rs
@@ -12,6 +12,9 @@
 
 const GENERATE: &str = "/v1/generate";
 
+/// Tokens of an answer that does not end within a test.
+const ENDLESS: u64 = u64::MAX;
+
 fn quick_settings() -> EngineSettings {
     EngineSettings::new()
         .with_token_span(MilliSpan::new(1))
@@ -101,7 +104,7 @@
     let (_running, engine) = start(quick_settings().with_cold_slots(SlotCount::new(1)));
     let mark = engine.json("/v1/load").await["start_mark"].clone();
     let stream = engine
-        .open_post(GENERATE, &generate("r-1", 100_000, 0))
+        .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
         .await
         .expect("reply");
     engine
@@ -130,7 +133,8 @@
 
 #[tokio::test]
 async fn generate_crash_prompt() {
-    let (running, engine) = start(quick_settings());
+    let settings = quick_settings().with_restart_span(MilliSpan::new(600_000));
+    let (running, engine) = start(settings);
     let mut idle = TcpStream::connect(running.address())
         .await
         .expect("connection");
@@ -138,6 +142,9 @@
     engine.post(GENERATE, body).await.expect_err("no answer");
     assert_eq!(event_names(engine).await, ["hand_over", "fall_over"]);
     assert_eq!(idle.read(&mut [0]).await.expect("closed"), 0);
+    for path in ["/v1/unknown", "/v1/orders"] {
+        engine.post(path, json!({})).await.expect_err("no answer");
+    }
 }
 
 #[tokio::test]
@@ -202,11 +209,11 @@
         .await
         .expect("reply");
     let first = engine
-        .open_post(GENERATE, &generate("r-2", 100_000, 0))
+        .open_post(GENERATE, &generate("r-2", ENDLESS, 0))
         .await
         .expect("reply");
     let second = engine
-        .open_post(GENERATE, &generate("r-3", 100_000, 0))
+        .open_post(GENERATE, &generate("r-3", ENDLESS, 0))
         .await
         .expect("reply");
     assert_eq!(engine.json("/admin/log").await["max_in_flight_warm"], 2);
@@ -227,7 +234,7 @@
 async fn cancel_stops_request() {
     let (_running, engine) = start(quick_settings());
     let stream = engine
-        .open_post(GENERATE, &generate("r-1", 100_000, 0))
+        .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
         .await
         .expect("reply");
     let reply = engine
@@ -251,7 +258,7 @@
     let (_running, engine) = start(quick_settings());
     drop(
         engine
-            .open_post(GENERATE, &generate("r-1", 100_000, 0))
+            .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
             .await
             .expect("reply"),
     );
@@ -268,7 +275,7 @@
     let (_running, engine) = start(settings);
     let sent_at = tokio::time::Instant::now();
     let stream = engine
-        .open_post(GENERATE, &generate("r-1", 100_000, 0))
+        .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
         .await
         .expect("reply");
     let load = loop {
--- a/crates/standins/tests/it/group.rs
+++ b/crates/standins/tests/it/group.rs
@@ -308,4 +308,14 @@
     assert_eq!(group.order(0, 4, order).await.status, 200);
     let reply = group.order(0, 9, json!({ "melt": {} })).await;
     assert_eq!(reply.status, 400);
+    group.ranks[0]
+        .control(
+            "/admin/rank",
+            json!({ "restart": true, "restart_ms": 600_000 }),
+        )
+        .await;
+    for path in ["/v1/unknown", "/v1/orders"] {
+        let refused = group.ranks[0].post(path, json!({})).await;
+        refused.expect_err("no answer");
+    }
 }
--- a/crates/standins/tests/it/store.rs
+++ b/crates/standins/tests/it/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use amaranthgw_core::MilliSpan;
 use amaranthgw_standins::{RunningStandin, StoreSettings, StoreStandin};
 use serde_json::json;
 use tokio::time::Instant;
@@ -90,6 +91,9 @@
 #[tokio::test]
 async fn put_malformed() {
     let (_running, store) = start();
+    for path in ["/v1/unknown", "/admin/faults"] {
+        assert_eq!(store.get(path).await.expect("reply").status, 404, "{path}");
+    }
     for path in [
         "/v1/values/a",
         "/v1/values/a?expect=x",
@@ -102,6 +106,8 @@
         );
     }
     assert_eq!(store.get("/v1/values/a").await.expect("reply").status, 404);
+    let counts = json!({ "reads": 1, "writes": 0, "watches": 0 });
+    assert_eq!(store.json("/admin/counts").await, counts);
 }
 
 #[tokio::test]
@@ -195,20 +201,28 @@
 #[tokio::test]
 async fn lease_renewed() {
     let (_running, store) = start();
-    let mut is_held = false;
-    for ttl_ms in [100, 1_000, 10_000] {
-        let (lease, _) = grant(store, ttl_ms).await;
-        let renewed_until = Instant::now() + 2 * Duration::from_millis(ttl_ms);
-        is_held = true;
-        while is_held && Instant::now() < renewed_until {
-            is_held = renew(store, &lease).await == 200;
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        if is_held {
-            break;
+    let mut ttl = Duration::from_millis(100);
+    while !outlives_ttl(store, ttl).await {
+        ttl *= 2;
+    }
+}
+
+/// Whether renewals held a lease for twice its time; it may lapse only after a late one.
+async fn outlives_ttl(store: TestClient, ttl: Duration) -> bool {
+    let granted_at = Instant::now();
+    let ttl_ms = MilliSpan::with_duration(ttl).millis();
+    let (lease, _) = grant(store, ttl_ms).await;
+    let mut renewed_at = granted_at;
+    while granted_at.elapsed() < 2 * ttl {
+        tokio::time::sleep(ttl / 20).await;
+        let sent_at = Instant::now();
+        if renew(store, &lease).await != 200 {
+            assert!(renewed_at.elapsed() >= ttl, "a renewed lease lapsed");
+            return false;
         }
+        renewed_at = sent_at;
     }
-    assert!(is_held, "a renewed lease lapsed");
+    true
 }
 
 #[tokio::test]
@@ -274,7 +288,9 @@
     };
     let (reply, ()) = tokio::join!(watch, cut);
     reply.expect_err("no answer");
-    store.get("/v1/values/a").await.expect_err("no answer");
+    for path in ["/v1/values/a", "/v1/watch/a", "/v1/unknown"] {
+        store.get(path).await.expect_err("no answer");
+    }
     store
         .control("/admin/faults", json!({ "mode": "up" }))
         .await;
