--- a/crates/standins/src/store/calls.rs
+++ b/crates/standins/src/store/calls.rs
@@ -3,30 +3,25 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, MilliSpan, StoreRevision};
+use amaranthgw_core::{FencingNumber, StoreRevision};
 use compact_str::{CompactString, ToCompactString};
 use http::{HeaderValue, StatusCode};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::StoreSettings;
 use super::faults::{FaultMode, StoreFaults};
-use super::ids::{LeaseId, StoreKey};
+use super::ids::StoreKey;
+use super::request::StoreCall;
 use super::rows::StoredValue;
 use super::world::{self, StoreWorld, WatchState, WriteRefusal};
 use crate::http::{
     Call, CallError, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult,
-    bytes_reply, empty_reply, json_reply, parse_segment,
+    bytes_reply, empty_reply, json_reply,
 };
 use crate::lock::lock;
 
-/// Largest time that a watch waits.
-const MAX_WATCH: Duration = Duration::from_mins(10);
-
-/// Result of a call that may be malformed.
-type Result<T> = std::result::Result<T, CallError>;
-
 /// Answers the calls of one key-value service.
 #[derive(Debug)]
 pub(super) struct StoreHandler {
@@ -37,13 +32,6 @@
     pub(super) leases_changed: Notify,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct LeaseBody {
-    #[serde(rename = "ttl_ms", with = "crate::units::millis")]
-    ttl: MilliSpan,
-}
-
 #[derive(Debug, Serialize)]
 struct LeaseReply {
     lease: CompactString,
@@ -55,57 +43,6 @@
     revision: StoreRevision,
 }
 
-/// A call of the service, read from its request.
-#[derive(Debug)]
-enum StoreCall {
-    Get(StoreKey),
-    Put(StoreKey, StoreRevision, Option<LeaseId>),
-    Delete(StoreKey, StoreRevision),
-    Watch(StoreKey, StoreRevision, Duration),
-    Grant(Duration),
-    Renew(LeaseId),
-    EndLease(LeaseId),
-    SetFaults(StoreFaults),
-    Counts,
-    Unknown,
-}
-
-impl StoreCall {
-    fn read(call: &Call) -> Result<Self> {
-        Ok(match (call.method(), call.segments().as_slice()) {
-            ("GET", ["v1", "values", key @ ..]) => Self::Get(StoreKey::with_segments(key)),
-            ("PUT", ["v1", "values", key @ ..]) => {
-                let lease = call.query("lease")?;
-                Self::Put(
-                    StoreKey::with_segments(key),
-                    call.required_query("expect")?,
-                    lease,
-                )
-            }
-            ("DELETE", ["v1", "values", key @ ..]) => {
-                Self::Delete(StoreKey::with_segments(key), call.required_query("expect")?)
-            }
-            ("GET", ["v1", "watch", key @ ..]) => {
-                let wait = Duration::from_millis(call.required_query("wait_ms")?);
-                let after = call.required_query("after")?;
-                Self::Watch(StoreKey::with_segments(key), after, wait.min(MAX_WATCH))
-            }
-            ("POST", ["v1", "leases"]) => Self::Grant(call.json::<LeaseBody>()?.ttl.duration()),
-            ("POST", ["v1", "leases", lease, "renew"]) => {
-                Self::Renew(parse_segment(lease, "lease")?)
-            }
-            ("DELETE", ["v1", "leases", lease]) => Self::EndLease(parse_segment(lease, "lease")?),
-            ("POST", ["admin", "faults"]) => Self::SetFaults(call.json()?),
-            ("GET", ["admin", "counts"]) => Self::Counts,
-            _ => Self::Unknown,
-        })
-    }
-
-    fn is_admin(&self) -> bool {
-        matches!(self, Self::SetFaults(_) | Self::Counts)
-    }
-}
-
 impl StoreHandler {
     pub(super) fn new(settings: StoreSettings, switch: ConnectionSwitch) -> Self {
         Self {
@@ -124,44 +61,58 @@
     }
 
     async fn answer(&self, request: &Call) -> ReplyResult {
+        if request.is_admin() {
+            let reply = self.control(request);
+            return Ok(reply.unwrap_or_else(|error| error.reply()));
+        }
+        let half_delay = self.half_delay()?;
         let call = match StoreCall::read(request) {
             Ok(call) => call,
             Err(error) => return Ok(error.reply()),
         };
-        if call.is_admin() {
-            return Ok(self.control(call));
-        }
-        let half_delay = self.admit(&call)?;
+        self.count(&call);
         tokio::time::sleep(half_delay).await;
         let reply = self.carry_out(call, request).await?;
         tokio::time::sleep(half_delay).await;
         Ok(reply)
     }
 
-    fn control(&self, call: StoreCall) -> Reply {
-        let mut world = lock(&self.world);
-        if let StoreCall::SetFaults(faults) = call {
-            world.faults = faults;
-            if world.faults.mode == FaultMode::Down {
-                self.switch.cut_all();
+    fn control(&self, request: &Call) -> std::result::Result<Reply, CallError> {
+        match (request.method(), request.segments().as_slice()) {
+            ("POST", ["admin", "faults"]) => Ok(self.set_faults(request.json()?)),
+            ("GET", ["admin", "counts"]) => {
+                Ok(json_reply(StatusCode::OK, &lock(&self.world).counts))
             }
-            return empty_reply(StatusCode::OK);
+            _ => Ok(empty_reply(StatusCode::NOT_FOUND)),
         }
-        json_reply(StatusCode::OK, &world.counts)
     }
 
-    /// Counts the call and returns half of its delay, unless the service is down.
-    fn admit(&self, call: &StoreCall) -> std::result::Result<Duration, NoAnswer> {
-        let mut world = lock(&self.world);
+    fn set_faults(&self, faults: StoreFaults) -> Reply {
+        let is_down = faults.mode == FaultMode::Down;
+        lock(&self.world).faults = faults;
+        if is_down {
+            self.switch.cut_all();
+        }
+        empty_reply(StatusCode::OK)
+    }
+
+    /// Half of the delay of a call that arrives now, unless the service is down.
+    fn half_delay(&self) -> std::result::Result<Duration, NoAnswer> {
+        let world = lock(&self.world);
         if world.faults.mode == FaultMode::Down {
             return Err(NoAnswer);
         }
+        Ok(world.faults.half_delay())
+    }
+
+    fn count(&self, call: &StoreCall) {
+        let counts = &mut lock(&self.world).counts;
         match call {
-            StoreCall::Get(_) => world.counts.reads += 1,
-            StoreCall::Watch(..) => world.counts.watches += 1,
-            _ => world.counts.writes += 1,
+            StoreCall::Get(_) => counts.reads += 1,
+            StoreCall::Watch(..) => counts.watches += 1,
+            StoreCall::Unknown => {}
+            _ => counts.writes += 1,
         }
-        Ok(world.faults.half_delay())
     }
 
     async fn carry_out(&self, call: StoreCall, request: &Call) -> ReplyResult {
--- a/crates/standins/tests/it/engine.rs
+++ b/crates/standins/tests/it/engine.rs
@@ -5,11 +5,16 @@
 use amaranthgw_core::{MilliSpan, SlotCount};
 use amaranthgw_standins::{EngineSettings, EngineStandin, RunningStandin, chunk_text, prefix_hash};
 use serde_json::{Value, json};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 use crate::client::{self, TestClient};
 
 const GENERATE: &str = "/v1/generate";
 
+/// Tokens of an answer that does not end within a test.
+const ENDLESS: u64 = u64::MAX;
+
 fn quick_settings() -> EngineSettings {
     EngineSettings::new()
         .with_token_span(MilliSpan::new(1))
@@ -99,7 +104,7 @@
     let (_running, engine) = start(quick_settings().with_cold_slots(SlotCount::new(1)));
     let mark = engine.json("/v1/load").await["start_mark"].clone();
     let stream = engine
-        .open_post(GENERATE, &generate("r-1", 100_000, 0))
+        .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
         .await
         .expect("reply");
     engine
@@ -128,10 +133,68 @@
 
 #[tokio::test]
 async fn generate_crash_prompt() {
-    let (_running, engine) = start(quick_settings());
+    let settings = quick_settings().with_restart_span(MilliSpan::new(600_000));
+    let (running, engine) = start(settings);
+    let mut idle = TcpStream::connect(running.address())
+        .await
+        .expect("connection");
     let body = json!({ "request": "r-1", "prompt": "now crash-engine now" });
     engine.post(GENERATE, body).await.expect_err("no answer");
     assert_eq!(event_names(engine).await, ["hand_over", "fall_over"]);
+    assert_eq!(idle.read(&mut [0]).await.expect("closed"), 0);
+    for path in ["/v1/unknown", "/v1/orders"] {
+        engine.post(path, json!({})).await.expect_err("no answer");
+    }
+}
+
+#[tokio::test]
+async fn generate_by_priority() {
+    let (_running, engine) = start(quick_settings().with_chunks_per_step(1));
+    engine
+        .control("/admin/engine", json!({ "stall_ms": 600_000 }))
+        .await;
+    let mut streams = Vec::new();
+    for (request, priority) in [("low", -1), ("high", 5)] {
+        let mut body = generate(request, 3, 0);
+        body["priority"] = json!(priority);
+        streams.push(engine.open_post(GENERATE, &body).await.expect("reply"));
+    }
+    engine
+        .control("/admin/engine", json!({ "stall_ms": 0 }))
+        .await;
+    for stream in streams {
+        assert_eq!(
+            client::read(stream).await.expect("reply").lines(),
+            answer(0, 3)
+        );
+    }
+    let events = events(engine).await;
+    let ends = events.iter().filter(|event| event["event"] == "end");
+    assert_eq!(
+        ends.map(|event| &event["request"]).collect::<Vec<_>>(),
+        ["high", "low"]
+    );
+}
+
+#[tokio::test]
+async fn generate_cached_prefix() {
+    let settings = quick_settings().with_prefix_slots(1);
+    let settings = settings.with_cached_prefill_span(MilliSpan::new(60_000));
+    let (_running, engine) = start(settings);
+    let other = json!({ "request": "r-2", "prompt": "another prompt" });
+    for body in [generate("r-1", 1, 0), other, generate("r-3", 1, 0)] {
+        assert!(engine.post(GENERATE, body).await.expect("reply").is_whole);
+    }
+    let cached = engine
+        .open_post(GENERATE, &generate("r-4", 1, 0))
+        .await
+        .expect("reply");
+    let load = engine.json("/v1/load").await;
+    assert_eq!(
+        (&load["queued"], &load["in_flight"]),
+        (&json!(1), &json!(1))
+    );
+    drop(cached);
 }
 
 #[tokio::test]
@@ -146,11 +209,11 @@
         .await
         .expect("reply");
     let first = engine
-        .open_post(GENERATE, &generate("r-2", 100_000, 0))
+        .open_post(GENERATE, &generate("r-2", ENDLESS, 0))
         .await
         .expect("reply");
     let second = engine
-        .open_post(GENERATE, &generate("r-3", 100_000, 0))
+        .open_post(GENERATE, &generate("r-3", ENDLESS, 0))
         .await
         .expect("reply");
     assert_eq!(engine.json("/admin/log").await["max_in_flight_warm"], 2);
@@ -171,7 +234,7 @@
 async fn cancel_stops_request() {
     let (_running, engine) = start(quick_settings());
     let stream = engine
-        .open_post(GENERATE, &generate("r-1", 100_000, 0))
+        .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
         .await
         .expect("reply");
     let reply = engine
@@ -195,7 +258,7 @@
     let (_running, engine) = start(quick_settings());
     drop(
         engine
-            .open_post(GENERATE, &generate("r-1", 100_000, 0))
+            .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
             .await
             .expect("reply"),
     );
@@ -212,7 +275,7 @@
     let (_running, engine) = start(settings);
     let sent_at = tokio::time::Instant::now();
     let stream = engine
-        .open_post(GENERATE, &generate("r-1", 100_000, 0))
+        .open_post(GENERATE, &generate("r-1", ENDLESS, 0))
         .await
         .expect("reply");
     let load = loop {
