--- a/crates/fleet/src/gate/row.rs
+++ b/crates/fleet/src/gate/row.rs
@@ -129,7 +129,7 @@
 
     fn record_answer(&mut self, answer: &AnswerEvidence, now: Instant) -> GateShift {
         self.last_answer = now;
-        if answer.admitted_at < self.changed_at {
+        if answer.admitted_at <= self.changed_at {
             return GateShift::Held;
         }
         self.peak_in_flight = self.peak_in_flight.max(answer.in_flight);
--- a/crates/fleet/tests/it/claims/schedule.rs
+++ b/crates/fleet/tests/it/claims/schedule.rs
@@ -18,6 +18,7 @@
         fate: CallFate,
     },
     LandDelayed,
+    ReplyLate(usize),
     Use {
         node: usize,
         choice: usize,
@@ -53,6 +54,7 @@
             .prop_map(|(node, key, body)| Event::Ask { node, key, body }),
         12 => (node.clone(), any_fate()).prop_map(|(node, fate)| Event::Settle { node, fate }),
         2 => Just(Event::LandDelayed),
+        2 => node.clone().prop_map(Event::ReplyLate),
         3 => (node.clone(), any::<usize>(), any_use())
             .prop_map(|(node, choice, grant_use)| Event::Use { node, choice, grant_use }),
         1 => node.prop_map(Event::Crash),
@@ -65,6 +67,7 @@
     match *event {
         Event::Ask { node, key, body } => bench.ask(node, key, body),
         Event::Settle { node, fate } => bench.settle_call(node, fate),
+        Event::ReplyLate(node) => bench.reply_late(node),
         Event::LandDelayed => {
             bench.land_delayed();
             Ok(())
