Schedules of faults for suspects and drains

Slow, repeated and reordered verdicts bound the targets that one request kills; two ends that hear of changes at different times give no new work once either knows; a returning domain ramps on shares within its gates' limits.

--- /dev/null
+++ b/crates/fleet/tests/it/drain/ends.rs
@@ -0,0 +1,172 @@
+//! An entry and a sidecar that learn of changes at different times.
+
+use std::time::Duration;
+
+use amaranthgw_core::{ChangeNumber, SlotCount};
+use amaranthgw_fleet::drain::{
+    DrainRow, DrainSettings, DrainShift, DrainSignals, DrainStage, VmState,
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Operators make a change that takes the target out or brings it back.
+    Change {
+        is_out: bool,
+    },
+    /// One end hears of the change, perhaps of an old one again.
+    Hear {
+        end: usize,
+        change: usize,
+    },
+    /// One end reads the VM list.
+    ListVm {
+        end: usize,
+        vm: VmState,
+    },
+    Terminate,
+    Send,
+    Finish,
+    Advance(u64),
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let end = 0..2_usize;
+    let vm = prop_oneof![
+        4 => Just(VmState::Live),
+        1 => Just(VmState::Leaving),
+        1 => Just(VmState::Unknown),
+    ];
+    prop_oneof![
+        2 => any::<bool>().prop_map(|is_out| Event::Change { is_out }),
+        6 => (end.clone(), any::<usize>()).prop_map(|(end, change)| Event::Hear { end, change }),
+        3 => (end, vm).prop_map(|(end, vm)| Event::ListVm { end, vm }),
+        1 => Just(Event::Terminate),
+        8 => Just(Event::Send),
+        6 => Just(Event::Finish),
+        4 => (1..6_000_u64).prop_map(Event::Advance),
+    ]
+}
+
+/// What one end has been told, kept apart from the row under test.
+struct End {
+    row: DrainRow,
+    newest: usize,
+    vm: VmState,
+    vm_left_at: Option<Instant>,
+}
+
+struct Bench {
+    now: Instant,
+    changes: Vec<bool>,
+    ends: Vec<End>,
+    is_terminating: bool,
+    in_flight: u32,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = Instant::now();
+        let signals = DrainSignals {
+            change: ChangeNumber::new(0),
+            is_out: false,
+            vm: VmState::Live,
+            is_terminating: false,
+        };
+        let end = |_| End {
+            row: DrainRow::new(DrainSettings::default(), signals, now),
+            newest: 0,
+            vm: VmState::Live,
+            vm_left_at: None,
+        };
+        Self {
+            now,
+            changes: vec![false],
+            ends: (0..2).map(end).collect(),
+            is_terminating: false,
+            in_flight: 0,
+        }
+    }
+
+    fn observe(&mut self, end: usize, change: usize) -> std::result::Result<(), TestCaseError> {
+        let signals = DrainSignals {
+            change: ChangeNumber::new(change as u64),
+            is_out: self.changes[change],
+            vm: self.ends[end].vm,
+            is_terminating: self.is_terminating,
+        };
+        let in_flight = SlotCount::new(self.in_flight);
+        let shift = self.ends[end].row.observe(signals, in_flight, self.now);
+        let is_emptied = matches!(shift, DrainShift::Emptied { .. });
+        prop_assert!(
+            !is_emptied || self.in_flight == 0,
+            "drained with work in flight"
+        );
+        Ok(())
+    }
+
+    fn apply(&mut self, event: Event) -> std::result::Result<(), TestCaseError> {
+        match event {
+            Event::Change { is_out } => self.changes.push(is_out),
+            Event::Hear { end, change } => {
+                let change = change % self.changes.len();
+                self.ends[end].newest = self.ends[end].newest.max(change);
+                self.observe(end, change)?;
+            }
+            Event::ListVm { end, vm } => {
+                let node = &mut self.ends[end];
+                node.vm = vm;
+                if vm == VmState::Leaving {
+                    node.vm_left_at = Some(self.now);
+                }
+                self.observe(end, self.ends[end].newest)?;
+            }
+            Event::Terminate => {
+                self.is_terminating = true;
+                self.observe(1, self.ends[1].newest)?;
+            }
+            Event::Send => self.send()?,
+            Event::Finish => self.in_flight = self.in_flight.saturating_sub(1),
+            Event::Advance(millis) => self.now += Duration::from_millis(millis),
+        }
+        Ok(())
+    }
+
+    fn send(&mut self) -> std::result::Result<(), TestCaseError> {
+        let admits = |end: &End| end.row.admit(self.now).is_ok();
+        if !self.ends.iter().all(admits) {
+            return Ok(());
+        }
+        self.in_flight += 1;
+        prop_assert!(!self.is_terminating, "new work while ending");
+        for (position, end) in self.ends.iter().enumerate() {
+            prop_assert!(!self.changes[end.newest], "end {position} knows it is out");
+            prop_assert!(
+                end.vm != VmState::Leaving,
+                "end {position} knows the VM leaves"
+            );
+            let return_time = DrainSettings::default().vm_return.duration();
+            let has_passed = end
+                .vm_left_at
+                .is_none_or(|left_at| left_at + return_time <= self.now);
+            prop_assert!(has_passed, "end {position} took the VM back too early");
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(1_500) })]
+
+    #[test]
+    fn admit_no_work_once_known(events in prop::collection::vec(any_event(), 1..100)) {
+        let mut bench = Bench::new();
+        for event in events {
+            bench.apply(event)?;
+        }
+        if bench.is_terminating {
+            prop_assert!(bench.ends[1].row.stage() != DrainStage::Serving);
+        }
+    }
+}
--- a/crates/fleet/tests/it/drain/mod.rs
+++ b/crates/fleet/tests/it/drain/mod.rs
@@ -1,1 +1,3 @@
-
+mod ends;
+mod share;
+mod stages;
--- /dev/null
+++ b/crates/fleet/tests/it/drain/stages.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+use amaranthgw_core::{ChangeNumber, MilliSpan, SlotCount};
+use amaranthgw_fleet::drain::{
+    DrainCause, DrainRefusal, DrainRow, DrainSettings, DrainShift, DrainSignals, VmState,
+};
+use amaranthgw_fleet::gate::NotRunCause;
+use tokio::time::Instant;
+
+const SERVING: DrainSignals = DrainSignals {
+    change: ChangeNumber::new(4),
+    is_out: false,
+    vm: VmState::Live,
+    is_terminating: false,
+};
+
+#[test]
+fn observe_out_then_back() {
+    let now = Instant::now();
+    let mut row = DrainRow::new(DrainSettings::default(), SERVING, now);
+    let change = ChangeNumber::new(5);
+    let out = DrainSignals {
+        change,
+        is_out: true,
+        ..SERVING
+    };
+    let cause = DrainCause::TakenOut;
+    let in_flight = SlotCount::new(2);
+    assert_eq!(
+        row.observe(out, in_flight, now),
+        DrainShift::Left { cause, in_flight }
+    );
+    let refusal = DrainRefusal { cause, change };
+    assert_eq!(row.admit(now), Err(refusal));
+    assert_eq!(refusal.proof().cause(), NotRunCause::RefusedBySidecar);
+    assert_eq!(row.observe(out, SlotCount::new(1), now), DrainShift::Held);
+    assert_eq!(
+        row.observe(out, SlotCount::new(0), now),
+        DrainShift::Emptied { cause }
+    );
+    let old = DrainSignals {
+        change: ChangeNumber::new(4),
+        ..SERVING
+    };
+    assert_eq!(row.observe(old, SlotCount::new(0), now), DrainShift::Held);
+    let back = DrainSignals {
+        change: ChangeNumber::new(6),
+        ..SERVING
+    };
+    assert_eq!(
+        row.observe(back, SlotCount::new(0), now),
+        DrainShift::Returned
+    );
+    assert_eq!(row.admit(now), Ok(()));
+}
+
+/// An ending entry tells the balancer at once and takes what still comes until it notices.
+#[test]
+fn observe_entry_lingers() {
+    let now = Instant::now();
+    let linger = MilliSpan::new(2_000);
+    let settings = DrainSettings {
+        linger,
+        ..DrainSettings::default()
+    };
+    let mut row = DrainRow::new(settings, SERVING, now);
+    let ending = DrainSignals {
+        is_terminating: true,
+        ..SERVING
+    };
+    let none = SlotCount::new(0);
+    let cause = DrainCause::Terminating;
+    row.observe(ending, none, now);
+    assert!(!row.is_ready());
+    assert_eq!(row.admit(now), Ok(()));
+    assert_eq!(row.observe(ending, none, now), DrainShift::Held);
+    let later = now + Duration::from_secs(2);
+    row.admit(later).expect_err("no longer");
+    assert_eq!(
+        row.observe(ending, SlotCount::new(1), later),
+        DrainShift::Held
+    );
+    assert_eq!(
+        row.observe(ending, none, later),
+        DrainShift::Emptied { cause }
+    );
+}
--- a/crates/fleet/tests/it/suspects/mod.rs
+++ b/crates/fleet/tests/it/suspects/mod.rs
@@ -1,1 +1,3 @@
-
+mod isolation;
+mod merge;
+mod spread;
