A queue in front of the target's slots

Cause: a burst on cold targets was refused although slots became free well within the deadline; each refusal also spent the retry budget. Ruled out: a queue at the entry, as no entry knows the slots. Requests now wait at the sidecar until the time by which they must start, dearest kept first.

--- a/crates/amaranthgw/src/entry/attempt.rs
+++ b/crates/amaranthgw/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 use amaranthgw_core::{AttemptNumber, ChunkSequence, MilliSpan};
 use amaranthgw_fleet::answers::{AnswerBreak, AnswerEnd, AnswerState, StreamChunk};
@@ -9,7 +10,7 @@
 use amaranthgw_fleet::retries::{
     FailureCause, NotRunProof, RefusalReason, RunOutcome, SidecarRefusal, UnknownCause,
 };
-use amaranthgw_fleet::routing::TargetRoute;
+use amaranthgw_fleet::routing::{ServiceKind, TargetRoute};
 use futures_util::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
@@ -65,6 +66,7 @@
             workspace: self.call.head.workspace.clone(),
             request: self.call.head.request.clone(),
             attempt,
+            wait: MilliSpan::with_duration(self.longest_wait(now)),
             due: until(self.call.due_at),
             remaining: until(self.call.cutoff),
             is_idempotent: self.is_idempotent(),
@@ -77,6 +79,24 @@
         }
     }
 
+    /// Longest time that the attempt may wait for a slot.
+    ///
+    /// The first attempt leaves half of the time for another one elsewhere.
+    fn longest_wait(&self, now: Instant) -> Duration {
+        let start_by = match self.call.head.kind {
+            ServiceKind::Model => self.timing.next_chunk_by(),
+            ServiceKind::Plain => self.call.due_at,
+        };
+        let left = start_by
+            .min(self.call.cutoff)
+            .saturating_duration_since(now);
+        if self.answer.attempt() == AttemptNumber::new(0) {
+            left / 2
+        } else {
+            left
+        }
+    }
+
     async fn follow(
         &mut self,
         route: &TargetRoute,
--- a/crates/amaranthgw/src/entry/run.rs
+++ b/crates/amaranthgw/src/entry/run.rs
@@ -59,12 +59,16 @@
 impl CallTiming {
     /// Notes that a chunk is passed on at `now`.
     pub(super) fn note_chunk(&mut self, now: Instant) {
-        let latest = match self.last_chunk_at {
+        self.is_late |= now > self.next_chunk_by();
+        self.last_chunk_at = Some(now);
+    }
+
+    /// When the next chunk is late.
+    pub(super) fn next_chunk_by(&self) -> Instant {
+        match self.last_chunk_at {
             None => self.arrived_at + self.first_token,
             Some(last) => last + self.token_gap,
-        };
-        self.is_late |= now > latest;
-        self.last_chunk_at = Some(now);
+        }
     }
 }
 
--- a/crates/amaranthgw/src/link/grpc.rs
+++ b/crates/amaranthgw/src/link/grpc.rs
@@ -113,6 +113,7 @@
         workspace: order.workspace.to_string(),
         request: order.request.to_string(),
         attempt: order.attempt.get(),
+        wait_ms: order.wait.millis(),
         due_ms: order.due.millis(),
         remaining_ms: order.remaining.millis(),
         idempotent: order.is_idempotent,
--- a/crates/amaranthgw/src/link/step.rs
+++ b/crates/amaranthgw/src/link/step.rs
@@ -32,6 +32,8 @@
     pub request: RequestId,
     /// Number of the attempt.
     pub attempt: AttemptNumber,
+    /// Longest time that the attempt may wait for a slot of the target.
+    pub wait: MilliSpan,
     /// Time left until the answer is late.
     pub due: MilliSpan,
     /// Time left until the entry gives the request up.
--- a/crates/amaranthgw/src/sidecar/attempt.rs
+++ b/crates/amaranthgw/src/sidecar/attempt.rs
@@ -80,6 +80,7 @@
             Err(end) => end,
         };
         self.settle(end, permit, &times).await;
+        self.shared.queue.serve();
     }
 
     async fn open(&self) -> Result<TargetStream, DriveEnd> {
@@ -124,7 +125,9 @@
         match end {
             DriveEnd::Whole { chunk_count } => {
                 self.tell_answer(&permit, times);
+                self.shared.queue.note_answer(times.admitted_at.elapsed());
                 permit.finish();
+                self.shared.queue.serve();
                 self.report(AttemptReport::Finished { chunk_count }).await;
             }
             DriveEnd::Failed(error) => self.settle_failure(error, permit).await,
--- a/crates/amaranthgw/src/sidecar/control.rs
+++ b/crates/amaranthgw/src/sidecar/control.rs
@@ -107,6 +107,7 @@
         for output in std::mem::take(&mut self.world.outbox) {
             self.carry_out(output);
         }
+        self.shared.queue.serve();
         let is_idle = self.shared.slots.in_flight().get() == 0;
         if self.world.is_stopping && is_idle {
             self.shared.stop.advance(StopPhase::Ending);
--- a/crates/amaranthgw/src/sidecar/mod.rs
+++ b/crates/amaranthgw/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod load_actor;
 mod process;
+mod queue;
 mod reporter;
 mod service;
 mod shared;
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -20,6 +20,7 @@
 
 use super::control::{ControlArguments, ControlMessage, SidecarControl};
 use super::load_actor::LoadActor;
+use super::queue::AdmissionQueue;
 use super::reporter::SidecarReporter;
 use super::service::SidecarService;
 use super::shared::SidecarShared;
@@ -61,6 +62,7 @@
             served: entry.served.clone(),
             client: target_client(settings),
             slots: Arc::clone(&entry.slots),
+            queue: AdmissionQueue::new(Arc::clone(&entry.slots)),
             status: ArcSwap::from_pointee(initial_status(entry.served.kind)),
             config: ArcSwap::default(),
             evidence,
--- /dev/null
+++ b/crates/amaranthgw/src/sidecar/queue.rs
@@ -0,0 +1,175 @@
+//! Requests that wait for a slot of the target.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranthgw_fleet::gate::{
+    AdmissionPermit, AdmissionSlots, GateRefusal, QueueChange, QueueRow, QueueSettings, QueueTable,
+    RefusalReason, TicketNumber, enqueue, take_next,
+};
+use tokio::sync::oneshot::{Receiver, Sender, channel};
+use tokio::time::{Instant, timeout_at};
+
+/// Requests that may wait for each slot of the target.
+const WAITERS_PER_SLOT: usize = 16;
+/// Weight of one answer in the smoothed time of an answer.
+const ANSWER_WEIGHT: f32 = 0.1;
+
+/// What a waiting request is told.
+type QueueVerdict = Result<AdmissionPermit, GateRefusal>;
+
+/// The queue in front of the target's slots.
+#[derive(Debug)]
+pub(super) struct AdmissionQueue {
+    slots: Arc<AdmissionSlots>,
+    state: Mutex<QueueState>,
+}
+
+#[derive(Debug, Default)]
+struct QueueState {
+    table: QueueTable,
+    waiters: HashMap<TicketNumber, Sender<QueueVerdict>>,
+    next_ticket: TicketNumber,
+    answer_seconds: f32,
+}
+
+impl AdmissionQueue {
+    /// Creates the queue in front of `slots`.
+    pub(super) fn new(slots: Arc<AdmissionSlots>) -> Self {
+        Self {
+            slots,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes a slot, after a wait until `start_by` where none is free.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`GateRefusal`] where no slot becomes free in time; the request has not run.
+    pub(super) async fn admit(&self, refund_weight: u32, start_by: Instant) -> QueueVerdict {
+        let refusal = match self.slots.try_admit() {
+            Ok(permit) => return Ok(permit),
+            Err(refusal) => refusal,
+        };
+        if refusal.reason() != RefusalReason::Full {
+            return Err(refusal);
+        }
+        let row = QueueRow {
+            start_by,
+            refund_weight,
+        };
+        let (ticket, receiver) = self.join(row);
+        let _place = QueuePlace {
+            queue: self,
+            ticket,
+        };
+        // A slot may have become free between the first try and the entry into the queue.
+        self.serve();
+        wait(receiver, start_by, refusal).await
+    }
+
+    /// Gives free slots to those who wait.
+    pub(super) fn serve(&self) {
+        let mut state = self.lock();
+        while !state.table.is_empty() {
+            let Ok(permit) = self.slots.try_admit() else {
+                return;
+            };
+            state.give(permit);
+        }
+    }
+
+    /// Takes the time of one whole answer into account.
+    pub(super) fn note_answer(&self, taken: Duration) {
+        let mut state = self.lock();
+        let seconds = taken.as_secs_f32();
+        let weight = if state.answer_seconds == 0.0 {
+            1.0
+        } else {
+            ANSWER_WEIGHT
+        };
+        state.answer_seconds += weight * (seconds - state.answer_seconds);
+    }
+
+    fn join(&self, row: QueueRow) -> (TicketNumber, Receiver<QueueVerdict>) {
+        let limit = self.slots.limit().get().max(1);
+        let mut state = self.lock();
+        let ticket = state.next_ticket;
+        state.next_ticket = ticket.next();
+        let (sender, receiver) = channel();
+        state.waiters.insert(ticket, sender);
+        let slot_seconds = state.answer_seconds / u32_to_f32(limit);
+        let settings = QueueSettings {
+            capacity: WAITERS_PER_SLOT * usize::try_from(limit).unwrap_or(usize::MAX),
+            slot_gap: Duration::from_secs_f32(slot_seconds),
+        };
+        let refused = enqueue(&mut state.table, ticket, row, &settings, Instant::now());
+        state.refuse(refused);
+        (ticket, receiver)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "limits are far below 2^24")]
+const fn u32_to_f32(number: u32) -> f32 {
+    number as f32
+}
+
+impl QueueState {
+    /// Gives `permit` to the next waiter that is still there, or frees it.
+    fn give(&mut self, permit: AdmissionPermit) {
+        let turn = take_next(&mut self.table, Instant::now());
+        self.refuse(turn.refused);
+        let waiter = turn
+            .admitted
+            .and_then(|ticket| self.waiters.remove(&ticket));
+        let unused = match waiter {
+            Some(waiter) => waiter.send(Ok(permit)).err().and_then(Result::ok),
+            None => Some(permit),
+        };
+        if let Some(permit) = unused {
+            permit.finish();
+        }
+    }
+
+    fn refuse(&mut self, changes: Vec<QueueChange>) {
+        for change in changes {
+            if let Some(waiter) = self.waiters.remove(&change.ticket) {
+                // A waiter that has left needs no refusal.
+                drop(waiter.send(Err(change.refusal)));
+            }
+        }
+    }
+}
+
+/// Leaves the queue when the request no longer waits.
+struct QueuePlace<'a> {
+    queue: &'a AdmissionQueue,
+    ticket: TicketNumber,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut state = self.queue.lock();
+        state.table.remove(&self.ticket);
+        state.waiters.remove(&self.ticket);
+    }
+}
+
+async fn wait(
+    mut receiver: Receiver<QueueVerdict>,
+    start_by: Instant,
+    refusal: GateRefusal,
+) -> QueueVerdict {
+    match timeout_at(start_by, &mut receiver).await {
+        Ok(Ok(verdict)) => verdict,
+        Ok(Err(_closed)) => Err(refusal),
+        // A permit that was given at the last moment is taken all the same.
+        Err(_elapsed) => receiver.try_recv().unwrap_or(Err(refusal)),
+    }
+}
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -39,6 +39,7 @@
 struct AttemptTerms {
     target: TargetId,
     service: ServiceId,
+    wait: Duration,
     due: Duration,
     remaining: Duration,
     call: TargetCall,
@@ -52,17 +53,28 @@
         Self { shared, log }
     }
 
-    /// Checks and admits an attempt.
-    fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+    /// Checks and admits an attempt, after a wait where the target is full.
+    async fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+        self.check(terms)?;
+        let start_by = Instant::now() + terms.wait;
+        let admitted = self.shared.queue.admit(terms.call.priority, start_by).await;
+        let permit = admitted.map_err(|_refusal| RefusalCode::GateFull)?;
+        // The target may have begun to leave during the wait.
+        if let Err(code) = self.check(terms) {
+            permit.finish();
+            return Err(code);
+        }
+        Ok(permit)
+    }
+
+    fn check(&self, terms: &AttemptTerms) -> Result<(), RefusalCode> {
         let order = OrderTerms {
             target: &terms.target,
             service: &terms.service,
             remaining: terms.remaining,
         };
         let status = self.shared.status.load();
-        check_order(&self.shared.served, &status, &order).map_err(refusal_code)?;
-        let admitted = self.shared.slots.try_admit();
-        admitted.map_err(|_refusal| RefusalCode::GateFull)
+        check_order(&self.shared.served, &status, &order).map_err(refusal_code)
     }
 
     fn start(&self, terms: AttemptTerms, permit: AdmissionPermit) -> EventStream {
@@ -141,7 +153,7 @@
                 RefusalCode::Invalid,
             )));
         };
-        let events = match self.admit(&terms) {
+        let events = match self.admit(&terms).await {
             Ok(permit) => self.start(terms, permit),
             Err(code) => self.refuse(Some(&terms.call.request), attempt, code),
         };
@@ -168,6 +180,7 @@
     Some(AttemptTerms {
         target: request.target.parse().ok()?,
         service: request.service.parse().ok()?,
+        wait: Duration::from_millis(request.wait_ms),
         due: Duration::from_millis(request.due_ms),
         remaining: Duration::from_millis(request.remaining_ms),
         call,
--- a/crates/amaranthgw/src/sidecar/shared.rs
+++ b/crates/amaranthgw/src/sidecar/shared.rs
@@ -8,6 +8,7 @@
 use amaranthgw_fleet::sidecar::{ServedTarget, TargetEvidence, TargetNews};
 use arc_swap::ArcSwap;
 
+use super::queue::AdmissionQueue;
 use super::target::TargetClient;
 use crate::control::ReportSender;
 use crate::runtime::StopSignal;
@@ -23,6 +24,8 @@
     pub(super) client: Box<dyn TargetClient>,
     /// Slots of the target.
     pub(super) slots: Arc<AdmissionSlots>,
+    /// Requests that wait for a slot.
+    pub(super) queue: AdmissionQueue,
     /// Status that the control thread last published.
     pub(super) status: ArcSwap<TargetStatus>,
     /// Configuration in force.
--- a/crates/amaranthgw/src/wire/node.rs
+++ b/crates/amaranthgw/src/wire/node.rs
@@ -36,6 +36,9 @@
     /// Time left until the answer is late, in milliseconds.
     #[prost(uint64, tag = "14")]
     pub due_ms: u64,
+    /// Longest time that the attempt may wait for a slot, in milliseconds.
+    #[prost(uint64, tag = "15")]
+    pub wait_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RunEvent {
--- a/crates/amaranthgw/tests/it/serve.rs
+++ b/crates/amaranthgw/tests/it/serve.rs
@@ -57,3 +57,35 @@
         assert_eq!(runs, 1, "{request}");
     }
 }
+
+#[tokio::test]
+async fn serve_burst_on_cold_targets_without_refusal() {
+    let fleet = TestFleet::start("burst").await;
+    let calls = (0..48_usize).map(|index| {
+        let caller = fleet.caller(index % 2);
+        async move {
+            let prompt = format!("burst number {index}");
+            let answer = caller
+                .generate("draft-llm", &format!("u-{index}"), &prompt, 20)
+                .await;
+            assert_whole(&answer.expect("an answer"), &prompt, 20);
+        }
+    });
+    futures_util::future::join_all(calls).await;
+    for target in fleet
+        .targets
+        .iter()
+        .filter(|row| row.service == "draft-llm")
+    {
+        let log = target
+            .client()
+            .get("/admin/log")
+            .await
+            .expect("a log")
+            .to_string();
+        assert!(
+            !log.contains("fall_over"),
+            "an engine was overloaded: {log}"
+        );
+    }
+}
