Claims on idempotency keys before calls that must not run twice

Cause: a resend of a booking through another entry, or after an entry died, ran again. Ruled out: memory at the entries, which VMs lose. A claim now stands in the key-value service before the hand-over; it is given back only on a proof of not run, and a claim whose holder vanished stays outcome unknown.

--- a/crates/amaranthgw/src/control/border.rs
+++ b/crates/amaranthgw/src/control/border.rs
@@ -9,8 +9,8 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::{
-    ConfigActor, ConfigArguments, ConfigInput, ConfigSink, VmListActor, VmListArguments,
-    VmListSink, forward_reports,
+    ClaimActor, ClaimInput, ClaimRequest, ConfigActor, ConfigArguments, ConfigInput, ConfigSink,
+    VmListActor, VmListArguments, VmListSink, forward_reports,
 };
 use crate::peer::{GrpcPeerLink, PeerTell};
 use crate::platform::{HttpStore, HttpVmList};
@@ -62,6 +62,24 @@
         Ok(config)
     }
 
+    /// Starts to make the claims that traffic threads ask for through `requests`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RuntimeError::Actor`] where the actor can't be started.
+    pub async fn start_claims(&self, requests: UnboundedReceiver<ClaimRequest>) -> Result<()> {
+        let store = Arc::new(HttpStore::new(self.store));
+        let spawned = Actor::spawn(None, ClaimActor, store).await;
+        let (claims, _ended) = spawned.map_err(|_failed| RuntimeError::Actor)?;
+        let forward = move |batch: Vec<ClaimRequest>| {
+            for request in batch {
+                drop(claims.cast(ClaimInput::Request(request)));
+            }
+        };
+        tokio::spawn(forward_reports(requests, forward));
+        Ok(())
+    }
+
     /// Starts to read the VM list.
     ///
     /// # Errors
--- a/crates/amaranthgw/src/entry/answer.rs
+++ b/crates/amaranthgw/src/entry/answer.rs
@@ -5,7 +5,7 @@
 use amaranthgw_core::ChunkSequence;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
@@ -45,6 +45,8 @@
         /// Number of its chunks.
         chunks: ChunkSequence,
     },
+    /// The whole answer to an earlier sending of the call.
+    Replayed(StatusCode, Bytes),
     /// There will be no whole answer.
     Failed(CallError),
 }
@@ -102,12 +104,23 @@
             Some(AnswerPart::End { .. }) => {
                 return whole_response(StatusCode::OK, "application/octet-stream", data);
             }
+            Some(AnswerPart::Replayed(status, data)) => return replayed_response(status, data),
             Some(AnswerPart::Failed(error)) => return error_response(&error),
             None => return error_response(&CallError::OutcomeUnknown),
         }
     }
 }
 
+/// Answers with the answer to an earlier sending of the same call.
+fn replayed_response(status: StatusCode, data: Bytes) -> Response<AnswerBody> {
+    let mut response = whole_response(status, "application/octet-stream", data);
+    let replayed = HeaderName::from_static("x-replayed");
+    response
+        .headers_mut()
+        .insert(replayed, HeaderValue::from_static("true"));
+    response
+}
+
 /// Answers a model call with a stream of lines once its first part is here.
 pub(super) async fn stream_response(mut parts: Receiver<AnswerPart>) -> Response<AnswerBody> {
     let first = match parts.recv().await {
@@ -139,6 +152,8 @@
         AnswerPart::End { chunks } => json_line(&EndLine {
             end: EndFields { chunks: *chunks },
         }),
+        // Only plain calls are replayed.
+        AnswerPart::Replayed(..) => return vec![Err(AnswerCut)],
         AnswerPart::Failed(error) => {
             let mut line = Vec::from(error.body());
             line.push(b'\n');
--- a/crates/amaranthgw/src/entry/attempt.rs
+++ b/crates/amaranthgw/src/entry/attempt.rs
@@ -14,7 +14,6 @@
 use futures_util::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::AnswerPart;
 use super::run::CallRun;
 use super::shared::TrafficReport;
 use crate::link::{AttemptOrder, AttemptStep, AttemptStream, BreakCode, LinkError, RefusalCode};
@@ -193,8 +192,7 @@
             let Some(data) = self.answer.release() else {
                 return;
             };
-            self.timing.note_chunk(Instant::now());
-            self.send(AnswerPart::Chunk { sequence, data }).await;
+            self.pass_on(sequence, data).await;
         }
     }
 
--- a/crates/amaranthgw/src/entry/http.rs
+++ b/crates/amaranthgw/src/entry/http.rs
@@ -14,11 +14,14 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::Deserialize;
-use tokio::sync::mpsc::channel;
+use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::Instant;
 
 use super::CallError;
-use super::answer::{AnswerBody, error_response, plain_response, stream_response, whole_response};
+use super::answer::{
+    AnswerBody, AnswerPart, error_response, plain_response, stream_response, whole_response,
+};
+use super::claim::{CallClaim, claim};
 use super::head::CallHead;
 use super::run::{AdmittedCall, CallRun, CallTiming};
 use super::shared::{InFlightGuard, TrafficReport, TrafficThread};
@@ -94,7 +97,7 @@
     }
 }
 
-/// Runs `call`; what `held` counts ends with the run, also where the caller hangs up before.
+/// Runs `call` unless it ran before; what `held` counts ends with the run, also where the caller hangs up before.
 async fn start(
     thread: Arc<TrafficThread>,
     call: AdmittedCall,
@@ -102,9 +105,9 @@
 ) -> Response<AnswerBody> {
     let (sender, parts) = channel(PART_BUFFER);
     let kind = call.head.kind;
-    let run = CallRun::new(thread, call, sender);
+    // The claim is made in the task too: a caller that hangs up must not leave it half made.
     tokio::spawn(async move {
-        run.run().await;
+        run_claimed(thread, call, sender).await;
         drop(held);
     });
     match kind {
@@ -113,11 +116,37 @@
     }
 }
 
+async fn run_claimed(thread: Arc<TrafficThread>, call: AdmittedCall, parts: Sender<AnswerPart>) {
+    let grant = match claim(&thread, &call).await {
+        Ok(CallClaim::NotNeeded) => None,
+        Ok(CallClaim::Granted(grant)) => Some(grant),
+        Ok(CallClaim::Replayed(status, body)) => {
+            // A caller that hung up needs no answer.
+            drop(parts.send(AnswerPart::Replayed(status, body)).await);
+            return;
+        }
+        Err(error) => {
+            record_refused(&thread, Some(&call.head), &error);
+            drop(parts.send(AnswerPart::Failed(error)).await);
+            return;
+        }
+    };
+    CallRun::new(thread, call, parts)
+        .with_grant(grant)
+        .run()
+        .await;
+}
+
 fn refuse(
     thread: &TrafficThread,
     head: Option<&CallHead>,
     error: &CallError,
 ) -> Response<AnswerBody> {
+    record_refused(thread, head, error);
+    error_response(error)
+}
+
+fn record_refused(thread: &TrafficThread, head: Option<&CallHead>, error: &CallError) {
     thread.log.record(NodeEvent::RequestRefused {
         request: head.map(|head| head.request.clone()),
         workspace: head.map(|head| head.workspace.clone()),
@@ -125,16 +154,15 @@
         outcome: error.state().name(),
     });
     if let Some(head) = head {
-        record_refusal(thread, head, error);
+        count_refusal(thread, head, error);
     }
-    error_response(error)
 }
 
 /// Counts a refusal that the plan's service level speaks of.
-fn record_refusal(thread: &TrafficThread, head: &CallHead, error: &CallError) {
+fn count_refusal(thread: &TrafficThread, head: &CallHead, error: &CallError) {
     let outcome = match error {
         CallError::OverLimit { .. } => BurnOutcome::OverLimit,
-        CallError::Leaving => BurnOutcome::Refused,
+        CallError::Leaving | CallError::KeyUnavailable => BurnOutcome::Refused,
         _ => return,
     };
     let snapshot = thread.shared.snapshot.load();
--- a/crates/amaranthgw/src/entry/mod.rs
+++ b/crates/amaranthgw/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod claim;
 mod control;
 mod error;
 mod head;
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -21,7 +21,9 @@
 use super::listener::serve_callers;
 use super::reporter::EntryReporter;
 use super::shared::{EntryShared, TrafficReport, TrafficThread};
-use crate::control::{ConfigInput, PlatformBorder, forward_reports, report_channel};
+use crate::control::{
+    ClaimDesk, ClaimRequest, ConfigInput, PlatformBorder, forward_reports, report_channel,
+};
 use crate::link::GrpcLink;
 use crate::peer::PeerService;
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
@@ -53,10 +55,12 @@
         let node_address = node_listener.address();
         let stop = StopSignal::new();
         let (reports, receiver) = report_channel();
+        let (claims, claim_requests) = report_channel();
         let shared = Arc::new(EntryShared {
             snapshot: ArcSwap::default(),
             policy: Box::new(DomainNearPolicy::new()),
             retries: RetrySettings::new(),
+            claims: ClaimDesk::new(claims),
             reports,
             in_flight: AtomicU32::new(0),
             max_body: settings.max_body,
@@ -77,7 +81,12 @@
             threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
         }
         let (settings, log) = (settings.clone(), log.clone());
-        let control = move || run_control(settings, shared, receiver, node_listener, log);
+        let inputs = ControlInputs {
+            reports: receiver,
+            claim_requests,
+            node_listener,
+        };
+        let control = move || run_control(settings, shared, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
         Ok(Self {
             address,
@@ -115,11 +124,17 @@
     }
 }
 
+/// What the control thread receives from the others.
+struct ControlInputs {
+    reports: UnboundedReceiver<TrafficReport>,
+    claim_requests: UnboundedReceiver<ClaimRequest>,
+    node_listener: SharedListener,
+}
+
 async fn run_control(
     settings: EntrySettings,
     shared: Arc<EntryShared>,
-    receiver: UnboundedReceiver<TrafficReport>,
-    node_listener: SharedListener,
+    inputs: ControlInputs,
     log: EventLog,
 ) {
     let arguments = ControlArguments {
@@ -132,7 +147,7 @@
     let Ok((control, _ended)) = started else {
         return;
     };
-    if start_borders(&settings, &control, receiver, &node_listener, &log)
+    if start_borders(&settings, &control, inputs, &log)
         .await
         .is_err()
     {
@@ -164,21 +179,20 @@
 async fn start_borders(
     settings: &EntrySettings,
     control: &ActorRef<ControlMessage>,
-    receiver: UnboundedReceiver<TrafficReport>,
-    node_listener: &SharedListener,
+    inputs: ControlInputs,
     log: &EventLog,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
     let to_control = control.clone();
     let forward = move |batch| drop(to_control.cast(ControlMessage::Reports(batch)));
-    tokio::spawn(forward_reports(receiver, forward));
+    tokio::spawn(forward_reports(inputs.reports, forward));
     let (tells, told) = report_channel();
     let reporter = EntryReporter {
         control: control.clone(),
         log: log.clone(),
     };
     let peer = PeerServer::new(PeerService::new(tells, Arc::new(reporter)));
-    let incoming = TcpListenerStream::new(node_listener.handle()?);
+    let incoming = TcpListenerStream::new(inputs.node_listener.handle()?);
     tokio::spawn(
         Server::builder()
             .add_service(peer)
@@ -190,6 +204,7 @@
         vm_list: settings.vm_list,
         log: log.clone(),
     };
+    border.start_claims(inputs.claim_requests).await?;
     let to_control = control.clone();
     let sink = move |state| drop(to_control.cast(ControlMessage::Config(state)));
     let config = border.start_config(Box::new(sink), told).await?;
--- a/crates/amaranthgw/src/entry/run.rs
+++ b/crates/amaranthgw/src/entry/run.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{ChangeNumber, PlanId, TargetId, TokenCount};
+use amaranthgw_core::{ChangeNumber, ChunkSequence, PlanId, TargetId, TokenCount};
 use amaranthgw_fleet::answers::AnswerRow;
 use amaranthgw_fleet::burn::BurnOutcome;
+use amaranthgw_fleet::claims::ClaimGrant;
 use amaranthgw_fleet::entry::{AnswerRecord, EntrySnapshot};
 use amaranthgw_fleet::retries::{AttemptLog, RepeatRule, RetryAsk, RetryDecision, RunOutcome};
 use amaranthgw_fleet::routing::{RouteAsk, RouteError, TargetRoute};
@@ -14,10 +15,10 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep_until};
 
-use super::CallError;
 use super::answer::AnswerPart;
 use super::head::CallHead;
 use super::shared::{TrafficReport, TrafficThread};
+use super::{CallError, claim};
 use crate::telemetry::NodeEvent;
 
 /// An admitted call.
@@ -83,6 +84,8 @@
     log: AttemptLog,
     tried: Vec<TargetId>,
     parts: Sender<AnswerPart>,
+    grant: Option<ClaimGrant>,
+    first_chunk: Bytes,
 }
 
 impl CallRun {
@@ -101,14 +104,30 @@
             log: AttemptLog::new(),
             tried: Vec::new(),
             parts,
+            grant: None,
+            first_chunk: Bytes::new(),
         }
     }
 
+    /// Sets the claim under which the request runs.
+    pub(super) fn with_grant(mut self, grant: Option<ClaimGrant>) -> Self {
+        self.grant = grant;
+        self
+    }
+
     /// Runs the request to its end.
-    pub(super) async fn run(mut self) -> Option<RunOutcome> {
+    pub(super) async fn run(mut self) {
+        let outcome = self.run_attempts().await;
+        claim::settle(&self.thread, self.grant, outcome, &self.first_chunk);
+    }
+
+    async fn run_attempts(&mut self) -> Option<RunOutcome> {
         let error = loop {
             let snapshot = self.thread.shared.snapshot.load_full();
             self.change = snapshot.config.number;
+            if self.is_grant_expired() {
+                break CallError::with_outcome(self.log.overall());
+            }
             let route = match self.choose(&snapshot) {
                 Ok(route) => route,
                 Err(error) => break error,
@@ -128,6 +147,21 @@
         self.log.overall()
     }
 
+    /// Whether the claim can no longer be used, as its holder paused for too long.
+    fn is_grant_expired(&self) -> bool {
+        self.grant
+            .is_some_and(|grant| grant.check(Instant::now()).is_err())
+    }
+
+    /// Passes a chunk on to the caller.
+    pub(super) async fn pass_on(&mut self, sequence: ChunkSequence, data: Bytes) {
+        self.timing.note_chunk(Instant::now());
+        if self.grant.is_some() {
+            self.first_chunk = data.clone();
+        }
+        self.send(AnswerPart::Chunk { sequence, data }).await;
+    }
+
     /// Whether a second run of the request is harmless.
     pub(super) fn is_idempotent(&self) -> bool {
         self.call.head.rule != RepeatRule::NonIdempotent
--- a/crates/amaranthgw/src/entry/shared.rs
+++ b/crates/amaranthgw/src/entry/shared.rs
@@ -9,7 +9,7 @@
 use amaranthgw_fleet::routing::RoutePolicy;
 use arc_swap::ArcSwap;
 
-use crate::control::ReportSender;
+use crate::control::{ClaimDesk, ReportSender};
 use crate::link::TargetLink;
 use crate::runtime::StopSignal;
 use crate::telemetry::EventLog;
@@ -32,6 +32,8 @@
     pub(super) policy: Box<dyn RoutePolicy>,
     /// Limits and delays of retries.
     pub(super) retries: RetrySettings,
+    /// Claims on idempotency keys.
+    pub(super) claims: ClaimDesk,
     /// Way of reports to the control thread.
     pub(super) reports: ReportSender<TrafficReport>,
     /// Requests in flight over all threads.
--- a/crates/amaranthgw/src/platform/mod.rs
+++ b/crates/amaranthgw/src/platform/mod.rs
@@ -1,11 +1,13 @@
 //! Clients of the platform: the key-value service and the VM list.
 
+mod claim_store;
 mod config_store;
 mod error;
 mod http;
 mod store;
 mod vms;
 
+pub use claim_store::perform_claim_call;
 pub use config_store::perform_config_call;
 pub use error::PlatformError;
 pub use http::HttpCaller;
