--- a/crates/amaranthgw/src/cli/mod.rs
+++ b/crates/amaranthgw/src/cli/mod.rs
@@ -12,6 +12,7 @@
 
 use std::process::ExitCode;
 
+use crate::demo::run_demo;
 use options::{CliCommand, cli_command};
 
 /// Exit code of a command that did what it was asked to.
@@ -62,6 +63,7 @@
         CliCommand::Status { store, fleet, json } => status::run(store, fleet.vm_list, json),
         CliCommand::Report { fleet, json } => report::run(fleet.vm_list, json),
         CliCommand::Explain { fleet, subject } => explain::run(fleet.vm_list, &subject),
+        CliCommand::Demo => Ok(if run_demo()? { EXIT_DONE } else { EXIT_FAILED }),
         CliCommand::Standin {
             listen,
             settings,
--- a/crates/amaranthgw/src/cli/options.rs
+++ b/crates/amaranthgw/src/cli/options.rs
@@ -164,6 +164,9 @@
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
+    /// Show the whole system at work within this process
+    #[bpaf(command)]
+    Demo,
     /// Run a stand-in for the platform or a target, for tests
     #[bpaf(command)]
     Standin {
--- a/crates/amaranthgw/src/cli/report.rs
+++ b/crates/amaranthgw/src/cli/report.rs
@@ -1,7 +1,6 @@
 //! Reports the service-level burn of the fleet.
 
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use amaranthgw_fleet::burn::{BurnReport, WindowSpans, render_json, render_table};
 use amaranthgw_fleet::membership::{NodeRole, VmRecord};
@@ -9,6 +8,7 @@
 use super::EXIT_DONE;
 use super::out::list_vms;
 use super::status::ask_nodes;
+use crate::operator::unix_ms;
 use crate::peer::ReportKind;
 
 /// Prints the burn over all entries.
@@ -28,11 +28,7 @@
 }
 
 fn merge_reports(entries: &[VmRecord]) -> eyre::Result<BurnReport> {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let unix_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
-    let mut merged = BurnReport::new(unix_ms, WindowSpans::usual());
+    let mut merged = BurnReport::new(unix_ms(), WindowSpans::usual());
     for (record, answer) in ask_nodes(entries, ReportKind::Burn, "")? {
         let report = answer.and_then(|json| serde_json::from_slice::<BurnReport>(&json).ok());
         match report {
--- a/crates/amaranthgw/src/cli/status.rs
+++ b/crates/amaranthgw/src/cli/status.rs
@@ -7,17 +7,24 @@
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use tokio::runtime::Builder;
+use tokio::time::Instant;
 
 use super::EXIT_DONE;
-use super::commit::read_config;
+use super::commit::COMMIT_TIME;
 use super::out::list_vms;
+use crate::operator::read_config;
 use crate::peer::{GrpcPeerLink, PeerLink, ReportKind};
+use crate::platform::HttpStore;
 
 /// Prints the state of every node.
 pub(super) fn run(store: SocketAddr, vm_list: SocketAddr, json: bool) -> eyre::Result<u8> {
     let records = list_vms(vm_list)?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let view = runtime.block_on(read_config(store)).ok();
+    let view = runtime.block_on(async {
+        read_config(&HttpStore::new(store), Instant::now() + COMMIT_TIME)
+            .await
+            .ok()
+    });
     let answers = ask_nodes(&records, ReportKind::Status, "")?;
     let nodes: Vec<_> = answers
         .iter()
--- /dev/null
+++ b/crates/amaranthgw/src/embedded/caller.rs
@@ -0,0 +1,117 @@
+//! One caller of an embedded fleet.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::Instant;
+
+/// Workspace that the callers belong to.
+pub const WORKSPACE: &str = "demo";
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Body as far as it arrived.
+    pub body: Bytes,
+    /// Whether the body ended as HTTP says it must.
+    pub is_clean: bool,
+    /// Time to the first byte of the body.
+    pub first_byte: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+}
+
+/// Makes calls at one entry.
+#[derive(Clone, Debug)]
+pub struct LoadCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl LoadCaller {
+    /// Creates a caller of the entry at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            address,
+        }
+    }
+
+    /// Calls a model service.
+    pub async fn generate(
+        &self,
+        service: &str,
+        request: &str,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Option<CallAnswer> {
+        let body = serde_json::json!({ "prompt": prompt, "max_tokens": max_tokens }).to_string();
+        let path = format!("/v1/services/{service}/generate");
+        self.post(&path, request, None, body.into()).await
+    }
+
+    /// Calls a plain service, under `key` where one is given.
+    pub async fn call(
+        &self,
+        service: &str,
+        request: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Option<CallAnswer> {
+        let path = format!("/v1/services/{service}/call");
+        self.post(&path, request, key, Bytes::copy_from_slice(body.as_bytes()))
+            .await
+    }
+
+    async fn post(
+        &self,
+        path: &str,
+        request: &str,
+        key: Option<&str>,
+        body: Bytes,
+    ) -> Option<CallAnswer> {
+        let started_at = Instant::now();
+        let mut builder = Request::post(format!("http://{}{path}", self.address))
+            .header("x-workspace", WORKSPACE)
+            .header("x-request-id", request);
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder.body(Full::new(body)).ok()?;
+        let response = self.client.request(request).await.ok()?;
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut collected = Vec::new();
+        let mut first_byte = None;
+        let mut is_clean = true;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                is_clean = false;
+                break;
+            };
+            if let Ok(data) = frame.into_data() {
+                first_byte.get_or_insert_with(|| started_at.elapsed());
+                collected.extend_from_slice(&data);
+            }
+        }
+        let total = started_at.elapsed();
+        Some(CallAnswer {
+            status,
+            body: collected.into(),
+            is_clean,
+            first_byte,
+            total,
+        })
+    }
+}
--- a/crates/amaranthgw/src/entry/http.rs
+++ b/crates/amaranthgw/src/entry/http.rs
@@ -26,7 +26,7 @@
 use super::run::{AdmittedCall, CallRun, CallTiming};
 use super::shared::{InFlightGuard, TrafficReport, TrafficThread};
 use crate::runtime::StopPhase;
-use crate::telemetry::NodeEvent;
+use crate::telemetry::{NodeEvent, count_refusal};
 
 /// Parts of an answer that may wait for a slow caller.
 const PART_BUFFER: usize = 64;
@@ -55,25 +55,17 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     match (request.method(), request.uri().path()) {
-        (&Method::GET, "/healthz") => text_response(StatusCode::OK, "alive\n"),
+        (&Method::GET, "/healthz") => text_response(StatusCode::OK, "alive"),
         (&Method::GET, "/readyz") => readiness(&thread),
         _ => answer_call(thread, request).await,
     }
 }
 
 fn readiness(thread: &TrafficThread) -> Response<AnswerBody> {
-    if thread.shared.stop.phase() > StopPhase::Serving {
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    match thread.shared.readiness() {
+        Ok(()) => text_response(StatusCode::OK, "ready"),
+        Err(reason) => text_response(StatusCode::SERVICE_UNAVAILABLE, reason),
     }
-    let snapshot = thread.shared.snapshot.load();
-    if snapshot.config.workspaces.is_empty() {
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n");
-    }
-    let mut services = snapshot.routes.services.rows();
-    if !services.any(|routes| routes.subset().next().is_some()) {
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "no target\n");
-    }
-    text_response(StatusCode::OK, "ready\n")
 }
 
 fn text_response(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
@@ -153,13 +145,14 @@
         code: error.code(),
         outcome: error.state().name(),
     });
+    count_refusal(error.code());
     if let Some(head) = head {
-        count_refusal(thread, head, error);
+        record_refusal(thread, head, error);
     }
 }
 
 /// Counts a refusal that the plan's service level speaks of.
-fn count_refusal(thread: &TrafficThread, head: &CallHead, error: &CallError) {
+fn record_refusal(thread: &TrafficThread, head: &CallHead, error: &CallError) {
     let outcome = match error {
         CallError::OverLimit { .. } => BurnOutcome::OverLimit,
         CallError::Leaving | CallError::KeyUnavailable => BurnOutcome::Refused,
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -8,7 +8,7 @@
 use amaranthgw_fleet::entry::EntryWorld;
 use amaranthgw_fleet::membership::{NodeIdentity, VmRecord};
 use amaranthgw_fleet::retries::RetrySettings;
-use amaranthgw_fleet::routing::DomainNearPolicy;
+use amaranthgw_fleet::routing::{DomainNearPolicy, RoutePolicy};
 use amaranthgw_fleet::settings::EntrySettings;
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
@@ -27,7 +27,7 @@
 use crate::link::GrpcLink;
 use crate::peer::PeerService;
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
-use crate::telemetry::{EventLog, NodeEvent};
+use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
 use crate::wire::node::peer_server::PeerServer;
 
 /// Time that the platform's balancer gets to notice that the entry leaves.
@@ -47,18 +47,32 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`RuntimeError`] where an address is in use or a thread can't be started.
+    /// Returns a [`RuntimeError`](crate::runtime::RuntimeError) where an address is in use or a thread can't be started.
     pub fn start(settings: &EntrySettings, log: &EventLog) -> Result<Self> {
+        Self::start_with_policy(settings, log, Box::new(DomainNearPolicy::new()))
+    }
+
+    /// Starts the threads of an entry that routes by `policy`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`RuntimeError`](crate::runtime::RuntimeError) where an address is in use or a thread can't be started.
+    pub fn start_with_policy(
+        settings: &EntrySettings,
+        log: &EventLog,
+        policy: Box<dyn RoutePolicy>,
+    ) -> Result<Self> {
         let listener = Arc::new(SharedListener::new(settings.caller_listen)?);
         let node_listener = SharedListener::new(settings.node_listen)?;
         let address = listener.address();
         let node_address = node_listener.address();
+        let metrics_listener = SharedListener::new(settings.metrics_listen)?;
         let stop = StopSignal::new();
         let (reports, receiver) = report_channel();
         let (claims, claim_requests) = report_channel();
         let shared = Arc::new(EntryShared {
             snapshot: ArcSwap::default(),
-            policy: Box::new(DomainNearPolicy::new()),
+            policy,
             retries: RetrySettings::new(),
             claims: ClaimDesk::new(claims),
             reports,
@@ -85,6 +99,7 @@
             reports: receiver,
             claim_requests,
             node_listener,
+            metrics_listener,
         };
         let control = move || run_control(settings, shared, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
@@ -129,6 +144,7 @@
     reports: UnboundedReceiver<TrafficReport>,
     claim_requests: UnboundedReceiver<ClaimRequest>,
     node_listener: SharedListener,
+    metrics_listener: SharedListener,
 }
 
 async fn run_control(
@@ -147,6 +163,12 @@
     let Ok((control, _ended)) = started else {
         return;
     };
+    let Ok(observers) = inputs.metrics_listener.handle() else {
+        return;
+    };
+    let observed = Arc::clone(&shared);
+    let ready = Arc::new(move || observed.readiness());
+    tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
     if start_borders(&settings, &control, inputs, &log)
         .await
         .is_err()
--- a/crates/amaranthgw/src/entry/reporter.rs
+++ b/crates/amaranthgw/src/entry/reporter.rs
@@ -1,6 +1,6 @@
 //! What an entry reports to operators.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use amaranthgw_core::{ChangeNumber, DomainId, ServiceId, SlotCount, TargetId, VmId};
 use amaranthgw_fleet::entry::{EntryWorld, TargetRow};
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::control::ControlMessage;
+use crate::operator::unix_ms;
 use crate::peer::{NodeReporter, ReportKind};
 use crate::runtime::StopPhase;
 use crate::telemetry::EventLog;
@@ -47,13 +48,9 @@
 
 /// The service-level burn at this entry.
 pub(super) fn burn_json(world: &mut EntryWorld) -> Bytes {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let unix_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
     let report = world
         .burn
-        .report(&world.identity.vm, unix_ms, Instant::now());
+        .report(&world.identity.vm, unix_ms(), Instant::now());
     amaranthgw_fleet::burn::render_json(&report)
         .unwrap_or_default()
         .into()
--- a/crates/amaranthgw/src/entry/run.rs
+++ b/crates/amaranthgw/src/entry/run.rs
@@ -19,7 +19,7 @@
 use super::head::CallHead;
 use super::shared::{TrafficReport, TrafficThread};
 use super::{CallError, claim};
-use crate::telemetry::NodeEvent;
+use crate::telemetry::{NodeEvent, count_answer};
 
 /// An admitted call.
 #[derive(Clone, Debug)]
@@ -295,6 +295,13 @@
     }
 
     fn record_answer(&self, outcome: BurnOutcome) {
+        let taken = self.timing.arrived_at.elapsed();
+        count_answer(
+            &self.call.plan,
+            &self.call.head.service,
+            outcome.name(),
+            taken,
+        );
         let (plan, service) = (self.call.plan.clone(), self.call.head.service.clone());
         self.report(TrafficReport::Answered(AnswerRecord {
             plan,
--- a/crates/amaranthgw/src/entry/shared.rs
+++ b/crates/amaranthgw/src/entry/shared.rs
@@ -11,7 +11,7 @@
 
 use crate::control::{ClaimDesk, ReportSender};
 use crate::link::TargetLink;
-use crate::runtime::StopSignal;
+use crate::runtime::{StopPhase, StopSignal};
 use crate::telemetry::EventLog;
 
 /// Report of a traffic thread.
@@ -44,6 +44,24 @@
     pub(super) stop: StopSignal,
 }
 
+impl EntryShared {
+    /// Whether the entry can serve, or why not.
+    pub(super) fn readiness(&self) -> Result<(), &'static str> {
+        if self.stop.phase() > StopPhase::Serving {
+            return Err("leaving");
+        }
+        let snapshot = self.snapshot.load();
+        if snapshot.config.workspaces.is_empty() {
+            return Err("no configuration");
+        }
+        let mut services = snapshot.routes.services.rows();
+        if !services.any(|routes| routes.subset().next().is_some()) {
+            return Err("no target");
+        }
+        Ok(())
+    }
+}
+
 /// What the requests of one traffic thread use.
 #[derive(Debug)]
 pub(super) struct TrafficThread {
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -2,8 +2,11 @@
 
 pub mod cli;
 pub mod control;
+pub mod demo;
+pub mod embedded;
 pub mod entry;
 pub mod link;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod runtime;
--- /dev/null
+++ b/crates/amaranthgw/src/operator/mod.rs
@@ -0,0 +1,68 @@
+//! Reads and changes the configuration for an operator.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use amaranthgw_fleet::config::{
+    CommitAsk, CommitOutcome, CommitStep, ConfigCommit, ConfigRead, ConfigView, ReadError,
+    ReadStep, StoreCall, StoreReply,
+};
+use tokio::time::{Instant, sleep};
+
+use crate::platform::{StoreClient, perform_config_call};
+
+/// Result of reading the configuration.
+pub type Result<T> = std::result::Result<T, ReadError>;
+
+/// Reads the configuration; gives up at `deadline`.
+///
+/// # Errors
+///
+/// Returns a [`ReadError`] where the key-value service gives no usable configuration in time.
+pub async fn read_config(store: &dyn StoreClient, deadline: Instant) -> Result<ConfigView> {
+    let mut read = ConfigRead::new(deadline);
+    let mut step = read.start();
+    loop {
+        match step {
+            ReadStep::Call { call, after } => {
+                let reply = perform(store, &call, after.duration()).await;
+                step = read.on_reply(reply, Instant::now());
+            }
+            ReadStep::Done(view) => return Ok(*view),
+            ReadStep::Failed(error) => return Err(error),
+        }
+    }
+}
+
+/// Commits `ask`, made for the configuration `seen`; gives up at `deadline`.
+pub async fn commit(
+    store: &dyn StoreClient,
+    ask: CommitAsk,
+    seen: ConfigView,
+    deadline: Instant,
+) -> CommitOutcome {
+    let mut commit = ConfigCommit::new(ask, seen, deadline);
+    let mut step = commit.start();
+    loop {
+        match step {
+            CommitStep::Call { call, after } => {
+                let reply = perform(store, &call, after.duration()).await;
+                step = commit.on_reply(reply, Instant::now());
+            }
+            CommitStep::Done(outcome) => return outcome,
+        }
+    }
+}
+
+/// Milliseconds since the Unix epoch by the clock of this machine.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn perform(store: &dyn StoreClient, call: &StoreCall, after: Duration) -> StoreReply {
+    sleep(after).await;
+    perform_config_call(store, call).await
+}
--- a/crates/amaranthgw/src/sidecar/control.rs
+++ b/crates/amaranthgw/src/sidecar/control.rs
@@ -13,7 +13,7 @@
 
 use super::shared::SidecarShared;
 use crate::runtime::StopPhase;
-use crate::telemetry::{EventLog, NodeEvent};
+use crate::telemetry::{EventLog, NodeEvent, TargetGauges};
 
 /// Owns the tables and runs the tick.
 #[derive(Debug)]
@@ -116,7 +116,9 @@
 
     fn carry_out(&self, output: SidecarOutput) {
         match output {
-            SidecarOutput::PublishStatus { status, .. } => {
+            SidecarOutput::PublishStatus { target, status } => {
+                let (in_flight, limit) = (status.in_flight, status.limit);
+                TargetGauges { in_flight, limit }.set(&target);
                 self.shared.status.store(Arc::new(status));
             }
             SidecarOutput::GateShifted { target, shift } => {
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -30,7 +30,7 @@
 use crate::runtime::{
     Result, RuntimeError, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread,
 };
-use crate::telemetry::{EventLog, NodeEvent};
+use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
 use crate::wire::node::peer_server::PeerServer;
 use crate::wire::node::sidecar_server::SidecarServer;
 
@@ -54,6 +54,7 @@
     pub fn start(settings: &SidecarSettings, log: &EventLog) -> Result<Self> {
         let listener = Arc::new(SharedListener::new(settings.node_listen)?);
         let address = listener.address();
+        let metrics_listener = SharedListener::new(settings.metrics_listen)?;
         let stop = StopSignal::new();
         let (evidence, receiver) = report_channel();
         let (tells, told) = report_channel();
@@ -95,6 +96,7 @@
         let inputs = ControlInputs {
             evidence: receiver,
             told,
+            metrics_listener,
         };
         let control = move || run_control(settings, arguments, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
@@ -182,6 +184,7 @@
 struct ControlInputs {
     evidence: UnboundedReceiver<TargetEvidence>,
     told: UnboundedReceiver<PeerTell>,
+    metrics_listener: SharedListener,
 }
 
 async fn serve_traffic(services: ThreadServices, stop: StopSignal, listener: Arc<SharedListener>) {
@@ -216,6 +219,12 @@
     let Ok((control, _ended)) = started else {
         return;
     };
+    let Ok(observers) = inputs.metrics_listener.handle() else {
+        return;
+    };
+    let observed = Arc::clone(&shared);
+    let ready = Arc::new(move || observed.readiness());
+    tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
     if start_borders(&settings, &control, shared, inputs, &log)
         .await
         .is_err()
--- a/crates/amaranthgw/src/sidecar/shared.rs
+++ b/crates/amaranthgw/src/sidecar/shared.rs
@@ -5,6 +5,7 @@
 use amaranthgw_fleet::config::ServingState;
 use amaranthgw_fleet::entry::TargetStatus;
 use amaranthgw_fleet::gate::AdmissionSlots;
+use amaranthgw_fleet::routing::TargetStage;
 use amaranthgw_fleet::sidecar::{ServedTarget, TargetEvidence, TargetNews};
 use arc_swap::ArcSwap;
 
@@ -37,6 +38,15 @@
 }
 
 impl SidecarShared {
+    /// Whether the target takes new work, or why not.
+    pub(super) fn readiness(&self) -> Result<(), &'static str> {
+        match self.status.load().stage {
+            TargetStage::Warming | TargetStage::Warm => Ok(()),
+            TargetStage::Leaving => Err("leaving"),
+            TargetStage::Unreachable => Err("target unreachable"),
+        }
+    }
+
     /// The published status with the counts of this instant.
     pub(super) fn current_status(&self) -> TargetStatus {
         let mut status = TargetStatus::clone(&self.status.load());
--- a/crates/amaranthgw/src/telemetry/metrics.rs
+++ b/crates/amaranthgw/src/telemetry/metrics.rs
@@ -1,5 +1,9 @@
 //! The metrics of the process in the Prometheus text format.
 
+use std::time::Duration;
+
+use amaranthgw_core::{PlanId, ServiceId, SlotCount, TargetId};
+use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 /// Renders the metrics recorded through the `metrics` macros.
@@ -32,3 +36,39 @@
         Self::new()
     }
 }
+
+/// Counts an answer that ended after `taken`; `outcome` is its name in the burn report.
+pub fn count_answer(plan: &PlanId, service: &ServiceId, outcome: &'static str, taken: Duration) {
+    let (plan, service) = (plan.to_string(), service.to_string());
+    counter!(
+        "amaranthgw_answers_total",
+        "plan" => plan, "service" => service.clone(), "outcome" => outcome
+    )
+    .increment(1);
+    histogram!("amaranthgw_answer_seconds", "service" => service, "outcome" => outcome)
+        .record(taken.as_secs_f64());
+}
+
+/// Counts a request that was refused before its first attempt; `code` is its error code.
+pub fn count_refusal(code: &'static str) {
+    counter!("amaranthgw_refusals_total", "code" => code).increment(1);
+}
+
+/// Gauges of one target at its sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetGauges {
+    /// Requests in flight.
+    pub in_flight: SlotCount,
+    /// Requests that the gate admits at once.
+    pub limit: SlotCount,
+}
+
+impl TargetGauges {
+    /// Sets the gauges of `target`.
+    pub fn set(self, target: &TargetId) {
+        let target = target.to_string();
+        gauge!("amaranthgw_target_in_flight", "target" => target.clone())
+            .set(f64::from(self.in_flight.get()));
+        gauge!("amaranthgw_target_limit", "target" => target).set(f64::from(self.limit.get()));
+    }
+}
--- a/crates/amaranthgw/src/telemetry/mod.rs
+++ b/crates/amaranthgw/src/telemetry/mod.rs
@@ -5,8 +5,10 @@
 mod journal;
 mod log;
 mod metrics;
+mod observe;
 
 pub use event::{EventLevel, NodeEvent};
 pub use journal::{EventJournal, JournalEntry};
 pub use log::EventLog;
-pub use metrics::MetricsHandle;
+pub use metrics::{MetricsHandle, TargetGauges, count_answer, count_refusal};
+pub use observe::{ReadinessCheck, serve_observers};
--- a/crates/fleet/src/burn/counts.rs
+++ b/crates/fleet/src/burn/counts.rs
@@ -20,6 +20,21 @@
     OutcomeUnknown,
 }
 
+impl BurnOutcome {
+    /// Name of the outcome in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::OnTime => "on_time",
+            Self::Late => "late",
+            Self::Refused => "refused",
+            Self::OverLimit => "over_limit",
+            Self::Failed => "failed",
+            Self::OutcomeUnknown => "outcome_unknown",
+        }
+    }
+}
+
 /// Numbers of answers by how they ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeCounts {
