Claims: one call budget for all batchers of a process

Cause: batchers paced themselves per value only, so a process could make far more calls than its share of the service's several hundred writes a second. Ruled out: a longer gap per value, which would delay the first claim on an idle value.

--- a/crates/fleet/src/claims/batcher.rs
+++ b/crates/fleet/src/claims/batcher.rs
@@ -104,6 +104,17 @@
         give_up.into_iter().chain(call).min()
     }
 
+    /// Makes no call before `until`.
+    pub fn hold_calls(&mut self, until: Instant) {
+        self.link.hold_calls(until);
+    }
+
+    /// Since when the oldest ask waits.
+    #[must_use]
+    pub fn waits_since(&self) -> Option<Instant> {
+        self.asks.rows().map(|row| row.asked_at).min()
+    }
+
     fn next_call_at(&self) -> Option<Instant> {
         if self.link.is_busy() {
             return None;
--- a/crates/fleet/src/claims/link.rs
+++ b/crates/fleet/src/claims/link.rs
@@ -73,6 +73,10 @@
         self.next_call_at
     }
 
+    pub(super) fn hold_calls(&mut self, until: Instant) {
+        self.next_call_at = self.next_call_at.max(until);
+    }
+
     pub(super) fn start(&mut self, order: StoreOrder, now: Instant) -> StoreCall {
         let number = self.next_number;
         self.next_number = number.next();
--- a/crates/fleet/src/claims/mod.rs
+++ b/crates/fleet/src/claims/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! A request with an idempotency key runs only after its claim stands in the key-value service.
 //! Claims are spread over [`SHARD_COUNT`] values by the hash of their key; a [`ClaimBatcher`]
-//! per value writes many claims at once by compare-and-swap.
+//! per value writes many claims at once by compare-and-swap. [`tick_batchers`] keeps the calls of
+//! all batchers of a process within its [`CallBudget`].
 
 mod ask;
 mod batcher;
+mod budget;
 mod codec;
 mod compose;
 mod entry;
@@ -19,6 +21,7 @@
 
 pub use ask::{ClaimAsk, ClaimGrant, ClaimOutput, ClaimVerdict, ClockReading};
 pub use batcher::{BatcherTable, ClaimBatcher};
+pub use budget::{CallBudget, tick_batchers};
 pub use entry::{ClaimEntry, ClaimStamp, ClaimState, StoredAnswer};
 pub use error::{ClaimError, ClaimRefusal, Result};
 pub use hash::{BodyFingerprint, ClaimSerial, HolderNumber, KeyHash, SHARD_COUNT, ShardNumber};
--- a/crates/fleet/src/claims/settings.rs
+++ b/crates/fleet/src/claims/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the claims.
 
-use amaranthgw_core::{ByteCount, MilliSpan};
+use amaranthgw_core::{ByteCount, MilliSpan, RequestRate};
 use serde::{Deserialize, Serialize};
 
 /// Retention, sizes and pace of the claims.
@@ -15,6 +15,10 @@
     pub max_value: ByteCount,
     /// Longest body that is kept with a claim.
     pub max_answer: ByteCount,
+    /// Calls to the key-value service that one process may make.
+    pub call_rate: RequestRate,
+    /// Calls that it may make at once after a pause.
+    pub call_burst: u32,
     /// Shortest time between the end of a call and the next call for the same value.
     pub call_gap: MilliSpan,
     /// Time to the next call after the service was down or its answer was lost; doubled with
@@ -43,6 +47,8 @@
             clock_skew: MilliSpan::new(60_000),
             max_value: ByteCount::new(1_000_000),
             max_answer: ByteCount::new(512),
+            call_rate: RequestRate::new(80),
+            call_burst: 20,
             call_gap: MilliSpan::new(5),
             retry_gap: MilliSpan::new(100),
             retry_gap_max: MilliSpan::new(1_000),
--- a/crates/fleet/tests/it/claims/mod.rs
+++ b/crates/fleet/tests/it/claims/mod.rs
@@ -1,3 +1,4 @@
 mod bench;
+mod budget;
 mod schedule;
 mod shard;
