--- a/crates/fleet/src/gate/mod.rs
+++ b/crates/fleet/src/gate/mod.rs
@@ -15,6 +15,7 @@
 mod shift;
 mod slots;
 mod system;
+mod word;
 
 pub use evidence::{AnswerEvidence, GateEvidence, LoadEvidence};
 pub use number::{PartPercent, TicketNumber};
@@ -25,8 +26,9 @@
 pub use row::GateRow;
 pub use settings::GateSettings;
 pub use shift::{ColdCause, GateShift, GateStage, ShiftInputs};
-pub use slots::{AdmissionPermit, AdmissionSlots, SetbackCount};
+pub use slots::{AdmissionPermit, AdmissionSlots};
 pub use system::publish_gate;
+pub use word::SetbackCount;
 
 /// Result of an admission.
 pub type Result<T> = std::result::Result<T, GateRefusal>;
--- a/crates/fleet/src/gate/proof.rs
+++ b/crates/fleet/src/gate/proof.rs
@@ -36,7 +36,8 @@
 
 /// A refusal made before anything was handed to the target: the request did not run.
 ///
-/// Only the gate can create one.
+/// Only the gate can create one. A refusal by the queue counts the waiting requests as both its
+/// limit and its requests in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GateRefusal {
     reason: RefusalReason,
--- a/crates/fleet/src/gate/slots.rs
+++ b/crates/fleet/src/gate/slots.rs
@@ -5,85 +5,8 @@
 
 use amaranthgw_core::SlotCount;
 
-use super::{GateRefusal, RefusalReason, Result};
-
-const COUNT_BITS: u32 = 24;
-const COUNT_MASK: u64 = (1 << COUNT_BITS) - 1;
-const SETBACK_SHIFT: u32 = 2 * COUNT_BITS;
-const SETBACK_MASK: u64 = (1 << 15) - 1;
-const ALONE_BIT: u64 = 1 << 63;
-
-/// Number of setbacks that traffic threads have reported, modulo 2^15.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SetbackCount(u16);
-
-/// Everything an admission depends on, in one atomic word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct SlotWord {
-    limit: u32,
-    in_flight: u32,
-    setbacks: SetbackCount,
-    is_alone: bool,
-}
-
-impl SlotWord {
-    fn unpack(word: u64) -> Self {
-        let count = |bits: u64| u32::try_from(bits & COUNT_MASK).unwrap_or(u32::MAX);
-        let setbacks = (word >> SETBACK_SHIFT) & SETBACK_MASK;
-        Self {
-            limit: count(word >> COUNT_BITS),
-            in_flight: count(word),
-            setbacks: SetbackCount(u16::try_from(setbacks).unwrap_or(u16::MAX)),
-            is_alone: word & ALONE_BIT != 0,
-        }
-    }
-
-    fn pack(self) -> u64 {
-        let limit = u64::from(self.limit).min(COUNT_MASK) << COUNT_BITS;
-        let setbacks = (u64::from(self.setbacks.0) & SETBACK_MASK) << SETBACK_SHIFT;
-        let alone = if self.is_alone { ALONE_BIT } else { 0 };
-        limit | (u64::from(self.in_flight) & COUNT_MASK) | setbacks | alone
-    }
-
-    fn refusal(self, reason: RefusalReason) -> GateRefusal {
-        let (limit, in_flight) = (SlotCount::new(self.limit), SlotCount::new(self.in_flight));
-        GateRefusal::new(reason, limit, in_flight)
-    }
-
-    fn with_limit(self, limit: SlotCount, seen: SetbackCount) -> Self {
-        let is_current = self.setbacks == seen;
-        let limit = if is_current {
-            limit.get()
-        } else {
-            limit.get().min(self.limit)
-        };
-        Self { limit, ..self }
-    }
-
-    fn admit(self) -> Result<Self> {
-        if self.is_alone {
-            return Err(self.refusal(RefusalReason::Alone));
-        }
-        self.take_slot()
-    }
-
-    fn admit_alone(self) -> Result<Self> {
-        if self.in_flight > 0 || !self.is_alone {
-            return Err(self.refusal(RefusalReason::NotEmpty));
-        }
-        self.take_slot()
-    }
-
-    fn take_slot(self) -> Result<Self> {
-        if self.in_flight >= self.limit {
-            return Err(self.refusal(RefusalReason::Full));
-        }
-        Ok(Self {
-            in_flight: self.in_flight + 1,
-            ..self
-        })
-    }
-}
+use super::word::{ALONE_BIT, SlotWord};
+use super::{GateRow, Result, SetbackCount};
 
 /// Slots of one target, shared by all traffic threads of its sidecar.
 ///
@@ -141,13 +64,10 @@
     ///
     /// A traffic thread calls this when its connection to the target breaks.
     pub fn set_back(&self) {
-        self.update(|word| {
-            let next = u64::from(word.setbacks.0).wrapping_add(1) & SETBACK_MASK;
-            SlotWord {
-                limit: word.limit.min(self.cold_limit),
-                setbacks: SetbackCount(u16::try_from(next).unwrap_or_default()),
-                ..word
-            }
+        self.update(|word| SlotWord {
+            limit: word.limit.min(self.cold_limit),
+            setbacks: word.setbacks.next(),
+            ..word
         });
     }
 
@@ -182,14 +102,20 @@
         SlotCount::new(self.abandoned.load(Ordering::Acquire))
     }
 
-    /// Publishes `limit`, which counts `count` abandoned calls as left over, and frees their
+    /// Publishes the limit of `row`, which counts `abandoned` calls as left over, and frees their
     /// slots in the same step, so that no request can take them in between.
-    pub(super) fn publish_abandoned(&self, limit: SlotCount, seen: SetbackCount, count: SlotCount) {
-        self.abandoned.fetch_sub(count.get(), Ordering::AcqRel);
+    pub(super) fn publish_row(&self, row: &GateRow, seen: SetbackCount, abandoned: SlotCount) {
+        let limit = row.limit();
+        let has_leftover = row.leftover() > SlotCount::new(0);
+        self.abandoned.fetch_sub(abandoned.get(), Ordering::AcqRel);
         self.update(|word| {
             let word = word.with_limit(limit, seen);
-            let in_flight = word.in_flight.saturating_sub(count.get());
-            SlotWord { in_flight, ..word }
+            let in_flight = word.in_flight.saturating_sub(abandoned.get());
+            SlotWord {
+                in_flight,
+                has_leftover,
+                ..word
+            }
         });
     }
 
--- a/crates/fleet/src/gate/system.rs
+++ b/crates/fleet/src/gate/system.rs
@@ -21,6 +21,6 @@
     }
     let abandoned = slots.abandoned();
     row.record(GateEvidence::Abandoned(abandoned), now);
-    slots.publish_abandoned(row.limit(), setbacks, abandoned);
+    slots.publish_row(row, setbacks, abandoned);
     shift
 }
--- a/crates/fleet/tests/it/gate/slots.rs
+++ b/crates/fleet/tests/it/gate/slots.rs
@@ -114,3 +114,23 @@
     slots.end_alone();
     slots.try_admit().expect("open again").finish();
 }
+
+#[test]
+fn try_admit_alone_beside_leftover() {
+    let start = Instant::now();
+    let settings = GateSettings::default();
+    let settled = start + settings.settle_time.duration();
+    let slots = AdmissionSlots::new(settings.cold_limit);
+    let mut row = GateRow::new(settings.clone(), start);
+    let mut seen = slots.setbacks();
+    publish_gate(&mut row, &slots, &mut seen, settled);
+    drop(slots.try_admit().expect("a free slot"));
+    slots.reserve_alone();
+    publish_gate(&mut row, &slots, &mut seen, settled);
+    assert_eq!(slots.in_flight(), SlotCount::new(0));
+    let refusal = slots.try_admit_alone().expect_err("the call may still run");
+    assert_eq!(refusal.reason(), RefusalReason::NotEmpty);
+    let later = settled + settings.settle_time.duration();
+    publish_gate(&mut row, &slots, &mut seen, later);
+    slots.try_admit_alone().expect("an empty target").finish();
+}
