--- a/crates/fleet/src/gate/row.rs
+++ b/crates/fleet/src/gate/row.rs
@@ -15,7 +15,7 @@
 pub struct GateRow {
     settings: GateSettings,
     is_settling: bool,
-    opened_at: Instant,
+    created_at: Instant,
     /// Limit without regard to calls left over.
     limit: SlotCount,
     /// Limit that last proved too high; growth is slow above it.
@@ -42,7 +42,7 @@
     pub fn new(settings: GateSettings, now: Instant) -> Self {
         Self {
             is_settling: true,
-            opened_at: now,
+            created_at: now,
             limit: settings.cold_limit,
             too_high: settings.full_limit,
             mark: None,
@@ -81,7 +81,7 @@
         if now >= self.window_start + self.settings.trouble_window.duration() {
             self.start_window(now);
         }
-        if self.is_settling && now >= self.opened_at + self.settings.settle_time.duration() {
+        if self.is_settling && now >= self.created_at + self.settings.settle_time.duration() {
             return self.open();
         }
         let is_stale = now >= self.last_answer + self.settings.stale_after.duration();
@@ -161,7 +161,7 @@
             let to = load.mark;
             return self.go_cold(ColdCause::MarkChanged { from, to }, now);
         }
-        let visible_at = self.opened_at + self.settings.report_margin.duration();
+        let visible_at = self.created_at + self.settings.report_margin.duration();
         if self.is_settling && visible_at <= load.sampled_at {
             self.leftover.add(load.in_flight, load.sampled_at);
             return self.open();
--- a/crates/fleet/src/gate/slots.rs
+++ b/crates/fleet/src/gate/slots.rs
@@ -62,7 +62,8 @@
 
     /// Falls back to the cold limit at once, without waiting for the control thread.
     ///
-    /// A traffic thread calls this when its connection to the target breaks.
+    /// A traffic thread calls this when its connection to the target breaks under a call, or is
+    /// refused.
     pub fn set_back(&self) {
         self.update(|word| SlotWord {
             limit: word.limit.min(self.cold_limit),
--- a/crates/fleet/tests/it/claims/bench.rs
+++ b/crates/fleet/tests/it/claims/bench.rs
@@ -55,11 +55,24 @@
     KeyHash::new(&workspace, &key)
 }
 
-pub fn fingerprint(body: u8) -> BodyFingerprint {
+fn fingerprint(body: u8) -> BodyFingerprint {
     let service = "booking-desk".parse().expect("valid id");
     BodyFingerprint::new(&service, "POST /v1/call", &[body])
 }
 
+pub fn ask(serial: u64, key: u8, body: u8, give_up_at: Instant) -> ClaimAsk {
+    ClaimAsk {
+        stamp: ClaimStamp {
+            holder: HolderNumber::new(1),
+            serial: ClaimSerial::new(serial),
+        },
+        key: key_hash(key),
+        fingerprint: fingerprint(body),
+        request: "r-1".parse().expect("valid id"),
+        give_up_at,
+    }
+}
+
 /// A grant that stands for a key until it is released, or its retention is over.
 #[derive(Clone, Debug)]
 struct HeldGrant {
@@ -122,17 +135,10 @@
 
     pub fn ask(&mut self, node: usize, key: u8, body: u8) -> CaseResult {
         self.next_serial += 1;
-        let stamp = ClaimStamp {
-            holder: HolderNumber::new(self.nodes[node].holder),
-            serial: ClaimSerial::new(self.next_serial),
-        };
-        let ask = ClaimAsk {
-            stamp,
-            key: key_hash(key),
-            fingerprint: fingerprint(body),
-            request: "r-1".parse().expect("valid id"),
-            give_up_at: self.now + PATIENCE,
-        };
+        let holder = self.nodes[node].holder;
+        let mut ask = ask(self.next_serial, key, body, self.now + PATIENCE);
+        ask.stamp.holder = HolderNumber::new(holder);
+        let stamp = ask.stamp;
         self.nodes[node].open.insert(stamp, key);
         self.nodes[node].asked.push(key);
         self.nodes[node].batcher.ask(ask, self.now);
@@ -343,7 +349,7 @@
     }
 }
 
-pub fn answer_of(key: u8) -> StoredAnswer {
+fn answer_of(key: u8) -> StoredAnswer {
     let body = format!("{{\"booked\":{key}}}");
     StoredAnswer::new(200, body.as_bytes(), 64)
 }
--- a/crates/fleet/tests/it/claims/budget.rs
+++ b/crates/fleet/tests/it/claims/budget.rs
@@ -2,16 +2,17 @@
 
 use amaranthgw_core::RequestRate;
 use amaranthgw_fleet::claims::{
-    BatcherTable, CallBudget, ClaimAsk, ClaimBatcher, ClaimSerial, ClaimSettings, ClaimStamp,
-    ClockReading, HolderNumber, SHARD_COUNT, ShardNumber, StoreReply, tick_batchers,
+    BatcherTable, CallBudget, ClaimBatcher, ClaimSettings, ClockReading, SHARD_COUNT, ShardNumber,
+    StoreReply, tick_batchers,
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-use super::bench::{fingerprint, key_hash, settings};
+use super::bench::{ask, settings};
 
 const RATE: u64 = 50;
 const BURST: u32 = 5;
+const PATIENCE: Duration = Duration::from_mins(1);
 
 fn budget_settings() -> ClaimSettings {
     ClaimSettings {
@@ -21,19 +22,6 @@
     }
 }
 
-fn ask(serial: u64, now: Instant) -> ClaimAsk {
-    ClaimAsk {
-        stamp: ClaimStamp {
-            holder: HolderNumber::new(1),
-            serial: ClaimSerial::new(serial),
-        },
-        key: key_hash(0),
-        fingerprint: fingerprint(0),
-        request: "r".parse().expect("valid id"),
-        give_up_at: now + Duration::from_mins(1),
-    }
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
 
@@ -48,7 +36,7 @@
             now += Duration::from_millis(pause_ms);
             let shard = ShardNumber::new(shard);
             let make = || ClaimBatcher::new(shard, budget_settings(), now);
-            batchers.get_or_insert_with(shard, make).ask(ask(serial, now), now);
+            batchers.get_or_insert_with(shard, make).ask(ask(serial, 0, 0, now + PATIENCE), now);
             let clock = ClockReading { now, unix_ms: 1_000_000 };
             for (shard, output) in tick_batchers(&mut batchers, &mut budget, clock) {
                 let Some(call) = output.call else { continue };
@@ -80,7 +68,7 @@
         let asked_at = now + Duration::from_millis(millis);
         let shard = ShardNumber::new(shard);
         let mut batcher = ClaimBatcher::new(shard, budget_settings(), now);
-        batcher.ask(ask(millis, asked_at), asked_at);
+        batcher.ask(ask(millis, 0, 0, now + PATIENCE), asked_at);
         batchers.insert(shard, batcher);
     }
     let clock = ClockReading {
--- a/crates/fleet/tests/it/claims/shard.rs
+++ b/crates/fleet/tests/it/claims/shard.rs
@@ -3,14 +3,14 @@
 
 use amaranthgw_core::{ByteCount, StoreRevision};
 use amaranthgw_fleet::claims::{
-    ClaimAsk, ClaimBatcher, ClaimError, ClaimGrant, ClaimOutput, ClaimRefusal, ClaimSerial,
-    ClaimSettings, ClaimShard, ClaimStamp, ClaimState, ClaimVerdict, ClockReading, HolderNumber,
-    KeyHash, ShardNumber, StoreOrder, StoreReply, StoredAnswer,
+    ClaimBatcher, ClaimError, ClaimGrant, ClaimRefusal, ClaimSettings, ClaimShard, ClaimStamp,
+    ClaimState, ClaimVerdict, ClockReading, KeyHash, ShardNumber, StoreOrder, StoreReply,
+    StoredAnswer,
 };
 use tokio::time::Instant;
 use yare::parameterized;
 
-use super::bench::{fingerprint, key_hash, settings};
+use super::bench::{ask, settings};
 
 const UNIX_MS: u64 = 1_000_000;
 
@@ -44,20 +44,17 @@
         }
     }
 
-    fn ask(&mut self, key: KeyHash, body: u8) -> ClaimVerdict {
+    fn ask(&mut self, key: u8, body: u8) -> ClaimVerdict {
+        self.push_ask(key, body);
+        self.settle().pop().expect("a verdict")
+    }
+
+    fn push_ask(&mut self, key: u8, body: u8) -> ClaimStamp {
         self.serial += 1;
-        let ask = ClaimAsk {
-            stamp: ClaimStamp {
-                holder: HolderNumber::new(1),
-                serial: ClaimSerial::new(self.serial),
-            },
-            key,
-            fingerprint: fingerprint(body),
-            request: "r".parse().expect("valid id"),
-            give_up_at: self.now + Duration::from_mins(1),
-        };
+        let ask = ask(self.serial, key, body, self.now + Duration::from_mins(1));
+        let stamp = ask.stamp;
         self.batcher.ask(ask, self.now);
-        self.settle().pop().expect("a verdict")
+        stamp
     }
 
     fn settle(&mut self) -> Vec<ClaimVerdict> {
@@ -90,7 +87,7 @@
         }
     }
 
-    fn grant(&mut self, key: KeyHash) -> ClaimGrant {
+    fn grant(&mut self, key: u8) -> ClaimGrant {
         match self.ask(key, 0) {
             ClaimVerdict::Granted(grant) => grant,
             other => panic!("{other:?}"),
@@ -106,7 +103,7 @@
         ..settings()
     });
     let mut grants = Vec::new();
-    let refusal = (0..u8::MAX).find_map(|key| match desk.ask(key_hash(key), 0) {
+    let refusal = (0..u8::MAX).find_map(|key| match desk.ask(key, 0) {
         ClaimVerdict::Granted(grant) => {
             grants.push(grant);
             None
@@ -134,68 +131,36 @@
 )]
 fn ask_again(body: u8, expected: ClaimVerdict) {
     let mut desk = Desk::new(settings());
-    desk.grant(key_hash(0));
-    assert_eq!(desk.ask(key_hash(0), body), expected);
+    desk.grant(0);
+    assert_eq!(desk.ask(0, body), expected);
 }
 
 #[test]
 fn ask_unreadable_value_left_alone() {
     let mut desk = Desk::new(settings());
-    let stamp = ClaimStamp {
-        holder: HolderNumber::new(1),
-        serial: ClaimSerial::new(1),
-    };
-    let ask = ClaimAsk {
-        stamp,
-        key: key_hash(0),
-        fingerprint: fingerprint(0),
-        request: "r".parse().expect("valid id"),
-        give_up_at: desk.now + Duration::from_secs(9),
-    };
-    desk.batcher.ask(ask, desk.now);
+    let stamp = desk.push_ask(0, 0);
     let call = desk.batcher.tick(desk.clock()).call.expect("a read");
     assert_eq!(call.order, StoreOrder::Read);
     let output = desk
         .batcher
         .reply(call.number, StoreReply::Unreadable, desk.clock());
     let refused = ClaimVerdict::Refused(ClaimRefusal::Unreadable);
-    let verdicts = vec![(stamp, refused)];
-    assert_eq!(
-        output,
-        ClaimOutput {
-            call: None,
-            verdicts
-        }
-    );
+    assert_eq!(output.call, None);
+    assert_eq!(output.verdicts, [(stamp, refused)]);
 }
 
 #[test]
 fn tick_many_asks_one_write() {
     let mut desk = Desk::new(settings());
-    desk.grant(key_hash(99));
+    desk.grant(99);
     let writes_before = desk.revision;
     for key in 0..40 {
-        let ask = ClaimAsk {
-            stamp: ClaimStamp {
-                holder: HolderNumber::new(1),
-                serial: ClaimSerial::new(1_000 + u64::from(key)),
-            },
-            key: key_hash(key),
-            fingerprint: fingerprint(0),
-            request: "r".parse().expect("valid id"),
-            give_up_at: desk.now + Duration::from_mins(1),
-        };
-        desk.batcher.ask(ask, desk.now);
+        desk.push_ask(key, 0);
     }
     let verdicts = desk.settle();
-    let is_granted = |verdict: &ClaimVerdict| matches!(verdict, ClaimVerdict::Granted(_));
-    assert_eq!(
-        verdicts
-            .iter()
-            .filter(|verdict| is_granted(verdict))
-            .count(),
-        40
-    );
+    let is_granted = |verdict: &&ClaimVerdict| matches!(verdict, ClaimVerdict::Granted(_));
+    let granted = verdicts.iter().filter(is_granted).count();
+    assert_eq!(granted, 40);
     assert_eq!(desk.revision, writes_before + 1);
 }
 
@@ -207,9 +172,9 @@
 )]
 fn ask_after(passed_ms: u64, expect_granted: bool) {
     let mut desk = Desk::new(settings());
-    desk.grant(key_hash(0));
+    desk.grant(0);
     desk.unix_ms += passed_ms;
-    let verdict = desk.ask(key_hash(0), 0);
+    let verdict = desk.ask(0, 0);
     let is_granted = matches!(verdict, ClaimVerdict::Granted(_));
     assert_eq!(is_granted, expect_granted, "{verdict:?}");
 }
@@ -233,7 +198,7 @@
 #[test]
 fn check_grant_after_pause() {
     let mut desk = Desk::new(settings());
-    let grant = desk.grant(key_hash(0));
+    let grant = desk.grant(0);
     assert_eq!(grant.check(desk.now), Ok(()));
     let paused_until = desk.now + Duration::from_mins(1);
     assert_eq!(grant.check(paused_until), Err(ClaimError::GrantExpired));
