Comparisons of old load reports are noisy

Entries with the same old reports preferred the same targets until the next report, however small the difference: leaning to the mean shrinks differences but keeps their order. Reports of short calls lose trust sooner. Ruled out: a shorter trust alone, which keeps the order.

Also property tests of choices, subsets and spreading.

--- a/crates/fleet/src/routing/candidate.rs
+++ b/crates/fleet/src/routing/candidate.rs
@@ -5,14 +5,16 @@
 use tokio::time::Instant;
 
 use super::hash::hash_text;
-use super::{TargetRoute, TargetStage};
+use super::{ServiceKind, TargetRoute, TargetStage};
 
 /// Limit assumed of a target at full capacity that has not reported one.
 const UNREPORTED_WARM_LIMIT: f32 = 8.0;
 /// Limit assumed of a warming target that has not reported one.
 const UNREPORTED_WARMING_LIMIT: f32 = 1.0;
-/// Age at which a report counts half.
-const HALF_TRUST_AGE: Duration = Duration::from_secs(1);
+/// Age at which a report of a model engine, whose answers run for seconds, counts half.
+const MODEL_HALF_TRUST_AGE: Duration = Duration::from_secs(1);
+/// Age at which a report of a plain service, whose calls are short, counts half.
+const PLAIN_HALF_TRUST_AGE: Duration = Duration::from_millis(250);
 /// Age beyond which a target is no longer held to be slow, so that it is tried again.
 const SLOW_MEMORY: Duration = Duration::from_secs(10);
 /// How many times its peers' median a slow target takes to its first chunk.
@@ -21,6 +23,8 @@
 const SLOW_MARGIN: Duration = Duration::from_millis(20);
 /// Part of its weight that a slow target keeps.
 const SLOW_WEIGHT: f32 = 0.05;
+/// Largest noise of a comparison, as a multiple of the mean utilisation by other entries.
+const MAX_NOISE: f32 = 4.0;
 /// Utilisation that a slow target is charged on top of its own.
 const SLOW_CHARGE: f32 = 0.5;
 
@@ -38,6 +42,7 @@
     others: f32,
     expected_others: f32,
     reported_at: Option<Instant>,
+    half_trust_age: Duration,
     first_chunk: Option<Duration>,
 }
 
@@ -74,7 +79,11 @@
 
 impl CandidateRow {
     /// Creates the row of the target at `index` from what it last reported.
-    pub fn new(index: usize, route: &TargetRoute) -> Self {
+    pub fn new(kind: ServiceKind, index: usize, route: &TargetRoute) -> Self {
+        let half_trust_age = match kind {
+            ServiceKind::Model => MODEL_HALF_TRUST_AGE,
+            ServiceKind::Plain => PLAIN_HALF_TRUST_AGE,
+        };
         let assumed_limit = match route.stage {
             TargetStage::Warming => UNREPORTED_WARMING_LIMIT,
             _ => UNREPORTED_WARM_LIMIT,
@@ -95,6 +104,7 @@
             others: load.map_or(0.0, others),
             expected_others: 0.0,
             reported_at: load.map(|load| load.reported_at),
+            half_trust_age,
             first_chunk: load.map(|load| first_chunk(load.first_chunk_ms)),
         }
     }
@@ -134,14 +144,30 @@
     /// The older the report, the more the estimate leans to the mean of the subset, so that many
     /// entries do not follow one old report. The entry's own requests are always known.
     pub fn estimated_load(&self, own: u32, now: Instant) -> f32 {
-        let trust = self.reported_at.map_or(0.0, |reported_at| {
-            let age = now.saturating_duration_since(reported_at);
-            HALF_TRUST_AGE.as_secs_f32() / (HALF_TRUST_AGE + age).as_secs_f32()
-        });
+        let trust = self.trust(now);
         let others = self.expected_others + trust * (self.others - self.expected_others);
         others + as_load(own)
     }
 
+    /// How much the report still counts at `now`, from 0 for none to 1 for a fresh one.
+    fn trust(&self, now: Instant) -> f32 {
+        self.reported_at.map_or(0.0, |reported_at| {
+            let age = now.saturating_duration_since(reported_at);
+            let half_age = self.half_trust_age;
+            half_age.as_secs_f32() / (half_age + age).as_secs_f32()
+        })
+    }
+
+    /// Random utilisation by which a comparison at `now` may be off.
+    ///
+    /// Old reports are alike at every entry. Without noise all of them would prefer the same
+    /// targets until the next report, however small the difference.
+    pub fn noise(&self, now: Instant) -> f32 {
+        let spread = self.expected_others / self.limit.max(1.0);
+        let doubt = 1.0 - self.trust(now);
+        spread * doubt * MAX_NOISE * fastrand::f32()
+    }
+
     /// Judges the target for a request due at `deadline`, with `own` requests of this entry in
     /// flight there.
     pub fn score(&self, own: u32, deadline: Instant, now: Instant) -> FitScore {
--- a/crates/fleet/src/routing/near.rs
+++ b/crates/fleet/src/routing/near.rs
@@ -120,12 +120,25 @@
             match first {
                 None => first = Some(drawn),
                 Some(seen) if seen.row.index == drawn.row.index => {}
-                Some(seen) => return Some(better(seen, drawn)),
+                Some(seen) => return Some(self.better_despite_noise(seen, drawn)),
             }
         }
         first
     }
 
+    /// The better of two draws as far as their reports can tell.
+    fn better_despite_noise(&self, first: RankedRow<'a>, second: RankedRow<'a>) -> RankedRow<'a> {
+        let noisy = |ranked: RankedRow<'a>| {
+            let mut score = ranked.score;
+            score.utilisation += ranked.row.noise(self.now);
+            score
+        };
+        if noisy(second).is_better(noisy(first)) {
+            return second;
+        }
+        first
+    }
+
     /// The first target that fits from a random start, nearest tier first, else the best.
     fn scan_subset(&self) -> Option<RankedRow<'a>> {
         let mut best: Option<RankedRow<'a>> = None;
--- a/crates/fleet/src/routing/snapshot.rs
+++ b/crates/fleet/src/routing/snapshot.rs
@@ -114,7 +114,7 @@
         settings: &SubsetSettings,
         now: Instant,
     ) -> Self {
-        let table = RouteTable::new(&targets, settings, now);
+        let table = RouteTable::new(kind, &targets, settings, now);
         Self {
             kind,
             targets,
--- a/crates/fleet/src/routing/table.rs
+++ b/crates/fleet/src/routing/table.rs
@@ -6,7 +6,7 @@
 
 use super::alias::AliasTable;
 use super::candidate::CandidateRow;
-use super::{SubsetSettings, TargetRoute};
+use super::{ServiceKind, SubsetSettings, TargetRoute};
 
 /// Estimated load of the targets that an entry uses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -53,8 +53,13 @@
 
 impl RouteTable {
     /// Creates the table of `targets` as known at `now`.
-    pub fn new(targets: &[TargetRoute], settings: &SubsetSettings, now: Instant) -> Self {
-        let make_row = |index: usize| CandidateRow::new(index, &targets[index]);
+    pub fn new(
+        kind: ServiceKind,
+        targets: &[TargetRoute],
+        settings: &SubsetSettings,
+        now: Instant,
+    ) -> Self {
+        let make_row = |index: usize| CandidateRow::new(kind, index, &targets[index]);
         let mut tiers: Vec<Vec<CandidateRow>> = Vec::new();
         for (distance, size) in settings.sizes() {
             let picked = settings.pick(targets, distance, size);
--- /dev/null
+++ b/crates/fleet/tests/it/routing/choices.rs
@@ -0,0 +1,302 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+
+use amaranthgw_core::{SlotCount, TargetId};
+use amaranthgw_fleet::routing::{
+    DomainDistance, DomainNearPolicy, LeastLoadedPolicy, LoadHint, RoundRobinPolicy, RouteAsk,
+    RouteError, RoutePolicy, ServiceKind, ServiceRoutes, SubsetSettings, TargetRoute, TargetStage,
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+use super::world::{TargetSpec, target_route};
+
+/// A target of a generated service. Reports are fresh unless `age_ms` says otherwise.
+#[derive(Clone, Copy, Debug)]
+struct TargetCase {
+    spec: TargetSpec,
+    others: u32,
+    own: u32,
+    first_chunk_ms: u16,
+    age_ms: Option<u64>,
+    is_tried: bool,
+}
+
+fn distance() -> impl Strategy<Value = DomainDistance> {
+    prop_oneof![
+        Just(DomainDistance::SameDomain),
+        Just(DomainDistance::SameRegion),
+        Just(DomainDistance::OtherRegion),
+    ]
+}
+
+fn stage() -> impl Strategy<Value = TargetStage> {
+    prop_oneof![
+        3 => Just(TargetStage::Warm),
+        1 => Just(TargetStage::Warming),
+        2 => Just(TargetStage::Leaving),
+        1 => Just(TargetStage::Unreachable),
+    ]
+}
+
+fn target_case() -> impl Strategy<Value = TargetCase> {
+    let spec = (0_u32..20, distance(), stage()).prop_map(|(limit, distance, stage)| TargetSpec {
+        limit,
+        distance,
+        stage,
+    });
+    let load = (0_u32..12, 0_u32..12, 0_u16..400);
+    let age_ms = prop::option::of(0_u64..20_000);
+    (spec, load, age_ms, prop::bool::weighted(0.3)).prop_map(
+        |(spec, (others, own, first_chunk_ms), age_ms, is_tried)| TargetCase {
+            spec,
+            others,
+            own,
+            first_chunk_ms,
+            age_ms,
+            is_tried,
+        },
+    )
+}
+
+fn route(index: usize, case: &TargetCase, now: Instant) -> TargetRoute {
+    let load = case.age_ms.map(|age_ms| LoadHint {
+        in_flight: SlotCount::new(case.others + case.own),
+        own_in_flight: SlotCount::new(case.own),
+        limit: SlotCount::new(case.spec.limit),
+        first_chunk_ms: f32::from(case.first_chunk_ms),
+        reported_at: now - Duration::from_millis(age_ms),
+    });
+    TargetRoute {
+        load,
+        own_in_flight: Arc::new(AtomicU32::new(case.own)),
+        ..target_route(index, case.spec)
+    }
+}
+
+fn base() -> Instant {
+    Instant::now() + Duration::from_mins(1)
+}
+
+fn settings() -> SubsetSettings {
+    SubsetSettings::new(&"entry-0".parse().expect("valid id"))
+}
+
+fn routes(kind: ServiceKind, cases: &[TargetCase], now: Instant) -> ServiceRoutes {
+    let targets = cases.iter().enumerate();
+    let targets = targets.map(|(index, case)| route(index, case, now));
+    ServiceRoutes::new(kind, targets.collect(), &settings(), now)
+}
+
+fn ask(prefix_hash: Option<u64>, now: Instant, tried: &[TargetId]) -> RouteAsk<'_> {
+    RouteAsk {
+        prefix_hash,
+        deadline: now + Duration::from_millis(300),
+        tried,
+    }
+}
+
+/// Whether a target with a fresh report has room and answers in time.
+fn is_fit(route: &TargetRoute) -> bool {
+    let is_in_time = |load: LoadHint| load.in_flight < load.limit && load.first_chunk_ms < 300.0;
+    route.load.is_some_and(is_in_time)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn choose_open_untried(
+        seed in any::<u64>(),
+        cases in prop::collection::vec(target_case(), 0..24),
+        sizes in (0_usize..6, 0_usize..6, 0_usize..6),
+        prefix_hash in prop::option::of(any::<u64>()),
+    ) {
+        fastrand::seed(seed);
+        let now = base();
+        let targets: Vec<TargetRoute> = cases
+            .iter()
+            .enumerate()
+            .map(|(index, case)| route(index, case, now))
+            .collect();
+        let tried: Vec<TargetId> = cases
+            .iter()
+            .zip(&targets)
+            .filter(|(case, _)| case.is_tried)
+            .map(|(_, route)| route.target.clone())
+            .collect();
+        let settings = settings().with_sizes(sizes.0, sizes.1, sizes.2);
+        let routes = ServiceRoutes::new(ServiceKind::Model, targets, &settings, now);
+        let is_open = |stage| matches!(stage, TargetStage::Warm | TargetStage::Warming);
+        let open = || cases.iter().filter(|case| is_open(case.spec.stage));
+        let expected = match (open().count(), open().any(|case| !case.is_tried)) {
+            (0, _) => Some(RouteError::NoOpenTarget),
+            (_, false) => Some(RouteError::AllTried),
+            (_, true) => None,
+        };
+        let policies: [&dyn RoutePolicy; 3] = [
+            &DomainNearPolicy::new(),
+            &RoundRobinPolicy::default(),
+            &LeastLoadedPolicy,
+        ];
+        for policy in policies {
+            let chosen = policy.choose(&routes, &ask(prefix_hash, now, &tried), now);
+            prop_assert_eq!(chosen.as_ref().err().copied(), expected, "{:?}", policy);
+            if let Ok(plan) = chosen {
+                prop_assert!(is_open(plan.route.stage) && !tried.contains(&plan.route.target));
+            }
+        }
+    }
+
+    #[test]
+    fn choose_room_before_full(
+        seed in any::<u64>(),
+        mut cases in prop::collection::vec(target_case(), 1..24),
+        prefix_hash in prop::option::of(any::<u64>()),
+    ) {
+        fastrand::seed(seed);
+        let now = base();
+        for case in &mut cases {
+            case.age_ms = Some(0);
+        }
+        let routes = routes(ServiceKind::Model, &cases, now);
+        let has_room = |route: &TargetRoute| route.is_open() && is_fit(route);
+        if !routes.targets().iter().any(has_room) {
+            return Ok(());
+        }
+        let chosen = DomainNearPolicy::new().choose(&routes, &ask(prefix_hash, now, &[]), now);
+        let chosen = chosen.expect("a target has room").route;
+        prop_assert!(has_room(&chosen), "{chosen:?}");
+    }
+
+    #[test]
+    fn choose_near_while_it_has_room(
+        seed in any::<u64>(),
+        near in prop::collection::vec(0_u32..8, 1..8),
+        far in prop::collection::vec(0_u32..10, 1..8),
+    ) {
+        fastrand::seed(seed);
+        let now = base();
+        let cases: Vec<TargetCase> = near
+            .iter()
+            .map(|load| loaded(DomainDistance::SameRegion, *load))
+            .chain(far.iter().map(|load| loaded(DomainDistance::OtherRegion, *load)))
+            .collect();
+        let routes = routes(ServiceKind::Model, &cases, now);
+        let chosen = DomainNearPolicy::new().choose(&routes, &ask(None, now, &[]), now);
+        prop_assert_eq!(chosen.expect("open").route.distance, DomainDistance::SameRegion);
+    }
+}
+
+/// A target at `distance` with `others` of its ten slots taken by other entries.
+fn loaded(distance: DomainDistance, others: u32) -> TargetCase {
+    TargetCase {
+        spec: TargetSpec {
+            distance,
+            ..TargetSpec::new(10)
+        },
+        others,
+        own: 0,
+        first_chunk_ms: 100,
+        age_ms: Some(0),
+        is_tried: false,
+    }
+}
+
+/// How often each target is chosen in `count` independent decisions.
+fn choice_counts(routes: &ServiceRoutes, prefix_hash: Option<u64>, now: Instant) -> Vec<u32> {
+    const CHOICES: u32 = 20_000;
+    let policy = DomainNearPolicy::new();
+    let mut counts = vec![0; routes.targets().len()];
+    for _ in 0..CHOICES {
+        let plan = policy.choose(routes, &ask(prefix_hash, now, &[]), now);
+        let chosen = plan.expect("open").route.target;
+        let is_chosen = |route: &TargetRoute| route.target == chosen;
+        let index = routes.targets().iter().position(is_chosen).expect("known");
+        counts[index] += 1;
+    }
+    counts
+}
+
+#[test]
+fn choose_spills_to_next_distance() {
+    fastrand::seed(1);
+    let now = base();
+    let near = [10, 10, 9].map(|load| loaded(DomainDistance::SameDomain, load));
+    let far = [2, 3].map(|load| loaded(DomainDistance::SameRegion, load));
+    let farthest = [0, 0].map(|load| loaded(DomainDistance::OtherRegion, load));
+    let cases: Vec<TargetCase> = near.into_iter().chain(far).chain(farthest).collect();
+    let counts = choice_counts(&routes(ServiceKind::Model, &cases, now), None, now);
+    assert_eq!(counts[..3], [0, 0, 0], "{counts:?}");
+    assert!(counts[3] > 0 && counts[4] > 0, "{counts:?}");
+    assert_eq!(counts[5..], [0, 0], "{counts:?}");
+}
+
+#[test]
+fn choose_share_by_limit() {
+    fastrand::seed(2);
+    let now = base();
+    let limits = [1, 2, 16, 16, 8, 21];
+    let cases = limits.map(|limit| {
+        let mut case = loaded(DomainDistance::SameDomain, 0);
+        case.spec.limit = limit;
+        case
+    });
+    let counts = choice_counts(&routes(ServiceKind::Model, &cases, now), None, now);
+    for (count, limit) in counts.iter().zip(limits) {
+        let share = f64::from(*count) / 20_000.0;
+        let fair = f64::from(limit) / 64.0;
+        assert!((share / fair - 1.0).abs() < 0.15, "{counts:?}");
+    }
+}
+
+#[test]
+fn choose_prefix_home_until_loaded() {
+    fastrand::seed(3);
+    let now = base();
+    let mut cases = vec![loaded(DomainDistance::SameDomain, 2); 8];
+    let home = |cases: &[TargetCase], kind, prefix| {
+        let counts = choice_counts(&routes(kind, cases, now), Some(prefix), now);
+        let all = counts.iter().position(|count| *count == 20_000);
+        (all, counts)
+    };
+    let (found, _) = home(&cases, ServiceKind::Model, 77);
+    let index = found.expect("one home");
+    let homes = (0..40).filter_map(|prefix| home(&cases, ServiceKind::Model, prefix).0);
+    let homes: std::collections::BTreeSet<usize> = homes.collect();
+    assert!(homes.len() >= 6, "prefixes share few homes: {homes:?}");
+    assert_eq!(home(&cases, ServiceKind::Plain, 77).0, None);
+
+    cases[index].others = 6;
+    let (found, counts) = home(&cases, ServiceKind::Model, 77);
+    assert_eq!(found, None, "a loaded home shares its prefix");
+    assert!(counts[index] < 3_000, "{counts:?}");
+    cases[index].others = 2;
+    cases[index].spec.stage = TargetStage::Leaving;
+    let (found, _) = home(&cases, ServiceKind::Model, 77);
+    assert!(found.is_some_and(|other| other != index));
+}
+
+#[test]
+fn choose_slow_target_little_then_again() {
+    fastrand::seed(4);
+    let now = base();
+    let mut cases = vec![loaded(DomainDistance::SameDomain, 0); 4];
+    cases[0].first_chunk_ms = 290;
+    cases[1..]
+        .iter_mut()
+        .for_each(|case| case.first_chunk_ms = 90);
+    let slow = routes(ServiceKind::Model, &cases, now);
+    for prefix_hash in [None, Some(1), Some(2), Some(3), Some(4), Some(5)] {
+        let counts = choice_counts(&slow, prefix_hash, now);
+        assert!(counts[0] < 20_000 / 4 / 10, "{counts:?}");
+    }
+    cases[0].age_ms = Some(11_000);
+    let counts = choice_counts(&routes(ServiceKind::Model, &cases, now), None, now);
+    assert!(counts[0] > 20_000 / 4 / 2, "{counts:?}");
+}
--- /dev/null
+++ b/crates/fleet/tests/it/routing/spread.rs
@@ -0,0 +1,63 @@
+use amaranthgw_fleet::routing::{
+    DomainNearPolicy, LeastLoadedPolicy, RoutePolicy, ServiceKind, TargetStage,
+};
+use yare::parameterized;
+
+use super::world::{RouteWorld, RunSettings, SpreadStats, TargetSpec};
+
+/// Reports that are three times older at the end than a call is long.
+const STALE_REPORTS: RunSettings = RunSettings {
+    steps: 1_000,
+    report_every: 100,
+    arrivals: 10,
+    mean_run: 30,
+    prefixes: 0,
+};
+
+fn run(policy: &dyn RoutePolicy, settings: &RunSettings, limit: u32) -> SpreadStats {
+    fastrand::seed(7);
+    let specs = [TargetSpec::new(limit); 24];
+    RouteWorld::new(ServiceKind::Plain, 40, &specs).run(policy, settings)
+}
+
+#[test]
+fn choose_no_herding_on_stale_load() {
+    let near = run(&DomainNearPolicy::new(), &STALE_REPORTS, 24);
+    let least = run(&LeastLoadedPolicy, &STALE_REPORTS, 24);
+    assert!(near.mean_peak() < 1.7, "{near:?}");
+    assert!(near.refused_share() < 0.01, "{near:?}");
+    assert!(least.refused_share() > 0.1, "{least:?}");
+}
+
+#[test]
+fn choose_fresh_load_evens_out() {
+    let settings = RunSettings {
+        report_every: 5,
+        ..STALE_REPORTS
+    };
+    let near = run(&DomainNearPolicy::new(), &settings, 24);
+    assert!(near.mean_peak() < 1.4, "{near:?}");
+}
+
+#[parameterized(
+    choose_warming_share_no_prefix = { 0 },
+)]
+fn choose_warming_share(prefixes: u64) {
+    fastrand::seed(8);
+    let mut specs = [TargetSpec::new(24); 12];
+    for spec in &mut specs[..2] {
+        (spec.limit, spec.stage) = (3, TargetStage::Warming);
+    }
+    let mut world = RouteWorld::new(ServiceKind::Model, 40, &specs);
+    let settings = RunSettings {
+        arrivals: 3,
+        prefixes,
+        ..STALE_REPORTS
+    };
+    let stats = world.run(&DomainNearPolicy::new(), &settings);
+    let warming = world.arrived(0) + world.arrived(1);
+    let fair = f64::from(stats.requests) * 6.0 / 246.0;
+    let share = f64::from(warming) / fair;
+    assert!((0.5..1.5).contains(&share), "{share} of the fair share");
+    assert!(stats.refused_share() < 0.02, "{stats:?}");
+}
--- /dev/null
+++ b/crates/fleet/tests/it/routing/world.rs
@@ -0,0 +1,246 @@
+//! Entries that send to the same targets and know their load from reports that lag.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use amaranthgw_core::SlotCount;
+use amaranthgw_fleet::routing::{
+    DomainDistance, LoadHint, RouteAsk, RoutePolicy, ServiceKind, ServiceRoutes, SubsetSettings,
+    TargetRoute, TargetStage,
+};
+use tokio::time::Instant;
+
+/// A target as the fleet knows it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetSpec {
+    pub limit: u32,
+    pub distance: DomainDistance,
+    pub stage: TargetStage,
+}
+
+impl TargetSpec {
+    pub fn new(limit: u32) -> Self {
+        Self {
+            limit,
+            distance: DomainDistance::SameDomain,
+            stage: TargetStage::Warm,
+        }
+    }
+}
+
+/// The route to target number `index` without a report.
+pub(crate) fn target_route(index: usize, spec: TargetSpec) -> TargetRoute {
+    TargetRoute {
+        target: format!("target-{index}").parse().expect("valid id"),
+        vm: format!("vm-{index}").parse().expect("valid id"),
+        domain: "tartu-a".parse().expect("valid id"),
+        distance: spec.distance,
+        address: ([127, 0, 0, 1], 4_000).into(),
+        stage: spec.stage,
+        load: None,
+        own_in_flight: Arc::default(),
+    }
+}
+
+struct EntrySim {
+    settings: SubsetSettings,
+    routes: ServiceRoutes,
+    targets: Vec<TargetRoute>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RunSim {
+    ends_at: Instant,
+    entry: usize,
+    target: usize,
+}
+
+/// Sums over the samples of a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SpreadStats {
+    pub samples: u32,
+    pub max_over_mean: f64,
+    pub utilisation: f64,
+    pub requests: u32,
+    /// Requests that found their target at its limit.
+    pub refused: u32,
+}
+
+impl SpreadStats {
+    /// Highest utilisation of a target over the mean utilisation, averaged over the samples.
+    pub fn mean_peak(&self) -> f64 {
+        self.max_over_mean / f64::from(self.samples.max(1))
+    }
+
+    /// Part of the limits in use, averaged over the samples.
+    pub fn mean_utilisation(&self) -> f64 {
+        self.utilisation / f64::from(self.samples.max(1))
+    }
+
+    /// Share of the requests that found their target at its limit.
+    pub fn refused_share(&self) -> f64 {
+        f64::from(self.refused) / f64::from(self.requests.max(1))
+    }
+}
+
+/// How a run of the fleet proceeds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunSettings {
+    pub steps: u32,
+    /// Steps from one report to the next; all entries hear of all targets at once.
+    pub report_every: u32,
+    /// Requests that arrive over all entries at each step.
+    pub arrivals: u32,
+    /// Mean time that a request runs, in steps.
+    pub mean_run: u32,
+    /// Number of different prompt prefixes; 0 for requests without one.
+    pub prefixes: u64,
+}
+
+pub(crate) struct RouteWorld {
+    pub now: Instant,
+    kind: ServiceKind,
+    specs: Vec<TargetSpec>,
+    in_flight: Vec<u32>,
+    arrived: Vec<u32>,
+    entries: Vec<EntrySim>,
+    running: BinaryHeap<Reverse<RunSim>>,
+}
+
+impl RouteWorld {
+    const STEP: Duration = Duration::from_millis(10);
+
+    pub fn new(kind: ServiceKind, entry_count: usize, specs: &[TargetSpec]) -> Self {
+        let now = Instant::now();
+        let mut world = Self {
+            now,
+            kind,
+            specs: specs.to_vec(),
+            in_flight: vec![0; specs.len()],
+            arrived: vec![0; specs.len()],
+            entries: Vec::new(),
+            running: BinaryHeap::new(),
+        };
+        for index in 0..entry_count {
+            let vm = format!("entry-{index}").parse().expect("valid id");
+            world
+                .entries
+                .push(world.make_entry(SubsetSettings::new(&vm)));
+        }
+        world.report();
+        world
+    }
+
+    fn make_entry(&self, settings: SubsetSettings) -> EntrySim {
+        let specs = self.specs.iter().enumerate();
+        let targets: Vec<TargetRoute> = specs
+            .map(|(index, spec)| target_route(index, *spec))
+            .collect();
+        let routes = ServiceRoutes::new(self.kind, Vec::new(), &settings, self.now);
+        EntrySim {
+            settings,
+            routes,
+            targets,
+        }
+    }
+
+    /// Brings the present load of all targets to all entries.
+    pub fn report(&mut self) {
+        for entry in &mut self.entries {
+            for (index, route) in entry.targets.iter_mut().enumerate() {
+                route.load = Some(LoadHint {
+                    in_flight: SlotCount::new(self.in_flight[index]),
+                    own_in_flight: SlotCount::new(route.own_in_flight()),
+                    limit: SlotCount::new(self.specs[index].limit),
+                    first_chunk_ms: 100.0,
+                    reported_at: self.now,
+                });
+            }
+            let targets = entry.targets.clone();
+            entry.routes = ServiceRoutes::new(self.kind, targets, &entry.settings, self.now);
+        }
+    }
+
+    pub fn run(&mut self, policy: &dyn RoutePolicy, settings: &RunSettings) -> SpreadStats {
+        let mut stats = SpreadStats::default();
+        for step in 0..settings.steps {
+            if step % settings.report_every == 0 {
+                self.report();
+            }
+            for _ in 0..settings.arrivals {
+                stats.refused += u32::from(self.send(policy, settings));
+                stats.requests += 1;
+            }
+            if step > settings.steps / 4 {
+                stats.max_over_mean += self.peak();
+                stats.utilisation += self.utilisation();
+                stats.samples += 1;
+            }
+            self.advance();
+        }
+        stats
+    }
+
+    /// Requests that target `index` has received.
+    pub fn arrived(&self, index: usize) -> u32 {
+        self.arrived[index]
+    }
+
+    /// Sends a request from some entry; `true` where the target was at its limit and refused.
+    fn send(&mut self, policy: &dyn RoutePolicy, settings: &RunSettings) -> bool {
+        let entry = fastrand::usize(..self.entries.len());
+        let prefix_hash = (settings.prefixes > 0).then(|| fastrand::u64(..settings.prefixes));
+        let ask = RouteAsk {
+            prefix_hash,
+            deadline: self.now + Duration::from_mins(1),
+            tried: &[],
+        };
+        let plan = policy.choose(&self.entries[entry].routes, &ask, self.now);
+        let route = plan.expect("a target is open").route;
+        let name = route.target.as_str().strip_prefix("target-");
+        let target: usize = name.and_then(|name| name.parse().ok()).expect("a number");
+        self.arrived[target] += 1;
+        if self.in_flight[target] >= self.specs[target].limit {
+            return true;
+        }
+        route.own_in_flight.fetch_add(1, Ordering::Relaxed);
+        self.in_flight[target] += 1;
+        let steps = 1 + fastrand::u32(..settings.mean_run * 2);
+        let ends_at = self.now + Self::STEP * steps;
+        self.running.push(Reverse(RunSim {
+            ends_at,
+            entry,
+            target,
+        }));
+        false
+    }
+
+    fn advance(&mut self) {
+        self.now += Self::STEP;
+        while let Some(Reverse(run)) = self.running.peek().copied() {
+            if run.ends_at > self.now {
+                break;
+            }
+            self.running.pop();
+            self.in_flight[run.target] -= 1;
+            let own: &AtomicU32 = &self.entries[run.entry].targets[run.target].own_in_flight;
+            own.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Highest utilisation of a target over the mean one.
+    fn peak(&self) -> f64 {
+        let rows = self.in_flight.iter().zip(&self.specs);
+        let used = rows.map(|(load, spec)| f64::from(*load) / f64::from(spec.limit));
+        used.fold(0.0, f64::max) / self.utilisation().max(f64::EPSILON)
+    }
+
+    fn utilisation(&self) -> f64 {
+        let load: u32 = self.in_flight.iter().sum();
+        let limit: u32 = self.specs.iter().map(|spec| spec.limit).sum();
+        f64::from(load) / f64::from(limit)
+    }
+}
