A draw stands where every target is full

When no target fitted, the one with the lowest reported utilisation was taken, which is the same one for every entry.

--- a/crates/fleet/src/routing/near.rs
+++ b/crates/fleet/src/routing/near.rs
@@ -67,17 +67,26 @@
         if let Some(row) = self.prefix_home() {
             return Some(self.route(row));
         }
-        let chosen = self.draw_near().or_else(|| self.scan_subset());
+        let chosen = self.find_by_draw().or_else(|| self.scan_subset());
         match chosen {
-            Some(ranked) if ranked.score.class == FitClass::Fit => Some(self.route(ranked.row)),
-            Some(ranked) => {
-                let other = self.scan_subset().unwrap_or(ranked);
-                Some(self.route(other.row))
-            }
+            Some(ranked) => Some(self.route(ranked.row)),
             None => self.any_open(),
         }
     }
 
+    /// A drawn target, unless one that suits better is left.
+    ///
+    /// Where every target is full, the draw stands: the best of old reports would be the same
+    /// target for every entry.
+    fn find_by_draw(&self) -> Option<RankedRow<'a>> {
+        let drawn = self.draw_near()?;
+        if drawn.score.class == FitClass::Fit {
+            return Some(drawn);
+        }
+        let suits_better = |seen: &RankedRow<'_>| seen.score.class < drawn.score.class;
+        Some(self.scan_subset().filter(suits_better).unwrap_or(drawn))
+    }
+
     /// The target that keeps the request's prefix in its cache, while it is not overloaded.
     fn prefix_home(&self) -> Option<&'a CandidateRow> {
         let prefix_hash = self.ask.prefix_hash?;
--- a/crates/fleet/tests/it/routing/spread.rs
+++ b/crates/fleet/tests/it/routing/spread.rs
@@ -39,6 +39,16 @@
     assert!(near.mean_peak() < 1.4, "{near:?}");
 }
 
+#[test]
+fn choose_no_herding_when_all_full() {
+    let settings = RunSettings {
+        arrivals: 60,
+        ..STALE_REPORTS
+    };
+    let near = run(&DomainNearPolicy::new(), &settings, 8);
+    assert!(near.mean_utilisation() > 0.9, "{near:?}");
+}
+
 #[parameterized(
     choose_warming_share_no_prefix = { 0 },
 )]
