Prefix homes are weighted by limits

Homes of prefixes were uniform over targets, so a warming target with a small limit was sent 3 to 4 times its part of the traffic. Weighted rendezvous hashing gives each target its part.

--- a/crates/fleet/src/routing/candidate.rs
+++ b/crates/fleet/src/routing/candidate.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::hash::hash_text;
+use super::hash::{hash_text, mix};
 use super::{ServiceKind, TargetRoute, TargetStage};
 
 /// Limit assumed of a target at full capacity that has not reported one.
@@ -139,6 +139,16 @@
         self.limit * keep
     }
 
+    /// Rank as the home of a prompt prefix; the lowest rank is the home (weighted rendezvous
+    /// hashing).
+    ///
+    /// Each target is home to a part of the prefixes in proportion to its weight, and a change
+    /// of one weight moves only prefixes from or to that target.
+    pub fn home_rank(&self, prefix_hash: u64) -> f32 {
+        let draw = as_unit(mix(prefix_hash ^ self.id_hash));
+        -draw.ln() / self.weight()
+    }
+
     /// Requests in flight at the target, estimated for `now`.
     ///
     /// The older the report, the more the estimate leans to the mean of the subset, so that many
@@ -195,6 +205,15 @@
     Duration::try_from_secs_f32(seconds).unwrap_or(Duration::ZERO)
 }
 
+/// Maps a hash to a number between 0 and 1, both excluded.
+#[expect(clippy::cast_precision_loss, reason = "24 bits are kept")]
+fn as_unit(hash: u64) -> f32 {
+    const KEPT_BITS: u32 = 23;
+    const HALF: f32 = 0.5;
+    let kept = hash >> (u64::BITS - KEPT_BITS);
+    (kept as f32 + HALF) / (1_u32 << KEPT_BITS) as f32
+}
+
 #[expect(clippy::cast_precision_loss, reason = "loads stay far below 2^24")]
 fn as_load(count: u32) -> f32 {
     count as f32
--- a/crates/fleet/src/routing/near.rs
+++ b/crates/fleet/src/routing/near.rs
@@ -3,7 +3,6 @@
 use tokio::time::Instant;
 
 use super::candidate::{CandidateRow, FitClass, FitScore};
-use super::hash::mix;
 use super::table::TierTable;
 use super::{
     Result, RouteAsk, RouteError, RoutePlan, RoutePolicy, ServiceKind, ServiceRoutes, TargetRoute,
@@ -94,8 +93,11 @@
             return None;
         }
         let tier = self.routes.table().tiers().first()?;
-        let affinity = |row: &&CandidateRow| mix(prefix_hash ^ row.id_hash);
-        let home = tier.candidates().iter().max_by_key(affinity)?;
+        let ranked = tier
+            .candidates()
+            .iter()
+            .map(|row| (row.home_rank(prefix_hash), row));
+        let (_, home) = ranked.min_by(|(first, _), (second, _)| first.total_cmp(second))?;
         let ranked = self.rank(home)?;
         let bound = self.routes.load().utilisation() + AFFINITY_MARGIN;
         let has_room = ranked.score.class == FitClass::Fit && ranked.score.utilisation <= bound;
--- a/crates/fleet/tests/it/routing/spread.rs
+++ b/crates/fleet/tests/it/routing/spread.rs
@@ -51,6 +51,7 @@
 
 #[parameterized(
     choose_warming_share_no_prefix = { 0 },
+    choose_warming_share_prefixes = { 10_000 },
 )]
 fn choose_warming_share(prefixes: u64) {
     fastrand::seed(8);
