Stricter tests of answers, retries and limits

Mutations showed that nothing failed when a released or held chunk was taken again, when an attempt kept the end of an earlier one, when a retry ignored the deadline, when delays did not grow or had no bound, and when unused shares stayed one cycle longer.

--- a/crates/fleet/tests/it/answers/mod.rs
+++ b/crates/fleet/tests/it/answers/mod.rs
@@ -88,6 +88,8 @@
         };
         let is_current = AttemptNumber::new(attempt) == self.row.attempt();
         assert!(is_current || result == Ok(ChunkVerdict::Abandoned));
+        let is_released = sequence.is_some_and(|sequence| sequence < self.released);
+        assert!(!is_released || result != Ok(ChunkVerdict::Kept));
     }
 
     fn release(&mut self) {
@@ -184,6 +186,41 @@
     assert_ne!(row.state(), AnswerState::Whole);
 }
 
+#[test]
+fn accept_duplicate_of_held() {
+    let mut row = AnswerRow::new();
+    row.accept(chunk(0, 1)).expect("held");
+    let held = row.held_bytes();
+    let mut reworded = chunk(0, 1);
+    reworded.data = b"other".to_vec();
+    assert_eq!(row.accept(reworded), Ok(ChunkVerdict::Duplicate));
+    assert_eq!(row.held_bytes(), held);
+    row.accept(chunk(0, 0)).expect("fills the gap");
+    assert!(row.release().is_some());
+    assert_eq!(row.release(), Some(chunk(0, 1).data));
+}
+
+#[test]
+fn start_attempt_forgets_end() {
+    let mut row = AnswerRow::new();
+    row.accept(chunk(0, 0)).expect("kept");
+    assert!(row.release().is_some());
+    row.accept_end(end(0, 2)).expect("kept");
+    row.stop_attempt(AttemptNumber::new(0), AnswerBreak::StreamCut);
+    row.start_attempt();
+    row.accept(chunk(1, 1)).expect("kept");
+    assert!(row.release().is_some());
+    assert_eq!(
+        row.state(),
+        AnswerState::Open,
+        "the new attempt is longer than the old one"
+    );
+    row.accept(chunk(1, 2)).expect("kept");
+    row.accept_end(end(1, 3)).expect("kept");
+    assert!(row.release().is_some());
+    assert_eq!(row.state(), AnswerState::Whole);
+}
+
 #[test]
 fn accept_buffer_bound() {
     let mut row = AnswerRow::new().with_held_bound(ByteCount::new(10));
--- a/crates/fleet/tests/it/limits/meters.rs
+++ b/crates/fleet/tests/it/limits/meters.rs
@@ -64,6 +64,28 @@
     assert_eq!(meter.rate(now + Duration::from_secs(1)), MilliRate::new(5));
 }
 
+#[test]
+fn set_leased_threads_never_torn() {
+    const ROUNDS: u64 = 50_000;
+    let now = Instant::now();
+    let meter = RateMeter::new(now);
+    std::thread::scope(|scope| {
+        let writer = scope.spawn(|| {
+            for round in 1..=ROUNDS {
+                let until = now + Duration::from_nanos(round);
+                meter.set_leased(MilliRate::new(1), Some(until));
+                meter.set_leased(MilliRate::new(100), Some(now));
+            }
+        });
+        while !writer.is_finished() {
+            assert!(
+                meter.rate(now).get() <= 1,
+                "an amount of one lease under another"
+            );
+        }
+    });
+}
+
 #[test]
 fn try_enter_threads_within_limit() {
     const LIMIT: u32 = 7;
--- a/crates/fleet/tests/it/limits/shares.rs
+++ b/crates/fleet/tests/it/limits/shares.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
-use amaranthgw_core::SlotCount;
-use amaranthgw_fleet::limits::{MilliRate, ShareAmount, ShareSettings, ShareValue};
+use amaranthgw_core::{SlotCount, StartMark};
+use amaranthgw_fleet::limits::{HolderId, MilliRate, ShareAmount, ShareSettings, ShareValue};
 use proptest::prelude::*;
 
-use super::world::{CallFate, ShareWorld};
+use super::world::{CallFate, ShareWorld, share_key};
 
 const LIMIT_RATE: u64 = 100_000;
 const LIMIT_IN_FLIGHT: u32 = 37;
@@ -137,6 +137,21 @@
     }
 }
 
+#[test]
+fn local_share_unused_given_up_at_once() {
+    let mut world = share_world(0);
+    world.set_wanted(0, 100_000, 30);
+    run_calm(&mut world, Duration::from_secs(10));
+    world.set_wanted(0, 10_000, 4);
+    world.advance(Duration::from_secs(10));
+    world.tick(0);
+    world.finish_call(0, CallFate::Answered);
+    world.finish_call(0, CallFate::Answered);
+    let nobody = HolderId::new("nobody".parse().expect("valid id"), StartMark::new(0));
+    let shares = world.value().keys.get(&share_key()).expect("a holder");
+    assert!(shares.others(&nobody).held.in_flight.get() <= 8);
+}
+
 #[test]
 fn local_share_in_flight_drains_to_fair() {
     let mut world = share_world(0);
--- a/crates/fleet/tests/it/retries/decisions.rs
+++ b/crates/fleet/tests/it/retries/decisions.rs
@@ -70,7 +70,7 @@
         rule in repeat_rule(),
         outcomes in prop::collection::vec(run_outcome(), 1..8),
         begun in 0_u64..3,
-        needed_ms in 0_u64..400,
+        needed_ms in 0_u64..600,
         jitter in 0.0_f32..1.0,
     ) {
         let start = Instant::now();
@@ -164,6 +164,35 @@
     assert_eq!(decision, expected);
 }
 
+#[parameterized(
+    decide_delay_first = { 1, 10 },
+    decide_delay_doubles = { 3, 40 },
+    decide_delay_bounded = { 12, 250 },
+)]
+fn decide_delay(attempts: u32, bound_ms: u64) {
+    let now = Instant::now();
+    let outcome = RunOutcome::OutcomeUnknown(UnknownCause::TimedOut);
+    let settings = RetrySettings {
+        max_attempts: 20,
+        ..RetrySettings::new()
+    };
+    for (jitter, part) in [(0.0, 0), (0.5, 2), (1.0, 1)] {
+        let ask = RetryAsk {
+            attempts,
+            jitter,
+            ..retry_ask(RepeatRule::Idempotent, outcome, 0, now)
+        };
+        let decision = RetryDecision::new(&ask, &settings, &full_budget(now), now);
+        let RetryDecision::Retry { start_at, .. } = decision else {
+            panic!("{decision:?}");
+        };
+        let delay = Duration::from_millis(bound_ms)
+            .checked_div(part)
+            .unwrap_or_default();
+        assert!((start_at - now).abs_diff(delay) < Duration::from_micros(1));
+    }
+}
+
 fn retry_ask(rule: RepeatRule, outcome: RunOutcome, begun: u64, now: Instant) -> RetryAsk {
     RetryAsk {
         rule,
