--- a/crates/fleet/src/routing/near.rs
+++ b/crates/fleet/src/routing/near.rs
@@ -3,7 +3,6 @@
 use tokio::time::Instant;
 
 use super::candidate::{CandidateRow, FitClass, FitScore};
-use super::hash::mix;
 use super::table::TierTable;
 use super::{
     Result, RouteAsk, RouteError, RoutePlan, RoutePolicy, ServiceKind, ServiceRoutes, TargetRoute,
@@ -67,17 +66,26 @@
         if let Some(row) = self.prefix_home() {
             return Some(self.route(row));
         }
-        let chosen = self.draw_near().or_else(|| self.scan_subset());
+        let chosen = self.find_by_draw().or_else(|| self.scan_subset());
         match chosen {
-            Some(ranked) if ranked.score.class == FitClass::Fit => Some(self.route(ranked.row)),
-            Some(ranked) => {
-                let other = self.scan_subset().unwrap_or(ranked);
-                Some(self.route(other.row))
-            }
+            Some(ranked) => Some(self.route(ranked.row)),
             None => self.any_open(),
         }
     }
 
+    /// A drawn target, unless one that suits better is left.
+    ///
+    /// Where every target is full, the draw stands: the best of old reports would be the same
+    /// target for every entry.
+    fn find_by_draw(&self) -> Option<RankedRow<'a>> {
+        let drawn = self.draw_near()?;
+        if drawn.score.class == FitClass::Fit {
+            return Some(drawn);
+        }
+        let suits_better = |seen: &RankedRow<'_>| seen.score.class < drawn.score.class;
+        Some(self.scan_subset().filter(suits_better).unwrap_or(drawn))
+    }
+
     /// The target that keeps the request's prefix in its cache, while it is not overloaded.
     fn prefix_home(&self) -> Option<&'a CandidateRow> {
         let prefix_hash = self.ask.prefix_hash?;
@@ -85,8 +93,11 @@
             return None;
         }
         let tier = self.routes.table().tiers().first()?;
-        let affinity = |row: &&CandidateRow| mix(prefix_hash ^ row.id_hash);
-        let home = tier.candidates().iter().max_by_key(affinity)?;
+        let ranked = tier
+            .candidates()
+            .iter()
+            .map(|row| (row.home_rank(prefix_hash), row));
+        let (_, home) = ranked.min_by(|(first, _), (second, _)| first.total_cmp(second))?;
         let ranked = self.rank(home)?;
         let bound = self.routes.load().utilisation() + AFFINITY_MARGIN;
         let has_room = ranked.score.class == FitClass::Fit && ranked.score.utilisation <= bound;
@@ -120,12 +131,25 @@
             match first {
                 None => first = Some(drawn),
                 Some(seen) if seen.row.index == drawn.row.index => {}
-                Some(seen) => return Some(better(seen, drawn)),
+                Some(seen) => return Some(self.better_despite_noise(seen, drawn)),
             }
         }
         first
     }
 
+    /// The better of two draws as far as their reports can tell.
+    fn better_despite_noise(&self, first: RankedRow<'a>, second: RankedRow<'a>) -> RankedRow<'a> {
+        let noisy = |ranked: RankedRow<'a>| {
+            let mut score = ranked.score;
+            score.utilisation += ranked.row.noise(self.now);
+            score
+        };
+        if noisy(second).is_better(noisy(first)) {
+            return second;
+        }
+        first
+    }
+
     /// The first target that fits from a random start, nearest tier first, else the best.
     fn scan_subset(&self) -> Option<RankedRow<'a>> {
         let mut best: Option<RankedRow<'a>> = None;
