--- a/crates/fleet/src/config/follower.rs
+++ b/crates/fleet/src/config/follower.rs
@@ -12,6 +12,8 @@
 
 /// Gain in freshness of the store's last confirmation that is worth telling the successors.
 pub const TELL_STEP: MilliSpan = MilliSpan::new(1_500);
+/// Time between two offers that a node makes to its successors in turn, unasked.
+pub const OFFER_INTERVAL: MilliSpan = MilliSpan::new(2_000);
 /// Encoded size up to which changes are pushed unasked, in bytes; larger ones are offered.
 pub const MAX_UNASKED_BYTES: usize = 4 * 1_024;
 
@@ -46,6 +48,8 @@
     relay: RelayPlan,
     confirmed_at: Option<Instant>,
     told_at: Option<Instant>,
+    next_offer_at: Instant,
+    offer_turn: usize,
     revision: StoreRevision,
     waiting_log: Option<(ConfigLog, StoreRevision)>,
     reads: ReadPace,
@@ -63,6 +67,8 @@
             relay: RelayPlan::default(),
             confirmed_at: None,
             told_at: None,
+            next_offer_at: now,
+            offer_turn: 0,
             revision: StoreRevision::default(),
             waiting_log: None,
             reads: ReadPace::new(seed, now),
@@ -111,6 +117,7 @@
         if self.pulls.is_behind(self.state.number) || !self.is_synced() {
             self.pull(now);
         }
+        self.offer_in_turn(now);
         self.take_effects()
     }
 
@@ -341,6 +348,18 @@
         }
     }
 
+    /// Offers the number in force to the next successor, so that a lost message is made good.
+    fn offer_in_turn(&mut self, now: Instant) {
+        if now < self.next_offer_at || self.relay.successors().is_empty() {
+            return;
+        }
+        self.next_offer_at = now + OFFER_INTERVAL.duration();
+        let turn = self.offer_turn % self.relay.successors().len();
+        self.offer_turn = turn + 1;
+        let peer = self.relay.successors()[turn].clone();
+        self.offer_to(&peer, now);
+    }
+
     fn offer(&self, now: Instant) -> ConfigMessage {
         let never = MilliSpan::new(u64::MAX);
         ConfigMessage::Offer(ConfigOffer {
--- a/crates/fleet/src/config/relay.rs
+++ b/crates/fleet/src/config/relay.rs
@@ -27,7 +27,7 @@
 /// to 4, so that a message from any node reaches all others in `ceil(log4(n))` rounds, and nobody
 /// sends or receives more than four copies. The watchers of the failure domains tell each other in
 /// the same way.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayPlan {
     position: usize,
     domain_size: usize,
@@ -35,6 +35,18 @@
     successors: Vec<VmId>,
 }
 
+impl Default for RelayPlan {
+    /// The plan of a node that knows no VM list: it does not watch and tells nobody.
+    fn default() -> Self {
+        Self {
+            position: WATCHERS_PER_DOMAIN,
+            domain_size: 1,
+            fleet_size: 1,
+            successors: Vec::new(),
+        }
+    }
+}
+
 impl RelayPlan {
     /// Creates the plan of the node `node` in the failure domain `domain` from the live VMs.
     ///
--- a/crates/fleet/tests/it/config/mod.rs
+++ b/crates/fleet/tests/it/config/mod.rs
@@ -1,1 +1,5 @@
-
+mod commit;
+mod fixtures;
+mod relay;
+mod spread;
+mod state;
--- /dev/null
+++ b/crates/fleet/tests/it/config/spread.rs
@@ -0,0 +1,413 @@
+//! Followers on a simulated clock: an unreliable network, outages, old answers and restarts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use amaranthgw_core::{ChangeNumber, VmId};
+use amaranthgw_fleet::config::{
+    ConfigFollower, ConfigKey, ConfigMessage, FollowerEffect, RelayPlan, RelayVm, ServingState,
+    StoreCall, StoreReply,
+};
+use proptest::prelude::*;
+use tokio::time::{Duration, Instant};
+use yare::parameterized;
+
+use super::fixtures::{StoreModel, accept, id, set_plan, set_workspace, take_out};
+
+const TICK: Duration = Duration::from_millis(50);
+/// Within this time an accepted change is in force everywhere, once every path is open.
+const BOUND: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum StoreMode {
+    Up,
+    Down,
+    /// Answers as it was this many writes ago.
+    Old(usize),
+}
+
+#[derive(Clone, Debug)]
+enum WorldEvent {
+    Change,
+    LargeChange,
+    Store(StoreMode),
+    /// Cuts the node off from its peers.
+    Isolate(usize),
+    /// Cuts the node off from the key-value service.
+    Cut(usize),
+    Restart(usize),
+    /// Messages are lost with this percentage.
+    Loss(u32),
+    Heal,
+}
+
+#[derive(Debug)]
+enum Delivery {
+    Message {
+        from: usize,
+        message: ConfigMessage,
+    },
+    Reply(StoreReply),
+    /// A watch that waits until this time.
+    Watch {
+        call: StoreCall,
+        until: Instant,
+    },
+}
+
+#[derive(Debug)]
+struct NodeModel {
+    vm: RelayVm,
+    follower: ConfigFollower,
+    life: u32,
+}
+
+#[derive(Debug)]
+struct World {
+    now: Instant,
+    random: fastrand::Rng,
+    store: StoreModel,
+    states: BTreeMap<ChangeNumber, ServingState>,
+    mode: StoreMode,
+    nodes: Vec<NodeModel>,
+    positions: BTreeMap<VmId, usize>,
+    queue: Vec<(Instant, usize, u32, Delivery)>,
+    isolated: BTreeSet<usize>,
+    cut: BTreeSet<usize>,
+    loss_percent: u32,
+    changes: u32,
+}
+
+impl World {
+    fn new(domain_sizes: &[usize], seed: u64) -> Self {
+        let now = Instant::now();
+        let vm = |domain: usize, index: usize| RelayVm {
+            vm: id(&format!("vm-{domain}-{index}")),
+            domain: id(&format!("domain-{domain}")),
+        };
+        let vms: Vec<_> = (domain_sizes.iter().enumerate())
+            .flat_map(|(domain, size)| (0..*size).map(move |index| vm(domain, index)))
+            .collect();
+        let positions = vms.iter().map(|row| row.vm.clone()).zip(0..).collect();
+        let node = |vm: RelayVm| NodeModel {
+            vm,
+            follower: ConfigFollower::new(0, now),
+            life: 0,
+        };
+        let mut world = Self {
+            now,
+            random: fastrand::Rng::with_seed(seed),
+            store: StoreModel::default(),
+            states: BTreeMap::from([(ChangeNumber::default(), ServingState::default())]),
+            mode: StoreMode::Up,
+            nodes: vms.into_iter().map(node).collect(),
+            positions,
+            queue: Vec::new(),
+            isolated: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss_percent: 0,
+            changes: 0,
+        };
+        for position in 0..world.nodes.len() {
+            world.restart(position);
+        }
+        world
+    }
+
+    fn restart(&mut self, position: usize) {
+        let vms: Vec<_> = self.nodes.iter().map(|node| node.vm.clone()).collect();
+        let node = &mut self.nodes[position];
+        node.life += 1;
+        node.follower = ConfigFollower::new(self.random.u64(..), self.now);
+        let plan = RelayPlan::new(&node.vm.vm, &node.vm.domain, &vms);
+        node.follower.set_relay(plan);
+    }
+
+    fn change(&mut self, is_large: bool) {
+        self.changes += 1;
+        let mut edits = vec![
+            set_plan("p0", self.changes),
+            take_out(&format!("domain-{}", self.changes)),
+        ];
+        if is_large {
+            edits.extend((0..150).map(|index| set_workspace(&format!("workspace-{index}"), "p0")));
+        }
+        accept(&mut self.store, u128::from(self.changes), edits, self.now);
+        let number = ChangeNumber::new(u64::from(self.changes));
+        self.states.insert(number, self.store.state_at(number));
+    }
+
+    fn happen(&mut self, event: &WorldEvent) {
+        let count = self.nodes.len();
+        match event {
+            WorldEvent::Change => self.change(false),
+            WorldEvent::LargeChange => self.change(true),
+            WorldEvent::Store(mode) => self.mode = *mode,
+            WorldEvent::Isolate(position) => drop(self.isolated.replace(position % count)),
+            WorldEvent::Cut(position) => drop(self.cut.replace(position % count)),
+            WorldEvent::Restart(position) => self.restart(position % count),
+            WorldEvent::Loss(percent) => self.loss_percent = *percent,
+            WorldEvent::Heal => self.heal(),
+        }
+    }
+
+    fn heal(&mut self) {
+        self.mode = StoreMode::Up;
+        self.isolated.clear();
+        self.cut.clear();
+        self.loss_percent = 0;
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            self.deliver();
+            for position in 0..self.nodes.len() {
+                let effects = self.nodes[position].follower.tick(self.now);
+                self.perform(position, effects);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.queue)
+            .into_iter()
+            .partition(|row| row.0 <= now);
+        self.queue = later;
+        let due: Vec<(Instant, usize, u32, Delivery)> = due;
+        for (_, position, life, delivery) in due {
+            if life == self.nodes[position].life {
+                self.deliver_one(position, delivery);
+            }
+        }
+    }
+
+    fn deliver_one(&mut self, position: usize, delivery: Delivery) {
+        let before = self.nodes[position].follower.number();
+        let effects = match delivery {
+            Delivery::Message { from, message } => {
+                let from = self.nodes[from].vm.vm.clone();
+                self.nodes[position]
+                    .follower
+                    .on_message(&from, message, self.now)
+            }
+            Delivery::Reply(reply) => self.nodes[position].follower.on_reply(reply, self.now),
+            Delivery::Watch { call, until } => return self.watch(position, call, until),
+        };
+        let node = &self.nodes[position].follower;
+        assert!(node.number() >= before, "a number went back");
+        assert_eq!(Some(node.state()), self.states.get(&node.number()));
+        self.perform(position, effects);
+    }
+
+    fn perform(&mut self, position: usize, effects: Vec<FollowerEffect>) {
+        for effect in effects {
+            match effect {
+                FollowerEffect::Store(call) => self.call(position, call),
+                FollowerEffect::Tell { peer, message } => self.send(position, &peer, &message),
+                FollowerEffect::InForce(_) => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    fn call(&mut self, position: usize, call: StoreCall) {
+        if let StoreCall::WatchLog { wait, .. } = call {
+            let until = self.now + wait.duration();
+            return self.watch(position, call, until);
+        }
+        let reply = self.reply(position, &call);
+        self.push(position, Delivery::Reply(reply));
+    }
+
+    fn watch(&mut self, position: usize, call: StoreCall, until: Instant) {
+        let reply = self.reply(position, &call);
+        if reply == StoreReply::Unchanged && self.now < until {
+            self.push(position, Delivery::Watch { call, until });
+        } else {
+            self.push(position, Delivery::Reply(reply));
+        }
+    }
+
+    fn reply(&mut self, position: usize, call: &StoreCall) -> StoreReply {
+        if self.cut.contains(&position) {
+            return StoreReply::Failed;
+        }
+        match self.mode {
+            StoreMode::Down => StoreReply::Failed,
+            StoreMode::Old(age) if call.key() == ConfigKey::Log => self.store.old_log(age),
+            StoreMode::Up | StoreMode::Old(_) => self.store.call(call),
+        }
+    }
+
+    fn send(&mut self, from: usize, peer: &VmId, message: &ConfigMessage) {
+        let to = self.positions[peer];
+        let is_cut = self.isolated.contains(&from) || self.isolated.contains(&to);
+        if is_cut || self.random.u32(..100) < self.loss_percent {
+            return;
+        }
+        let copies = if self.random.u32(..10) == 0 { 2 } else { 1 };
+        for _ in 0..copies {
+            let message = message.clone();
+            self.push(to, Delivery::Message { from, message });
+        }
+    }
+
+    /// Delivers after a random time, so that messages overtake each other; some are very late.
+    fn push(&mut self, to: usize, delivery: Delivery) {
+        let millis = if self.random.u32(..20) == 0 {
+            1_500
+        } else {
+            120
+        };
+        let at = self.now + Duration::from_millis(self.random.u64(1..millis));
+        self.queue.push((at, to, self.nodes[to].life, delivery));
+    }
+
+    fn behind(&self) -> Vec<(&VmId, ChangeNumber)> {
+        let last = ChangeNumber::new(u64::from(self.changes));
+        let numbers = self
+            .nodes
+            .iter()
+            .map(|node| (&node.vm.vm, node.follower.number()));
+        numbers.filter(|(_, number)| *number != last).collect()
+    }
+}
+
+fn event_strategy() -> impl Strategy<Value = WorldEvent> {
+    prop_oneof![
+        6 => Just(WorldEvent::Change),
+        1 => Just(WorldEvent::LargeChange),
+        1 => Just(WorldEvent::Store(StoreMode::Down)),
+        1 => Just(WorldEvent::Store(StoreMode::Up)),
+        1 => (1..40_usize).prop_map(|age| WorldEvent::Store(StoreMode::Old(age))),
+        2 => (0..64_usize).prop_map(WorldEvent::Isolate),
+        2 => (0..64_usize).prop_map(WorldEvent::Cut),
+        2 => (0..64_usize).prop_map(WorldEvent::Restart),
+        1 => (0..90_u32).prop_map(WorldEvent::Loss),
+        1 => Just(WorldEvent::Heal),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, ..ProptestConfig::default() })]
+
+    #[test]
+    fn follower_in_force_everywhere(
+        sizes in prop::collection::vec(1..9_usize, 1..4),
+        schedule in prop::collection::vec((event_strategy(), 0..3_000_u64), 1..40),
+        has_last_change in any::<bool>(),
+        seed in any::<u64>(),
+    ) {
+        let mut world = World::new(&sizes, seed);
+        for (event, pause) in schedule {
+            world.happen(&event);
+            world.run(Duration::from_millis(pause));
+        }
+        world.heal();
+        if has_last_change {
+            world.change(false);
+        }
+        world.run(BOUND);
+        prop_assert_eq!(world.behind(), vec![]);
+    }
+}
+
+/// A world of three failure domains in which every node has the first change.
+fn settled() -> World {
+    let mut world = World::new(&[6, 6, 6], 7);
+    world.change(false);
+    world.run(BOUND);
+    assert_eq!(world.behind(), []);
+    world
+}
+
+#[test]
+fn follower_fresh_node_in_outage() {
+    let mut world = settled();
+    world.happen(&WorldEvent::Store(StoreMode::Down));
+    for position in [0, 7, 8, 17] {
+        world.restart(position);
+    }
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.behind(), [], "fresh nodes learn from their peers");
+}
+
+#[test]
+fn follower_long_outage_keeps_state() {
+    let mut world = settled();
+    world.happen(&WorldEvent::Store(StoreMode::Down));
+    world.run(Duration::from_mins(10));
+    assert_eq!(world.behind(), []);
+    world.heal();
+    world.change(true);
+    world.run(BOUND);
+    assert_eq!(world.behind(), []);
+}
+
+#[parameterized(
+    follower_domain_without_watchers = { 0, false },
+    follower_domain_cut_from_store = { 1, true },
+)]
+fn follower_domain(domain: usize, is_whole: bool) {
+    let mut world = settled();
+    let vms: Vec<_> = world.nodes.iter().map(|node| node.vm.clone()).collect();
+    for (position, row) in vms.iter().enumerate() {
+        let plan = RelayPlan::new(&row.vm, &row.domain, &vms);
+        if row.domain != vms[domain * 6].domain {
+            continue;
+        }
+        if is_whole {
+            world.happen(&WorldEvent::Cut(position));
+        } else if plan.is_watcher() {
+            world.happen(&WorldEvent::Cut(position));
+            world.happen(&WorldEvent::Isolate(position));
+        }
+    }
+    world.change(false);
+    world.run(BOUND);
+    let unreachable = world.isolated.len();
+    assert_eq!(world.behind().len(), unreachable, "{:?}", world.behind());
+}
+
+#[test]
+fn follower_missed_push_in_outage() {
+    let mut world = settled();
+    for position in 0..18 {
+        world.happen(&WorldEvent::Cut(position));
+    }
+    world.cut.remove(&3);
+    world.happen(&WorldEvent::Loss(100));
+    world.change(false);
+    world.run(BOUND);
+    assert_eq!(world.behind().len(), 17, "only one node has heard");
+    world.happen(&WorldEvent::Loss(0));
+    world.happen(&WorldEvent::Store(StoreMode::Down));
+    world.run(BOUND);
+    assert_eq!(world.behind(), [], "offers make good what was lost");
+}
+
+#[test]
+fn follower_number_on_traffic() {
+    let mut world = settled();
+    world.happen(&WorldEvent::Cut(5));
+    // The VM list shows the node to nobody yet.
+    let vms: Vec<_> = world.nodes.iter().map(|node| node.vm.clone()).collect();
+    let shown: Vec<_> = vms.iter().filter(|row| **row != vms[5]).cloned().collect();
+    for node in &mut world.nodes {
+        let plan = RelayPlan::new(&node.vm.vm, &node.vm.domain, &shown);
+        node.follower.set_relay(plan);
+    }
+    world.nodes[5].follower.set_relay(RelayPlan::default());
+    world.change(false);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.behind().len(), 1, "nobody tells the node");
+    let informer = world.nodes[12].vm.vm.clone();
+    let now = world.now;
+    world.nodes[5]
+        .follower
+        .on_number(&informer, ChangeNumber::new(2), now);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.behind(), []);
+}
