--- a/crates/fleet/src/config/pace.rs
+++ b/crates/fleet/src/config/pace.rs
@@ -146,9 +146,9 @@
         }
         let is_first = self.pulls.is_multiple_of(2);
         let informer = self.informer.clone().filter(|_| is_first);
-        let peer = informer.or_else(|| self.random.choice(successors).cloned());
+        let peer = informer.or_else(|| self.random.choice(successors).cloned())?;
         self.pulls = self.pulls.saturating_add(1);
         self.next_at = now + PULL_RETRY.duration();
-        peer
+        Some(peer)
     }
 }
--- a/crates/fleet/tests/it/config/commit.rs
+++ b/crates/fleet/tests/it/config/commit.rs
@@ -166,6 +166,7 @@
                 Some(CommitOutcome::Unknown) | None => {}
                 Some(CommitOutcome::LostRace(loss)) => {
                     assert_eq!(made, None, "a loser's change is not made");
+                    assert!(loss.current > loss.seen, "somebody came first");
                     let numbers: Vec<_> = loss.marks.iter().map(|mark| mark.number).collect();
                     let between = loss.seen.get() + 1..=loss.current.get();
                     assert_eq!(numbers, between.map(ChangeNumber::new).collect::<Vec<_>>());
@@ -233,6 +234,7 @@
         for operator in 0..race.operators.len() {
             while race.operators[operator].call.is_some() {
                 race.step(operator, CallFault::None);
+                race.now += Duration::from_millis(100);
             }
         }
         race.check();
@@ -367,3 +369,34 @@
         store.state_at(ChangeNumber::new(401))
     );
 }
+
+#[parameterized(
+    commit_lost_answer_in_log = { 1, CommitOutcome::Accepted(ChangeNumber::new(2)) },
+    commit_lost_answer_in_base = { 100, CommitOutcome::Accepted(ChangeNumber::new(2)) },
+    commit_lost_answer_forgotten = { 400, CommitOutcome::Unknown },
+)]
+fn commit_lost_answer(later_changes: u32, expected: CommitOutcome) {
+    let (mut store, seen, now) = prepared();
+    let edits = vec![take_out("d1")];
+    let mut commit = ConfigCommit::new(ask(2, edits), seen, now + Duration::from_mins(1));
+    let CommitStep::Call { call, .. } = commit.start() else {
+        panic!("no call")
+    };
+    store.call(&call);
+    for index in 0..later_changes {
+        accept(
+            &mut store,
+            u128::from(index) + 10,
+            vec![set_plan("p0", index + 2)],
+            now,
+        );
+    }
+    let mut step = commit.on_reply(StoreReply::Lost, now);
+    let outcome = loop {
+        match step {
+            CommitStep::Call { call, .. } => step = commit.on_reply(store.call(&call), now),
+            CommitStep::Done(outcome) => break outcome,
+        }
+    };
+    assert_eq!(outcome, expected);
+}
--- /dev/null
+++ b/crates/fleet/tests/it/config/follower.rs
@@ -0,0 +1,217 @@
+use amaranthgw_core::{ChangeNumber, MilliSpan, StoreRevision, VmId};
+use amaranthgw_fleet::config::{
+    ChangeId, ConfigError, ConfigFollower, ConfigLog, ConfigMessage, ConfigOffer, ConfigPull,
+    ConfigPush, FollowerEffect, RelayPlan, RelayVm, ServingState, StoreCall, StoreReply,
+};
+use tokio::time::{Duration, Instant};
+
+use super::fixtures::{StoreModel, accept, id, read, set_plan, set_workspace};
+
+/// A service with `count` small changes, and the log as it was after each of them.
+fn filled(count: u32) -> (StoreModel, Instant) {
+    let now = Instant::now();
+    let mut store = StoreModel::default();
+    for index in 1..=count {
+        accept(
+            &mut store,
+            u128::from(index),
+            vec![set_plan("p0", index)],
+            now,
+        );
+    }
+    (store, now)
+}
+
+fn follower(store: &StoreModel, now: Instant) -> ConfigFollower {
+    let mut follower = ConfigFollower::new(1, now);
+    let effects = follower.on_reply(store.old_log(0), now);
+    assert_eq!(effects[0], FollowerEffect::InForce(follower.number()));
+    follower
+}
+
+#[test]
+fn on_reply_old_log_confirms_nothing() {
+    let (store, now) = filled(5);
+    let mut follower = follower(&store, now);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(follower.on_reply(store.old_log(2), later), []);
+    assert_eq!(follower.number(), ChangeNumber::new(5));
+    assert_eq!(follower.age(later), Some(MilliSpan::new(3_000)));
+    follower.on_reply(store.old_log(0), later);
+    assert_eq!(follower.age(later), Some(MilliSpan::new(0)));
+}
+
+#[test]
+fn on_reply_other_history_diverges() {
+    let (store, now) = filled(5);
+    let mut follower = follower(&store, now);
+    let before = follower.state().clone();
+    let (mut log, _) = store.log();
+    log.changes[4].id = ChangeId::new(99);
+    let mut next = log.changes[4].clone();
+    next.number = next.number.next();
+    log.changes.push(next);
+    let revision = StoreRevision::new(1_000);
+    let effects = follower.on_reply(StoreReply::Log { log, revision }, now);
+    assert_eq!(effects, [FollowerEffect::Diverged(ChangeNumber::new(5))]);
+    assert_eq!(follower.state(), &before);
+}
+
+#[test]
+fn on_message_invalid_base_refused() {
+    let (store, now) = filled(2);
+    let mut follower = follower(&store, now);
+    let before = follower.state().clone();
+    let (mut other, _) = filled(1);
+    accept(&mut other, 7, vec![set_workspace("w1", "p0")], now);
+    let base = ServingState {
+        number: ChangeNumber::new(9),
+        workspaces: read(&mut other, now).state.workspaces,
+        ..ServingState::default()
+    };
+    let push = ConfigPush {
+        base: Some(Box::new(base)),
+        changes: Vec::new(),
+    };
+    let effects = follower.on_message(&id("peer"), ConfigMessage::Push(push), now);
+    let refused = FollowerEffect::Refused(ConfigError::UnknownPlan {
+        workspace: id("w1"),
+        plan: id("p0"),
+    });
+    assert_eq!(effects, [refused]);
+    assert_eq!(follower.state(), &before);
+}
+
+#[test]
+fn on_message_pull_answers() {
+    let (store, now) = filled(200);
+    let mut follower = ConfigFollower::new(1, now);
+    let mut effects = follower.on_reply(store.old_log(0), now);
+    while let Some(FollowerEffect::Store(call)) = effects.first() {
+        assert!(
+            matches!(call, StoreCall::ReadBase { .. }),
+            "the log begins at a base"
+        );
+        effects = follower.on_reply(store.clone().call(call), now);
+    }
+    assert_eq!(follower.number(), ChangeNumber::new(200));
+    let mut answer = |after: u64| {
+        let pull = ConfigPull {
+            after: ChangeNumber::new(after),
+        };
+        let effects = follower.on_message(&id("peer"), ConfigMessage::Pull(pull), now);
+        match effects.into_iter().next() {
+            Some(FollowerEffect::Tell { message, .. }) => message,
+            other => panic!("{other:?}"),
+        }
+    };
+    let ConfigMessage::Push(recent) = answer(198) else {
+        panic!("a push")
+    };
+    assert_eq!(
+        (recent.base, recent.changes),
+        (None, store.history[198..].to_vec())
+    );
+    let ConfigMessage::Push(whole) = answer(0) else {
+        panic!("a push")
+    };
+    assert_eq!(
+        whole.base.map(|base| base.number),
+        Some(ChangeNumber::new(200))
+    );
+    let offer = ConfigMessage::Offer(ConfigOffer {
+        number: ChangeNumber::new(200),
+        age: MilliSpan::new(0),
+    });
+    assert_eq!(answer(200), offer);
+}
+
+#[test]
+fn message_serde_round_trip() {
+    let (store, _) = filled(3);
+    let messages = [
+        ConfigMessage::Pull(ConfigPull {
+            after: ChangeNumber::new(2),
+        }),
+        ConfigMessage::Push(ConfigPush {
+            base: Some(Box::new(store.state_at(ChangeNumber::new(2)))),
+            changes: store.history,
+        }),
+    ];
+    for message in messages {
+        let text = serde_json::to_string(&message).expect("serialises");
+        assert_eq!(
+            serde_json::from_str::<ConfigMessage>(&text).expect("deserialises"),
+            message
+        );
+    }
+}
+
+/// Calls of the key-value service by each node of one failure domain of 36 in each second of an
+/// outage.
+fn outage_calls(seconds: usize) -> Vec<usize> {
+    const DOMAINS: usize = 36;
+    const DOMAIN_SIZE: usize = 325;
+    let vms: Vec<_> = (0..DOMAINS * DOMAIN_SIZE)
+        .map(|index| RelayVm {
+            vm: id(&format!("vm-{index}")),
+            domain: id(&format!("domain-{}", index % DOMAINS)),
+        })
+        .collect();
+    let start = Instant::now();
+    let nodes = vms.iter().filter(|row| row.domain == vms[0].domain);
+    let mut followers: Vec<_> = nodes
+        .zip(0..)
+        .map(|(row, seed)| {
+            let mut follower = ConfigFollower::new(seed, start);
+            follower.set_relay(RelayPlan::new(&row.vm, &row.domain, &vms));
+            let log = ConfigLog::default();
+            let revision = StoreRevision::new(1);
+            follower.on_reply(StoreReply::Log { log, revision }, start);
+            follower
+        })
+        .collect();
+    let mut calls = vec![0; seconds];
+    for tick in 0..seconds * 4 {
+        let now = start + Duration::from_millis(tick as u64 * 250);
+        for follower in &mut followers {
+            let effects = follower.tick(now);
+            let is_call = |effect: &&FollowerEffect| matches!(effect, FollowerEffect::Store(_));
+            if effects.iter().any(|effect| is_call(&effect)) {
+                calls[tick / 4] += 1;
+                follower.on_reply(StoreReply::Failed, now);
+            }
+        }
+    }
+    calls
+}
+
+#[test]
+fn tick_outage_read_budget() {
+    const DOMAINS: usize = 36;
+    let calls = outage_calls(120);
+    let busiest = calls.iter().max().expect("a second") * DOMAINS;
+    assert!(busiest < 2_000, "{busiest} calls a second from the fleet");
+    let last_minute = calls[60..].iter().sum::<usize>() * DOMAINS / 60;
+    assert!(
+        last_minute < 600,
+        "{last_minute} calls a second from the fleet"
+    );
+}
+
+#[test]
+fn relay_default_neither_reads_nor_tells() {
+    let now = Instant::now();
+    let mut follower = ConfigFollower::new(1, now);
+    assert_eq!(follower.tick(now + Duration::from_secs(1)), []);
+    let peer: VmId = id("peer");
+    follower.on_number(&peer, ChangeNumber::new(1), now);
+    let pull = ConfigMessage::Pull(ConfigPull {
+        after: ChangeNumber::new(0),
+    });
+    let told = FollowerEffect::Tell {
+        peer,
+        message: pull,
+    };
+    assert_eq!(follower.tick(now + Duration::from_secs(1)), [told]);
+}
--- a/crates/fleet/tests/it/config/mod.rs
+++ b/crates/fleet/tests/it/config/mod.rs
@@ -1,5 +1,6 @@
 mod commit;
 mod fixtures;
+mod follower;
 mod relay;
 mod spread;
 mod state;
