--- a/crates/fleet/tests/it/config/follower.rs
+++ b/crates/fleet/tests/it/config/follower.rs
@@ -1,7 +1,7 @@
 use amaranthgw_core::{ChangeNumber, MilliSpan, StoreRevision, VmId};
 use amaranthgw_fleet::config::{
-    ChangeId, ConfigError, ConfigFollower, ConfigLog, ConfigMessage, ConfigOffer, ConfigPull,
-    ConfigPush, FollowerEffect, RelayPlan, RelayVm, ServingState, StoreCall, StoreReply,
+    ChangeId, ConfigError, ConfigFollower, ConfigMessage, ConfigOffer, ConfigPull, ConfigPush,
+    FollowerEffect, RelayPlan, RelayVm, ServingState, StoreCall, StoreReply,
 };
 use tokio::time::{Duration, Instant};
 
@@ -126,6 +126,52 @@
     assert_eq!(answer(200), offer);
 }
 
+/// A follower of a failure domain of three nodes, with the identifiers of the two others.
+fn related(now: Instant) -> (ConfigFollower, [VmId; 2]) {
+    let vms = ["vm-1", "vm-2", "vm-3"].map(|vm| RelayVm {
+        vm: id(vm),
+        domain: id("domain"),
+    });
+    let mut follower = ConfigFollower::new(1, now);
+    follower.set_relay(RelayPlan::new(&vms[0].vm, &vms[0].domain, &vms));
+    (follower, [vms[1].vm.clone(), vms[2].vm.clone()])
+}
+
+#[test]
+fn on_message_push_is_passed_on() {
+    let (store, now) = filled(1);
+    let (mut follower, [sender, other]) = related(now);
+    let message = ConfigMessage::Push(ConfigPush {
+        base: None,
+        changes: store.history,
+    });
+    let effects = follower.on_message(&sender, message.clone(), now);
+    let in_force = FollowerEffect::InForce(ChangeNumber::new(1));
+    let passed_on = FollowerEffect::Tell {
+        peer: other,
+        message: message.clone(),
+    };
+    assert_eq!(effects, [in_force, passed_on]);
+    assert_eq!(
+        follower.on_message(&sender, message, now),
+        [],
+        "a second copy ends here"
+    );
+}
+
+#[test]
+fn tick_fresh_node_asks_peer() {
+    let (mut follower, peers) = related(Instant::now());
+    let effects = follower.tick(Instant::now());
+    let is_pull = |effect: &FollowerEffect| match effect {
+        FollowerEffect::Tell { peer, message } => {
+            peers.contains(peer) && matches!(message, ConfigMessage::Pull(_))
+        }
+        _ => false,
+    };
+    assert!(effects.iter().any(is_pull), "{effects:?}");
+}
+
 #[test]
 fn message_serde_round_trip() {
     let (store, _) = filled(3);
@@ -165,9 +211,11 @@
         .map(|(row, seed)| {
             let mut follower = ConfigFollower::new(seed, start);
             follower.set_relay(RelayPlan::new(&row.vm, &row.domain, &vms));
-            let log = ConfigLog::default();
-            let revision = StoreRevision::new(1);
-            follower.on_reply(StoreReply::Log { log, revision }, start);
+            let offer = ConfigOffer {
+                number: ChangeNumber::new(0),
+                age: MilliSpan::new(0),
+            };
+            follower.on_message(&row.vm, ConfigMessage::Offer(offer), start);
             follower
         })
         .collect();
--- a/crates/fleet/tests/it/config/spread.rs
+++ b/crates/fleet/tests/it/config/spread.rs
@@ -346,29 +346,36 @@
     assert_eq!(world.behind(), []);
 }
 
+/// Nodes of the second failure domain that are watchers.
+fn watchers(world: &World) -> Vec<usize> {
+    let vms: Vec<_> = world.nodes.iter().map(|node| node.vm.clone()).collect();
+    let is_watcher = |position: &usize| {
+        let RelayVm { vm, domain } = &vms[*position];
+        RelayPlan::new(vm, domain, &vms).is_watcher()
+    };
+    (6..12).filter(is_watcher).collect()
+}
+
 #[parameterized(
-    follower_domain_without_watchers = { 0, false },
-    follower_domain_cut_from_store = { 1, true },
+    follower_cut_domain = { |_| (Vec::new(), (6..12).collect()) },
+    follower_cut_watchers = { |world| (watchers(world), watchers(world)) },
+    follower_cut_from_peers = { |_| (vec![3, 9, 15], Vec::new()) },
 )]
-fn follower_domain(domain: usize, is_whole: bool) {
+fn follower_cut(parts: fn(&World) -> (Vec<usize>, Vec<usize>)) {
     let mut world = settled();
-    let vms: Vec<_> = world.nodes.iter().map(|node| node.vm.clone()).collect();
-    for (position, row) in vms.iter().enumerate() {
-        let plan = RelayPlan::new(&row.vm, &row.domain, &vms);
-        if row.domain != vms[domain * 6].domain {
-            continue;
-        }
-        if is_whole {
-            world.happen(&WorldEvent::Cut(position));
-        } else if plan.is_watcher() {
-            world.happen(&WorldEvent::Cut(position));
-            world.happen(&WorldEvent::Isolate(position));
-        }
-    }
+    let (isolated, cut) = parts(&world);
+    world.isolated.extend(&isolated);
+    world.cut.extend(&cut);
     world.change(false);
     world.run(BOUND);
-    let unreachable = world.isolated.len();
-    assert_eq!(world.behind().len(), unreachable, "{:?}", world.behind());
+    let is_reachable = |position: &usize| !isolated.contains(position) || !cut.contains(position);
+    let reachable = (0..world.nodes.len()).filter(is_reachable).count();
+    assert_eq!(
+        world.behind().len(),
+        world.nodes.len() - reachable,
+        "{:?}",
+        world.behind()
+    );
 }
 
 #[test]
