--- a/crates/fleet/src/config/compact.rs
+++ b/crates/fleet/src/config/compact.rs
@@ -7,10 +7,10 @@
 
 /// Encoded size at which the log is compacted, in bytes. Every watcher reads the whole log at each
 /// change.
-pub const MAX_LOG_BYTES: usize = 8 * 1_024;
+pub const MAX_LOG_BYTES: usize = 6 * 1_024;
 /// Encoded size of the changes that stay in the log, in bytes, so that a node a few changes behind
 /// needs no base.
-pub const KEPT_LOG_BYTES: usize = 4 * 1_024;
+pub const KEPT_LOG_BYTES: usize = 2 * 1_024;
 /// Number of changes at which the log is compacted.
 pub const MAX_LOG_CHANGES: usize = 64;
 /// Number of changes that stay in the log.
