Requests that crash targets run alone and are then refused

Cause: a request that crashes its target was retried on the next target, and its caller's resends killed further ones. Ruled out: counting broken calls per target, which blames the innocents beside it. The sidecar records the death with everything that ran there, the entry runs the suspect alone and refuses it after two deaths of targets that ran nothing else; entries warn each other. The encoding of a verdict failed silently at first, as its keys were no texts: a round trip test now covers it. A target whose connection broke is refused new work until a load report shows it again.

--- a/crates/amaranthgw/src/entry/attempt.rs
+++ b/crates/amaranthgw/src/entry/attempt.rs
@@ -40,13 +40,15 @@
 
 impl CallRun {
     /// Sends the request to `route` and passes the answer on.
-    pub(super) async fn attempt(&mut self, route: &TargetRoute) -> RunOutcome {
+    ///
+    /// With `alone` it only runs with nothing else at the target.
+    pub(super) async fn attempt(&mut self, route: &TargetRoute, alone: bool) -> RunOutcome {
         let attempt = self.answer.attempt();
         let _counted = OwnInFlight::new(route);
         let opening = self
             .thread
             .link
-            .open(route.address, self.order(route, attempt));
+            .open(route.address, self.order(route, attempt, alone));
         let opened = timeout_at(self.call.cutoff, opening).await;
         match opened {
             Ok(Ok(steps)) => self.follow(route, attempt, steps).await,
@@ -55,7 +57,7 @@
         }
     }
 
-    fn order(&self, route: &TargetRoute, attempt: AttemptNumber) -> AttemptOrder {
+    fn order(&self, route: &TargetRoute, attempt: AttemptNumber, alone: bool) -> AttemptOrder {
         let now = Instant::now();
         let until =
             |instant: Instant| MilliSpan::with_duration(instant.saturating_duration_since(now));
@@ -74,7 +76,7 @@
             max_tokens: self.call.max_tokens,
             body: self.call.body.clone(),
             change: self.change,
-            alone: false,
+            alone,
         }
     }
 
@@ -164,8 +166,13 @@
                 };
                 Some(self.refused(attempt, &refusal))
             }
-            AttemptStep::Broken { code, status } => {
+            AttemptStep::Broken {
+                code,
+                verdict,
+                status,
+            } => {
                 self.observe(route, status);
+                self.take_verdict(verdict);
                 self.answer.stop_attempt(attempt, AnswerBreak::StreamCut);
                 Some(broken(code))
             }
--- a/crates/amaranthgw/src/entry/control.rs
+++ b/crates/amaranthgw/src/entry/control.rs
@@ -6,8 +6,9 @@
 use amaranthgw_core::TickSchedule;
 use amaranthgw_fleet::config::ServingState;
 use amaranthgw_fleet::entry::{EntryOutput, EntrySnapshot, EntryWorld, entry_schedule};
-use amaranthgw_fleet::membership::VmRecord;
+use amaranthgw_fleet::membership::{NodeRole, VmRecord};
 use amaranthgw_fleet::routing::{RouteSnapshot, ServiceRoutes, TargetRoute};
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::time::Instant;
@@ -16,7 +17,7 @@
 use super::reporter::{burn_json, status_json};
 use super::shared::{EntryShared, TrafficReport};
 use crate::link::TargetLink;
-use crate::peer::ReportKind;
+use crate::peer::{PeerLink, ReportKind};
 use crate::runtime::StopPhase;
 use crate::telemetry::{EventLog, NodeEvent};
 
@@ -30,6 +31,7 @@
     pub(super) world: EntryWorld,
     pub(super) shared: Arc<EntryShared>,
     pub(super) link: Arc<dyn TargetLink>,
+    pub(super) peers: Arc<dyn PeerLink>,
     pub(super) log: EventLog,
 }
 
@@ -40,6 +42,7 @@
     schedule: TickSchedule<EntryWorld>,
     shared: Arc<EntryShared>,
     link: Arc<dyn TargetLink>,
+    peers: Arc<dyn PeerLink>,
     log: EventLog,
 }
 
@@ -72,13 +75,16 @@
             world,
             shared,
             link,
+            peers,
             log,
         } = args;
+        let schedule = entry_schedule();
         Ok(ControlState {
             world,
-            schedule: entry_schedule(),
+            schedule,
             shared,
             link,
+            peers,
             log,
         })
     }
@@ -109,15 +115,29 @@
 
 impl ControlState {
     fn take_reports(&mut self, reports: Vec<TrafficReport>) {
-        let inbox = &mut self.world.inbox;
         for report in reports {
+            let inbox = &mut self.world.inbox;
             match report {
                 TrafficReport::Observed(observation) => inbox.observations.push(observation),
                 TrafficReport::Answered(record) => inbox.answers.push(record),
+                TrafficReport::Suspected(verdict) => self.warn_entries(&verdict),
             }
         }
     }
 
+    /// Warns the other entries of a request that may crash targets.
+    fn warn_entries(&self, verdict: &SuspectVerdict) {
+        let is_other = |record: &&VmRecord| {
+            record.role == NodeRole::Entry && record.vm != self.world.identity.vm
+        };
+        for record in self.world.vms.rows().filter(is_other) {
+            let (peers, address) = (Arc::clone(&self.peers), record.address);
+            let verdict = verdict.clone();
+            // An entry that misses the warning hears it from the next death at the latest.
+            tokio::spawn(async move { peers.warn(address, verdict).await });
+        }
+    }
+
     fn tick(&mut self) {
         let previous = self.world.config.number;
         self.schedule.run(&mut self.world, Instant::now());
--- a/crates/amaranthgw/src/entry/error.rs
+++ b/crates/amaranthgw/src/entry/error.rs
@@ -69,6 +69,8 @@
     },
     /// No target could take the request.
     NoCapacity,
+    /// The request crashes the targets that run it.
+    CrashesTargets,
     /// The entry is leaving.
     Leaving,
     /// The claim on the idempotency key could not be made.
@@ -114,6 +116,7 @@
             Self::DeadlineExpired => "deadline_expired",
             Self::OverLimit { .. } => "over_limit",
             Self::NoCapacity => "no_capacity",
+            Self::CrashesTargets => "crashes_targets",
             Self::Leaving => "leaving",
             Self::KeyUnavailable => "key_unavailable",
             Self::KeyReused => "key_reused",
@@ -148,7 +151,7 @@
             Self::NoCapacity | Self::Leaving | Self::KeyUnavailable => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyReused | Self::CrashesTargets => StatusCode::UNPROCESSABLE_ENTITY,
             Self::AlreadySent | Self::AlreadyDone => StatusCode::CONFLICT,
             Self::TargetFailed | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         }
@@ -200,6 +203,7 @@
                 )
             }
             Self::NoCapacity => f.write_str("no target could take the request"),
+            Self::CrashesTargets => f.write_str("the request crashes the targets that run it"),
             Self::Leaving => f.write_str("this entry is leaving"),
             Self::KeyUnavailable => f.write_str("the idempotency key could not be claimed"),
             Self::KeyReused => f.write_str("the idempotency key was used with another request"),
--- a/crates/amaranthgw/src/entry/mod.rs
+++ b/crates/amaranthgw/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod reporter;
 mod run;
 mod shared;
+mod suspect;
 
 pub use error::{CallError, RunState};
 pub use process::EntryProcess;
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -22,10 +22,11 @@
 use super::reporter::EntryReporter;
 use super::shared::{EntryShared, TrafficReport, TrafficThread};
 use crate::control::{
-    ClaimDesk, ClaimRequest, ConfigInput, PlatformBorder, forward_reports, report_channel,
+    ClaimDesk, ClaimRequest, ConfigInput, PlatformBorder, SuspectDesk, forward_reports,
+    report_channel,
 };
 use crate::link::GrpcLink;
-use crate::peer::PeerService;
+use crate::peer::{GrpcPeerLink, PeerService};
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
 use crate::wire::node::peer_server::PeerServer;
@@ -74,6 +75,8 @@
             snapshot: ArcSwap::default(),
             policy,
             retries: RetrySettings::new(),
+            suspects: SuspectDesk::new(),
+            suspect_turn: tokio::sync::Mutex::new(()),
             claims: ClaimDesk::new(claims),
             reports,
             in_flight: AtomicU32::new(0),
@@ -157,6 +160,7 @@
         world: EntryWorld::new(identity(&settings), Instant::now()),
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
+        peers: Arc::new(GrpcPeerLink::new()),
         log: log.clone(),
     };
     let started = Actor::spawn(None, EntryControl, arguments).await;
@@ -169,7 +173,7 @@
     let observed = Arc::clone(&shared);
     let ready = Arc::new(move || observed.readiness());
     tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
-    if start_borders(&settings, &control, inputs, &log)
+    if start_borders(&settings, &control, &shared, inputs, &log)
         .await
         .is_err()
     {
@@ -201,6 +205,7 @@
 async fn start_borders(
     settings: &EntrySettings,
     control: &ActorRef<ControlMessage>,
+    shared: &Arc<EntryShared>,
     inputs: ControlInputs,
     log: &EventLog,
 ) -> Result<()> {
@@ -213,7 +218,11 @@
         control: control.clone(),
         log: log.clone(),
     };
-    let peer = PeerServer::new(PeerService::new(tells, Arc::new(reporter)));
+    let peer = PeerServer::new(PeerService::new(
+        tells,
+        Arc::clone(shared) as _,
+        Arc::new(reporter),
+    ));
     let incoming = TcpListenerStream::new(inputs.node_listener.handle()?);
     tokio::spawn(
         Server::builder()
--- a/crates/amaranthgw/src/entry/run.rs
+++ b/crates/amaranthgw/src/entry/run.rs
@@ -10,6 +10,7 @@
 use amaranthgw_fleet::entry::{AnswerRecord, EntrySnapshot};
 use amaranthgw_fleet::retries::{AttemptLog, RepeatRule, RetryAsk, RetryDecision, RunOutcome};
 use amaranthgw_fleet::routing::{RouteAsk, RouteError, TargetRoute};
+use amaranthgw_fleet::suspects::SuspectLevel;
 use bytes::Bytes;
 use compact_str::format_compact;
 use tokio::sync::mpsc::Sender;
@@ -128,12 +129,11 @@
             if self.is_grant_expired() {
                 break CallError::with_outcome(self.log.overall());
             }
-            let route = match self.choose(&snapshot) {
-                Ok(route) => route,
+            self.note_first(&snapshot);
+            let (route, outcome) = match self.attempt_by_level(&snapshot).await {
+                Ok(attempted) => attempted,
                 Err(error) => break error,
             };
-            self.note_first(&snapshot);
-            let outcome = self.attempt(&route).await;
             self.log.record(outcome);
             if outcome == RunOutcome::Done {
                 self.end_whole(&route).await;
@@ -147,6 +147,27 @@
         self.log.overall()
     }
 
+    /// Makes one attempt: beside others, alone, or none where the request crashes targets.
+    async fn attempt_by_level(
+        &mut self,
+        snapshot: &EntrySnapshot,
+    ) -> Result<(TargetRoute, RunOutcome), CallError> {
+        match self.suspect_level() {
+            SuspectLevel::Clear => {
+                let route = self.choose(snapshot)?;
+                let outcome = self.attempt(&route, false).await;
+                Ok((route, outcome))
+            }
+            SuspectLevel::Suspect { .. } => self.attempt_alone(snapshot).await,
+            SuspectLevel::Refused { .. } => Err(self.crash_error()),
+        }
+    }
+
+    /// What is known of all attempts so far.
+    pub(super) fn overall(&self) -> Option<RunOutcome> {
+        self.log.overall()
+    }
+
     /// Whether the claim can no longer be used, as its holder paused for too long.
     fn is_grant_expired(&self) -> bool {
         self.grant
@@ -253,6 +274,7 @@
     }
 
     async fn end_whole(&mut self, route: &TargetRoute) {
+        self.clear_suspicion();
         let chunks = self.answer.resume_from();
         let now = Instant::now();
         let is_on_time = !self.timing.is_late && now <= self.call.due_at;
--- a/crates/amaranthgw/src/entry/shared.rs
+++ b/crates/amaranthgw/src/entry/shared.rs
@@ -7,10 +7,12 @@
 use amaranthgw_fleet::entry::{AnswerRecord, EntrySnapshot, TargetObservation};
 use amaranthgw_fleet::retries::RetrySettings;
 use amaranthgw_fleet::routing::RoutePolicy;
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use arc_swap::ArcSwap;
 
-use crate::control::{ClaimDesk, ReportSender};
+use crate::control::{ClaimDesk, ReportSender, SuspectDesk};
 use crate::link::TargetLink;
+use crate::peer::WarningSink;
 use crate::runtime::{StopPhase, StopSignal};
 use crate::telemetry::EventLog;
 
@@ -21,6 +23,8 @@
     Observed(TargetObservation),
     /// An answer ended.
     Answered(AnswerRecord),
+    /// Something is known of a request that may crash targets.
+    Suspected(SuspectVerdict),
 }
 
 /// State of an entry that all its threads use.
@@ -32,6 +36,10 @@
     pub(super) policy: Box<dyn RoutePolicy>,
     /// Limits and delays of retries.
     pub(super) retries: RetrySettings,
+    /// Requests that may crash targets.
+    pub(super) suspects: SuspectDesk,
+    /// Lets one suspect run at a time.
+    pub(super) suspect_turn: tokio::sync::Mutex<()>,
     /// Claims on idempotency keys.
     pub(super) claims: ClaimDesk,
     /// Way of reports to the control thread.
@@ -62,6 +70,12 @@
     }
 }
 
+impl WarningSink for EntryShared {
+    fn warn(&self, verdict: &SuspectVerdict) {
+        self.suspects.merge(verdict);
+    }
+}
+
 /// What the requests of one traffic thread use.
 #[derive(Debug)]
 pub(super) struct TrafficThread {
--- a/crates/amaranthgw/src/link/grpc.rs
+++ b/crates/amaranthgw/src/link/grpc.rs
@@ -7,6 +7,7 @@
 
 use amaranthgw_core::{AttemptNumber, ChunkSequence, TargetId};
 use amaranthgw_fleet::entry::TargetStatus;
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use tonic::transport::{Channel, Endpoint};
@@ -152,14 +153,21 @@
             attempt: AttemptNumber::new(refused.attempt),
             status: status_of(refused.report)?,
         }),
-        Event::Broken(broken) => {
-            let code = broken.code();
-            Ok(AttemptStep::Broken {
-                code,
-                status: status_of(broken.report)?,
-            })
-        }
+        Event::Broken(broken) => Ok(AttemptStep::Broken {
+            code: broken.code(),
+            verdict: verdict_of(&broken.verdict)?,
+            status: status_of(broken.report)?,
+        }),
+    }
+}
+
+fn verdict_of(json: &[u8]) -> Result<Option<SuspectVerdict>> {
+    if json.is_empty() {
+        return Ok(None);
     }
+    serde_json::from_slice(json)
+        .map(Some)
+        .map_err(|_malformed| LinkError::Malformed)
 }
 
 fn status_of(report: Option<TargetReport>) -> Result<Option<TargetStatus>> {
--- a/crates/amaranthgw/src/link/step.rs
+++ b/crates/amaranthgw/src/link/step.rs
@@ -7,6 +7,7 @@
     TokenCount, WorkspaceId,
 };
 use amaranthgw_fleet::entry::TargetStatus;
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::BoxStream;
@@ -88,6 +89,8 @@
     Broken {
         /// How.
         code: BreakCode,
+        /// What is known of the request's part in deaths of targets.
+        verdict: Option<SuspectVerdict>,
         /// State of the target.
         status: Option<TargetStatus>,
     },
--- a/crates/amaranthgw/src/peer/link.rs
+++ b/crates/amaranthgw/src/peer/link.rs
@@ -7,13 +7,14 @@
 
 use amaranthgw_core::VmId;
 use amaranthgw_fleet::config::ConfigMessage;
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use tonic::transport::{Channel, Endpoint};
 
 use super::ReportKind;
 use crate::wire::node::peer_client::PeerClient;
-use crate::wire::node::{ReportRequest, TellRequest};
+use crate::wire::node::{ReportRequest, TellRequest, WarnRequest};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -52,6 +53,9 @@
         message: ConfigMessage,
     ) -> BoxFuture<'_, Result<()>>;
 
+    /// Warns the node at `address` of a request that may crash targets.
+    fn warn(&self, address: SocketAddr, verdict: SuspectVerdict) -> BoxFuture<'_, Result<()>>;
+
     /// Asks the node at `address` for a report as JSON.
     fn report(
         &self,
@@ -113,6 +117,17 @@
         })
     }
 
+    fn warn(&self, address: SocketAddr, verdict: SuspectVerdict) -> BoxFuture<'_, Result<()>> {
+        Box::pin(async move {
+            let verdict = serde_json::to_vec(&verdict).map_err(|_invalid| PeerError::Malformed)?;
+            let request = WarnRequest {
+                verdict: verdict.into(),
+            };
+            let answer = self.client(address)?.warn(request).await;
+            answer.map(drop).map_err(|_status| PeerError::Unreachable)
+        })
+    }
+
     fn report(
         &self,
         address: SocketAddr,
--- a/crates/amaranthgw/src/peer/service.rs
+++ b/crates/amaranthgw/src/peer/service.rs
@@ -4,6 +4,7 @@
 
 use amaranthgw_core::VmId;
 use amaranthgw_fleet::config::ConfigMessage;
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use tonic::{Request, Response, Status};
@@ -11,7 +12,8 @@
 use crate::control::ReportSender;
 use crate::wire::node::peer_server::Peer;
 use crate::wire::node::{
-    ExchangeReply, ExchangeRequest, ReportReply, ReportRequest, TellReply, TellRequest,
+    ExchangeReply, ExchangeRequest, ReportReply, ReportRequest, TellReply, TellRequest, WarnReply,
+    WarnRequest,
 };
 
 pub use crate::wire::node::ReportKind;
@@ -25,6 +27,12 @@
     pub message: ConfigMessage,
 }
 
+/// Receives warnings of requests that may crash targets.
+pub trait WarningSink: std::fmt::Debug + Send + Sync {
+    /// Takes in what a peer knows of such a request.
+    fn warn(&self, verdict: &SuspectVerdict);
+}
+
 /// Makes the reports of a node.
 pub trait NodeReporter: std::fmt::Debug + Send + Sync {
     /// The report of `kind` on `subject` as JSON; empty where the node has none of that kind.
@@ -35,14 +43,24 @@
 #[derive(Clone, Debug)]
 pub struct PeerService {
     tells: ReportSender<PeerTell>,
+    warnings: Arc<dyn WarningSink>,
     reporter: Arc<dyn NodeReporter>,
 }
 
 impl PeerService {
-    /// Creates a service that passes messages to `tells` and asks `reporter` for reports.
+    /// Creates a service that passes messages to `tells`, warnings to `warnings` and asks
+    /// `reporter` for reports.
     #[must_use]
-    pub fn new(tells: ReportSender<PeerTell>, reporter: Arc<dyn NodeReporter>) -> Self {
-        Self { tells, reporter }
+    pub fn new(
+        tells: ReportSender<PeerTell>,
+        warnings: Arc<dyn WarningSink>,
+        reporter: Arc<dyn NodeReporter>,
+    ) -> Self {
+        Self {
+            tells,
+            warnings,
+            reporter,
+        }
     }
 }
 
@@ -57,6 +75,13 @@
         Ok(Response::new(TellReply {}))
     }
 
+    async fn warn(&self, request: Request<WarnRequest>) -> Result<Response<WarnReply>, Status> {
+        let verdict = serde_json::from_slice(&request.into_inner().verdict);
+        let malformed = |_invalid| Status::invalid_argument("malformed verdict");
+        self.warnings.warn(&verdict.map_err(malformed)?);
+        Ok(Response::new(WarnReply {}))
+    }
+
     async fn report(
         &self,
         request: Request<ReportRequest>,
--- a/crates/amaranthgw/src/sidecar/attempt.rs
+++ b/crates/amaranthgw/src/sidecar/attempt.rs
@@ -5,6 +5,7 @@
 use amaranthgw_core::ChunkSequence;
 use amaranthgw_fleet::gate::{AdmissionPermit, AnswerEvidence, GateEvidence};
 use amaranthgw_fleet::sidecar::TargetNews;
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use tokio::sync::mpsc::Sender;
@@ -33,7 +34,7 @@
     /// Nothing was handed to the target.
     Refused(RefusalCode),
     /// The attempt broke after its hand-over.
-    Broken(BreakCode),
+    Broken(BreakCode, Option<SuspectVerdict>),
 }
 
 /// One admitted attempt.
@@ -48,6 +49,8 @@
     pub(super) due_at: Instant,
     /// When the entry gives the request up.
     pub(super) deadline: Instant,
+    /// Whether the attempt runs with nothing else at the target.
+    pub(super) alone: bool,
     /// Way of reports to the entry; closed when the entry has abandoned the attempt.
     pub(super) reports: Sender<AttemptReport>,
 }
@@ -74,12 +77,18 @@
             admitted_at: Instant::now(),
             first_chunk_at: None,
         };
+        let (request, attempt) = (&self.call.request, self.call.attempt);
+        self.shared.running.add(request, attempt, &self.call.body);
         let opened = self.open().await;
         let end = match opened {
             Ok(stream) => self.relay(stream, &mut times).await,
             Err(end) => end,
         };
         self.settle(end, permit, &times).await;
+        self.shared.running.remove(request, attempt);
+        if self.alone {
+            self.shared.slots.end_alone();
+        }
         self.shared.queue.serve();
     }
 
@@ -124,6 +133,7 @@
     async fn settle(&self, end: DriveEnd, permit: AdmissionPermit, times: &AttemptTimes) {
         match end {
             DriveEnd::Whole { chunk_count } => {
+                self.clear_suspicion();
                 self.tell_answer(&permit, times);
                 self.shared.queue.note_answer(times.admitted_at.elapsed());
                 permit.finish();
@@ -133,7 +143,7 @@
             DriveEnd::Failed(error) => self.settle_failure(error, permit).await,
             DriveEnd::Abandoned => self.cancel(permit).await,
             DriveEnd::Expired => {
-                self.report_broken(BreakCode::Expired).await;
+                self.report_broken(BreakCode::Expired, None).await;
                 self.cancel(permit).await;
             }
         }
@@ -142,26 +152,26 @@
     async fn settle_failure(&self, error: TargetError, permit: AdmissionPermit) {
         match error {
             TargetError::NotReached => {
-                self.shared.slots.set_back();
+                self.shared.note_gone();
                 permit.finish();
-                self.shared.tell(TargetNews::NotReached);
                 self.report(AttemptReport::Refused(RefusalCode::TargetUnreachable))
                     .await;
             }
             TargetError::ConnectionLost => {
-                self.shared.slots.set_back();
+                self.shared.note_gone();
                 drop(permit);
-                self.report_broken(BreakCode::ConnectionLost).await;
+                let verdict = self.shared.record_death(&self.call.body);
+                self.report_broken(BreakCode::ConnectionLost, verdict).await;
             }
             TargetError::Answered { .. } => {
                 permit.finish();
                 self.shared.tell(TargetNews::Evidence(GateEvidence::Failed));
-                self.report_broken(BreakCode::TargetError).await;
+                self.report_broken(BreakCode::TargetError, None).await;
             }
             TargetError::Malformed => {
                 drop(permit);
                 self.shared.tell(TargetNews::Evidence(GateEvidence::Failed));
-                self.report_broken(BreakCode::Malformed).await;
+                self.report_broken(BreakCode::Malformed, None).await;
             }
         }
     }
@@ -187,14 +197,24 @@
             .tell(TargetNews::Evidence(GateEvidence::Answer(answer)));
     }
 
-    async fn report_broken(&self, code: BreakCode) {
+    /// A request that finished did not crash its target.
+    fn clear_suspicion(&self) {
+        let served = &self.shared.served;
+        let body = &self.call.body;
+        let _told_to_entry = self
+            .shared
+            .suspects
+            .clear(&served.service, served.kind, body);
+    }
+
+    async fn report_broken(&self, code: BreakCode, verdict: Option<SuspectVerdict>) {
         self.log.record(NodeEvent::AttemptBroken {
             request: self.call.request.clone(),
             attempt: self.call.attempt,
             target: self.shared.served.target.clone(),
             code: crate::wire::break_code_name(code),
         });
-        self.report(AttemptReport::Broken(code)).await;
+        self.report(AttemptReport::Broken(code, verdict)).await;
     }
 
     /// Sends `report`; an entry that has gone away receives nothing.
--- a/crates/amaranthgw/src/sidecar/load_actor.rs
+++ b/crates/amaranthgw/src/sidecar/load_actor.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::shared::SidecarShared;
+use super::target::TargetLoad;
 
 const READ_PERIOD: Duration = Duration::from_millis(100);
 
@@ -42,13 +43,10 @@
     ) -> Result<(), ActorProcessingErr> {
         let asked_at = Instant::now();
         let news = match state.client.load().await {
-            Ok(load) => TargetNews::Evidence(GateEvidence::Load(LoadEvidence {
-                mark: load.mark,
-                in_flight: load.in_flight,
-                sampled_at: asked_at
-                    .checked_sub(load.age.duration())
-                    .unwrap_or(asked_at),
-            })),
+            Ok(load) => {
+                state.presence.note_answer(asked_at);
+                TargetNews::Evidence(GateEvidence::Load(evidence(load, asked_at)))
+            }
             Err(_) => TargetNews::NotReached,
         };
         state.tell(news);
@@ -56,3 +54,12 @@
         Ok(())
     }
 }
+
+fn evidence(load: TargetLoad, asked_at: Instant) -> LoadEvidence {
+    let sampled_at = asked_at.checked_sub(load.age.duration());
+    LoadEvidence {
+        mark: load.mark,
+        in_flight: load.in_flight,
+        sampled_at: sampled_at.unwrap_or(asked_at),
+    }
+}
--- a/crates/amaranthgw/src/sidecar/mod.rs
+++ b/crates/amaranthgw/src/sidecar/mod.rs
@@ -3,9 +3,11 @@
 mod attempt;
 mod control;
 mod load_actor;
+mod presence;
 mod process;
 mod queue;
 mod reporter;
+mod running;
 mod service;
 mod shared;
 pub mod target;
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -20,12 +20,14 @@
 
 use super::control::{ControlArguments, ControlMessage, SidecarControl};
 use super::load_actor::LoadActor;
+use super::presence::TargetPresence;
 use super::queue::AdmissionQueue;
 use super::reporter::SidecarReporter;
+use super::running::RunningAttempts;
 use super::service::SidecarService;
 use super::shared::SidecarShared;
 use super::target::{EngineClient, PlainClient, TargetClient};
-use crate::control::{ConfigInput, PlatformBorder, forward_reports, report_channel};
+use crate::control::{ConfigInput, PlatformBorder, SuspectDesk, forward_reports, report_channel};
 use crate::peer::{PeerService, PeerTell};
 use crate::runtime::{
     Result, RuntimeError, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread,
@@ -64,6 +66,9 @@
             client: target_client(settings),
             slots: Arc::clone(&entry.slots),
             queue: AdmissionQueue::new(Arc::clone(&entry.slots)),
+            presence: TargetPresence::default(),
+            running: RunningAttempts::default(),
+            suspects: SuspectDesk::new(),
             status: ArcSwap::from_pointee(initial_status(entry.served.kind)),
             config: ArcSwap::default(),
             evidence,
@@ -80,7 +85,7 @@
             };
             let services = ThreadServices {
                 sidecar: SidecarService::new(Arc::clone(&shared), log),
-                peer: PeerService::new(tells.clone(), Arc::new(reporter)),
+                peer: PeerService::new(tells.clone(), Arc::clone(&shared) as _, Arc::new(reporter)),
             };
             let (stop, listener) = (stop.clone(), Arc::clone(&listener));
             let serve = move || serve_traffic(services, stop, listener);
--- a/crates/amaranthgw/src/sidecar/queue.rs
+++ b/crates/amaranthgw/src/sidecar/queue.rs
@@ -8,6 +8,7 @@
     AdmissionPermit, AdmissionSlots, GateRefusal, QueueChange, QueueRow, QueueSettings, QueueTable,
     RefusalReason, TicketNumber, enqueue, take_next,
 };
+use tokio::sync::Notify;
 use tokio::sync::oneshot::{Receiver, Sender, channel};
 use tokio::time::{Instant, timeout_at};
 
@@ -24,6 +25,7 @@
 pub(super) struct AdmissionQueue {
     slots: Arc<AdmissionSlots>,
     state: Mutex<QueueState>,
+    freed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -40,6 +42,7 @@
         Self {
             slots,
             state: Mutex::default(),
+            freed: Notify::new(),
         }
     }
 
@@ -70,8 +73,32 @@
         wait(receiver, start_by, refusal).await
     }
 
+    /// Takes a slot of a target that runs nothing else, after a wait until `start_by` at most.
+    ///
+    /// Other requests are kept out meanwhile, and until [`AdmissionSlots::end_alone`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`GateRefusal`] where the target does not become empty in time; the request has
+    /// not run.
+    pub(super) async fn admit_alone(&self, start_by: Instant) -> QueueVerdict {
+        loop {
+            let freed = self.freed.notified();
+            self.slots.reserve_alone();
+            let refusal = match self.slots.try_admit_alone() {
+                Ok(permit) => return Ok(permit),
+                Err(refusal) => refusal,
+            };
+            if timeout_at(start_by, freed).await.is_err() {
+                self.slots.end_alone();
+                return Err(refusal);
+            }
+        }
+    }
+
     /// Gives free slots to those who wait.
     pub(super) fn serve(&self) {
+        self.freed.notify_waiters();
         let mut state = self.lock();
         while !state.table.is_empty() {
             let Ok(permit) = self.slots.try_admit() else {
--- /dev/null
+++ b/crates/amaranthgw/src/sidecar/running.rs
@@ -0,0 +1,89 @@
+//! The attempts that the target runs, and what its death says of them.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use amaranthgw_core::{AttemptNumber, EntityTable, MilliSpan, RequestId, StartMark};
+use amaranthgw_fleet::sidecar::ServedTarget;
+use amaranthgw_fleet::suspects::{DeathMark, RunningRow, SuspectVerdict, TargetDeath};
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use crate::control::{SuspectDesk, call_fingerprint};
+use crate::operator::unix_ms;
+
+/// One attempt that was handed to the target.
+#[derive(Clone, Debug)]
+struct AttemptRow {
+    body: Bytes,
+    started_at: Instant,
+}
+
+type AttemptKey = (RequestId, AttemptNumber);
+
+/// The attempts that the target runs.
+#[derive(Debug, Default)]
+pub(super) struct RunningAttempts {
+    state: Mutex<RunningState>,
+}
+
+#[derive(Debug, Default)]
+struct RunningState {
+    rows: EntityTable<AttemptKey, AttemptRow>,
+    last_death: Option<StartMark>,
+}
+
+impl RunningAttempts {
+    /// Notes that an attempt is about to be handed to the target.
+    pub(super) fn add(&self, request: &RequestId, attempt: AttemptNumber, body: &Bytes) {
+        let row = AttemptRow {
+            body: body.clone(),
+            started_at: Instant::now(),
+        };
+        self.lock().rows.insert((request.clone(), attempt), row);
+    }
+
+    /// Notes that an attempt has ended.
+    pub(super) fn remove(&self, request: &RequestId, attempt: AttemptNumber) {
+        self.lock().rows.remove(&(request.clone(), attempt));
+    }
+
+    /// Records the death of the target process with the start mark `mark`; each counts once.
+    ///
+    /// Returns what peers should know.
+    pub(super) fn record_death(
+        &self,
+        served: &ServedTarget,
+        mark: StartMark,
+        suspects: &SuspectDesk,
+    ) -> Vec<SuspectVerdict> {
+        let mut state = self.lock();
+        if state.last_death.replace(mark) == Some(mark) {
+            return Vec::new();
+        }
+        let running: Vec<_> = state
+            .rows
+            .rows()
+            .map(|row| running_row(served, row))
+            .collect();
+        let death = TargetDeath {
+            mark: DeathMark {
+                target: served.target.clone(),
+                mark,
+            },
+            at_unix_ms: unix_ms(),
+            is_whole_view: true,
+        };
+        suspects.lock().record_death(&death, &running)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RunningState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn running_row(served: &ServedTarget, row: &AttemptRow) -> RunningRow {
+    RunningRow {
+        fingerprint: call_fingerprint(&served.service, served.kind, &row.body),
+        ran_for: MilliSpan::with_duration(row.started_at.elapsed()),
+    }
+}
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -6,6 +6,8 @@
 use amaranthgw_core::{AttemptNumber, ChunkSequence, RequestId, ServiceId, TargetId, TokenCount};
 use amaranthgw_fleet::gate::AdmissionPermit;
 use amaranthgw_fleet::sidecar::{OrderRefusal, OrderTerms, check_order};
+use amaranthgw_fleet::suspects::SuspectVerdict;
+use bytes::Bytes;
 use futures_util::stream::BoxStream;
 use futures_util::{StreamExt, stream};
 use tokio::sync::mpsc::channel;
@@ -39,6 +41,7 @@
 struct AttemptTerms {
     target: TargetId,
     service: ServiceId,
+    alone: bool,
     wait: Duration,
     due: Duration,
     remaining: Duration,
@@ -56,9 +59,7 @@
     /// Checks and admits an attempt, after a wait where the target is full.
     async fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
         self.check(terms)?;
-        let start_by = Instant::now() + terms.wait;
-        let admitted = self.shared.queue.admit(terms.call.priority, start_by).await;
-        let permit = admitted.map_err(|_refusal| RefusalCode::GateFull)?;
+        let permit = self.take_slot(terms).await?;
         // The target may have begun to leave during the wait.
         if let Err(code) = self.check(terms) {
             permit.finish();
@@ -67,12 +68,28 @@
         Ok(permit)
     }
 
+    async fn take_slot(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+        let start_by = Instant::now() + terms.wait;
+        let queue = &self.shared.queue;
+        if terms.alone {
+            return queue
+                .admit_alone(start_by)
+                .await
+                .map_err(|_refusal| RefusalCode::NotAlone);
+        }
+        let admitted = queue.admit(terms.call.priority, start_by).await;
+        admitted.map_err(|_refusal| RefusalCode::GateFull)
+    }
+
     fn check(&self, terms: &AttemptTerms) -> Result<(), RefusalCode> {
         let order = OrderTerms {
             target: &terms.target,
             service: &terms.service,
             remaining: terms.remaining,
         };
+        if self.shared.presence.is_gone() {
+            return Err(RefusalCode::TargetUnreachable);
+        }
         let status = self.shared.status.load();
         check_order(&self.shared.served, &status, &order).map_err(refusal_code)
     }
@@ -88,6 +105,7 @@
             due_at: now + terms.due,
             deadline: now + terms.remaining,
             call: terms.call,
+            alone: terms.alone,
             reports,
         };
         tokio::spawn(driver.run(permit));
@@ -180,6 +198,7 @@
     Some(AttemptTerms {
         target: request.target.parse().ok()?,
         service: request.service.parse().ok()?,
+        alone: request.alone,
         wait: Duration::from_millis(request.wait_ms),
         due: Duration::from_millis(request.due_ms),
         remaining: Duration::from_millis(request.remaining_ms),
@@ -216,13 +235,21 @@
             request: request.to_string(),
             attempt: attempt.get(),
         }),
-        AttemptReport::Broken(code) => Event::Broken(Broken {
+        AttemptReport::Broken(code, verdict) => Event::Broken(Broken {
             code: code.into(),
             report: Some(shared.report()),
+            verdict: verdict
+                .map(|verdict| verdict_json(&verdict))
+                .unwrap_or_default(),
         }),
     }
 }
 
+fn verdict_json(verdict: &SuspectVerdict) -> Bytes {
+    // Only maps with other than text keys can fail to serialise.
+    serde_json::to_vec(verdict).unwrap_or_default().into()
+}
+
 fn wrap(event: Event) -> RunEvent {
     RunEvent { event: Some(event) }
 }
--- a/crates/amaranthgw/src/sidecar/shared.rs
+++ b/crates/amaranthgw/src/sidecar/shared.rs
@@ -7,11 +7,15 @@
 use amaranthgw_fleet::gate::AdmissionSlots;
 use amaranthgw_fleet::routing::TargetStage;
 use amaranthgw_fleet::sidecar::{ServedTarget, TargetEvidence, TargetNews};
+use amaranthgw_fleet::suspects::SuspectVerdict;
 use arc_swap::ArcSwap;
 
+use super::presence::TargetPresence;
 use super::queue::AdmissionQueue;
+use super::running::RunningAttempts;
 use super::target::TargetClient;
-use crate::control::ReportSender;
+use crate::control::{ReportSender, SuspectDesk, call_fingerprint};
+use crate::peer::WarningSink;
 use crate::runtime::StopSignal;
 use crate::wire::node::TargetReport;
 use crate::wire::report_from_status;
@@ -27,6 +31,12 @@
     pub(super) slots: Arc<AdmissionSlots>,
     /// Requests that wait for a slot.
     pub(super) queue: AdmissionQueue,
+    /// Whether the target answers.
+    pub(super) presence: TargetPresence,
+    /// Attempts that the target runs.
+    pub(super) running: RunningAttempts,
+    /// Requests that may crash targets.
+    pub(super) suspects: SuspectDesk,
     /// Status that the control thread last published.
     pub(super) status: ArcSwap<TargetStatus>,
     /// Configuration in force.
@@ -47,11 +57,27 @@
         }
     }
 
+    /// Records the death of the target process and gives what is known of `body`'s part in it.
+    pub(super) fn record_death(&self, body: &[u8]) -> Option<SuspectVerdict> {
+        let mark = self.status.load().start_mark;
+        self.running
+            .record_death(&self.served, mark, &self.suspects);
+        let fingerprint = call_fingerprint(&self.served.service, self.served.kind, body);
+        let table = self.suspects.lock();
+        table
+            .rows()
+            .find(|row| row.fingerprint == fingerprint)
+            .cloned()
+    }
+
     /// The published status with the counts of this instant.
     pub(super) fn current_status(&self) -> TargetStatus {
         let mut status = TargetStatus::clone(&self.status.load());
         status.in_flight = self.slots.in_flight();
         status.limit = self.slots.limit();
+        if self.presence.is_gone() && status.stage != TargetStage::Leaving {
+            status.stage = TargetStage::Unreachable;
+        }
         status
     }
 
@@ -61,6 +87,13 @@
         report_from_status(&self.served.target, &self.served.service, &status)
     }
 
+    /// Notes that the target is gone: it gets no new work until a load report shows it again.
+    pub(super) fn note_gone(&self) {
+        self.slots.set_back();
+        self.presence.note_gone();
+        self.tell(TargetNews::NotReached);
+    }
+
     /// Passes `news` of the target to the control thread.
     pub(super) fn tell(&self, news: TargetNews) {
         self.evidence.send(TargetEvidence {
@@ -69,3 +102,9 @@
         });
     }
 }
+
+impl WarningSink for SidecarShared {
+    fn warn(&self, verdict: &SuspectVerdict) {
+        self.suspects.merge(verdict);
+    }
+}
--- a/crates/amaranthgw/src/wire/node.rs
+++ b/crates/amaranthgw/src/wire/node.rs
@@ -101,6 +101,9 @@
     pub code: i32,
     #[prost(message, optional, tag = "2")]
     pub report: ::core::option::Option<TargetReport>,
+    /// What is known of the request's part in deaths of targets, as JSON; empty where nothing is.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub verdict: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct InspectRequest {
@@ -138,6 +141,14 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub message: ::prost::bytes::Bytes,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WarnRequest {
+    /// What is known of a request that may crash targets, as JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub verdict: ::prost::bytes::Bytes,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WarnReply {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TellReply {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -788,6 +799,21 @@
                 .insert(GrpcMethod::new("amaranthgw.node.v1.Peer", "Tell"));
             self.inner.unary(req, path, codec).await
         }
+        /// Warns of a request that may crash the targets that run it.
+        pub async fn warn(
+            &mut self,
+            request: impl tonic::IntoRequest<super::WarnRequest>,
+        ) -> std::result::Result<tonic::Response<super::WarnReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/amaranthgw.node.v1.Peer/Warn");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("amaranthgw.node.v1.Peer", "Warn"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Reports service-level burn, the state of the node or the reasons of its decisions, as JSON.
         pub async fn report(
             &mut self,
@@ -838,6 +864,11 @@
             &self,
             request: tonic::Request<super::TellRequest>,
         ) -> std::result::Result<tonic::Response<super::TellReply>, tonic::Status>;
+        /// Warns of a request that may crash the targets that run it.
+        async fn warn(
+            &self,
+            request: tonic::Request<super::WarnRequest>,
+        ) -> std::result::Result<tonic::Response<super::WarnReply>, tonic::Status>;
         /// Reports service-level burn, the state of the node or the reasons of its decisions, as JSON.
         async fn report(
             &self,
@@ -960,6 +991,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/amaranthgw.node.v1.Peer/Warn" => {
+                    #[allow(non_camel_case_types)]
+                    struct WarnSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::WarnRequest> for WarnSvc<T> {
+                        type Response = super::WarnReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::WarnRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Peer>::warn(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = WarnSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/amaranthgw.node.v1.Peer/Report" => {
                     #[allow(non_camel_case_types)]
                     struct ReportSvc<T: Peer>(pub Arc<T>);
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -5,3 +5,4 @@
 mod env;
 mod leave;
 mod serve;
+mod suspects;
--- /dev/null
+++ b/crates/amaranthgw/tests/it/suspects.rs
@@ -0,0 +1,59 @@
+use serde_json::Value;
+
+use crate::env::{CallerClient, TestFleet, eventually};
+
+/// Times that the engines have fallen over, in all.
+async fn count_deaths(fleet: &TestFleet) -> usize {
+    let mut deaths = 0;
+    for target in fleet
+        .targets
+        .iter()
+        .filter(|row| row.service == "draft-llm")
+    {
+        let log = target.client().get("/admin/log").await.expect("a log");
+        let events = log["events"].as_array().expect("events");
+        deaths += events
+            .iter()
+            .filter(|event| event["event"] == "fall_over")
+            .count();
+    }
+    deaths
+}
+
+async fn send_poison(caller: &CallerClient, index: usize) -> Option<Value> {
+    let request = format!("poison-{index}");
+    let answer = caller
+        .generate("draft-llm", &request, "please crash-engine now", 8)
+        .await?;
+    assert!(
+        !answer.is_clean || !answer.status.is_success(),
+        "a poison request was answered"
+    );
+    serde_json::from_slice(&answer.body).ok()
+}
+
+#[tokio::test]
+async fn refuse_request_that_crashes_each_target() {
+    let fleet = TestFleet::start("poison").await;
+    // Its caller sends it again and again, to either entry.
+    let refused = eventually("refusal", || async {
+        let answer = send_poison(&fleet.caller(0), 0).await?;
+        (answer["error"]["code"] == "crashes_targets").then_some(answer)
+    })
+    .await;
+    assert_eq!(refused["error"]["outcome"], "not_run");
+    eventually("refusal at the other entry", || async {
+        let answer = send_poison(&fleet.caller(1), 1).await?;
+        (answer["error"]["code"] == "crashes_targets").then_some(())
+    })
+    .await;
+    // Nothing runs beside the request, so that each entry needs two deaths at most to know it.
+    let deaths = count_deaths(&fleet).await;
+    assert!((2..=4).contains(&deaths), "{deaths} deaths");
+    for index in 0..8 {
+        send_poison(&fleet.caller(index % 2), 10 + index).await;
+    }
+    assert_eq!(count_deaths(&fleet).await, deaths);
+    // Innocent requests still run.
+    fleet.wait_until_ready().await;
+}
--- a/crates/fleet/src/suspects/record.rs
+++ b/crates/fleet/src/suspects/record.rs
@@ -36,6 +36,7 @@
     /// The fingerprint.
     pub fingerprint: BodyFingerprint,
     /// Deaths of targets that ran it.
+    #[serde(with = "death_pairs")]
     pub deaths: EntityTable<DeathMark, DeathRecord>,
 }
 
@@ -90,3 +91,25 @@
         }
     }
 }
+
+/// Deaths as a list of pairs, as text formats only take texts for the keys of a map.
+mod death_pairs {
+    use amaranthgw_core::EntityTable;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    use super::{DeathMark, DeathRecord};
+
+    pub(super) fn serialize<S: Serializer>(
+        deaths: &EntityTable<DeathMark, DeathRecord>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(deaths.iter())
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<EntityTable<DeathMark, DeathRecord>, D::Error> {
+        let pairs = Vec::<(DeathMark, DeathRecord)>::deserialize(deserializer)?;
+        Ok(pairs.into_iter().collect())
+    }
+}
--- a/crates/fleet/tests/it/suspects/merge.rs
+++ b/crates/fleet/tests/it/suspects/merge.rs
@@ -68,6 +68,13 @@
         prop_assert!(left.deaths.len() <= SuspectVerdict::MAX_DEATHS);
         prop_assert!(!left.clone().merge(&a), "nothing new in a part");
     }
+
+    #[test]
+    fn serialize_round_trip(verdict in any_verdict()) {
+        let json = serde_json::to_string(&verdict).expect("a verdict can be sent as JSON");
+        let read: SuspectVerdict = serde_json::from_str(&json).expect("JSON of a verdict");
+        prop_assert_eq!(read, verdict);
+    }
 }
 
 #[test]
