--- a/crates/fleet/src/routing/baseline.rs
+++ b/crates/fleet/src/routing/baseline.rs
@@ -29,7 +29,8 @@
     }
 }
 
-/// Takes the open target with the least work in flight by its last report and this entry's count.
+/// Takes the open target with the least work in flight, by the other entries' part of its last
+/// report and this entry's own count; equal ones in random order.
 #[derive(Debug, Default)]
 pub struct LeastLoadedPolicy;
 
@@ -40,21 +41,33 @@
         ask: &RouteAsk<'_>,
         _now: Instant,
     ) -> Result<RoutePlan> {
-        let known_load = |route: &&TargetRoute| {
-            let reported = route.load.map_or(0, |load| load.in_flight.get());
-            reported.max(route.own_in_flight())
-        };
-        let chosen = open_targets(routes, ask).min_by_key(known_load);
+        let targets = routes.targets();
+        let (before, after) = targets.split_at(fastrand::usize(..=targets.len()));
+        let from_start = after.iter().chain(before);
+        let open = from_start.filter(|route| is_candidate(route, ask));
+        let chosen = open.min_by_key(|route| known_load(route));
         chosen.map(plan_for).ok_or_else(|| no_target(routes))
     }
 }
 
+fn known_load(route: &TargetRoute) -> u32 {
+    let others = route.load.map_or(0, |load| {
+        let own = load.own_in_flight.get();
+        load.in_flight.get().saturating_sub(own)
+    });
+    others.saturating_add(route.own_in_flight())
+}
+
 fn open_targets<'a>(
     routes: &'a ServiceRoutes,
     ask: &'a RouteAsk<'_>,
 ) -> impl Iterator<Item = &'a TargetRoute> {
-    let is_candidate = |route: &&TargetRoute| route.is_open() && !ask.tried.contains(&route.target);
-    routes.targets().iter().filter(is_candidate)
+    let targets = routes.targets().iter();
+    targets.filter(|route| is_candidate(route, ask))
+}
+
+fn is_candidate(route: &TargetRoute, ask: &RouteAsk<'_>) -> bool {
+    route.is_open() && !ask.tried.contains(&route.target)
 }
 
 fn plan_for(route: &TargetRoute) -> RoutePlan {
