--- a/crates/fleet/tests/it/burn/mod.rs
+++ b/crates/fleet/tests/it/burn/mod.rs
@@ -208,6 +208,7 @@
         (1, BurnOutcome::Late),
     ];
     let sum = merged([&report(1, Some(&answers), 5), &report(2, None, 5)]);
+    assert!(sum.is_partial());
     let text = render_table(&sum);
     assert!(text.contains("partial: entry-2 unreachable"), "{text}");
     assert!(!text.contains("partial: entry-1"), "{text}");
--- a/crates/fleet/tests/it/routing/choices.rs
+++ b/crates/fleet/tests/it/routing/choices.rs
@@ -237,6 +237,21 @@
     assert_eq!(counts[5..], [0, 0], "{counts:?}");
 }
 
+#[test]
+fn choose_near_unless_clearly_loaded() {
+    fastrand::seed(5);
+    let now = base();
+    let far_choices = |far_load: u32| {
+        let near = [9, 9].map(|load| loaded(DomainDistance::SameDomain, load));
+        let far = [far_load; 2].map(|load| loaded(DomainDistance::SameRegion, load));
+        let cases: Vec<TargetCase> = near.into_iter().chain(far).collect();
+        let counts = choice_counts(&routes(ServiceKind::Model, &cases, now), None, now);
+        counts[2] + counts[3]
+    };
+    assert_eq!(far_choices(8), 0);
+    assert_eq!(far_choices(7), 20_000);
+}
+
 #[test]
 fn choose_share_by_limit() {
     fastrand::seed(2);
