--- /dev/null
+++ b/crates/amaranthgw/src/cli/commit.rs
@@ -0,0 +1,77 @@
+//! Puts an operator's changes in force.
+
+use std::time::Duration;
+
+use amaranthgw_fleet::config::{
+    ChangeId, CommitAsk, CommitOutcome, ConfigEdit, ConfigView, RaceLoss, ReadError, diff,
+};
+use tokio::runtime::Builder;
+use tokio::time::Instant;
+
+use super::check::read_lists;
+use super::node::refuse;
+use super::options::{ListFiles, OperatorOptions};
+use crate::operator::{commit, read_config, unix_ms};
+use crate::platform::HttpStore;
+
+/// Longest time that a command waits for the key-value service.
+pub(super) const COMMIT_TIME: Duration = Duration::from_secs(10);
+
+/// Puts the two lists in force.
+pub(super) fn run_apply(operator: &OperatorOptions, files: &ListFiles) -> eyre::Result<u8> {
+    let lists = match read_lists(files)? {
+        Ok(lists) => lists,
+        Err(error) => return Ok(refuse(&error)),
+    };
+    commit_edits(operator, |view| diff(&view.state, &lists))
+}
+
+/// Commits the edits that `make` gives for the configuration in the key-value service.
+pub(super) fn commit_edits(
+    operator: &OperatorOptions,
+    make: impl FnOnce(&ConfigView) -> Vec<ConfigEdit>,
+) -> eyre::Result<u8> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let outcome = runtime.block_on(async {
+        let store = HttpStore::new(operator.store);
+        let deadline = Instant::now() + COMMIT_TIME;
+        let seen = read_config(&store, deadline).await?;
+        let ask = CommitAsk {
+            id: ChangeId::new(fastrand::u128(..)),
+            operator: operator.operator.clone(),
+            made_at_unix_ms: unix_ms(),
+            edits: make(&seen),
+        };
+        Ok::<_, ReadError>(commit(&store, ask, seen, deadline).await)
+    })?;
+    print_outcome(&outcome);
+    Ok(outcome.exit_code())
+}
+
+fn print_outcome(outcome: &CommitOutcome) {
+    match outcome {
+        CommitOutcome::Accepted(number) => println!("accepted as change {number}"),
+        CommitOutcome::Unneeded => println!("nothing to change"),
+        CommitOutcome::LostRace(loss) => print_loss(loss),
+        CommitOutcome::Refused(error) => eprintln!("refused: {error}"),
+        CommitOutcome::NotMade => {
+            eprintln!("not made: the key-value service does not answer; nothing was changed");
+        }
+        CommitOutcome::Unknown => {
+            eprintln!("unknown: the change may have been accepted; see `amaranthgw status`");
+        }
+    }
+}
+
+fn print_loss(loss: &RaceLoss) {
+    eprintln!(
+        "not made: change {} came first; this change was made for change {}",
+        loss.current, loss.seen
+    );
+    for mark in &loss.marks {
+        eprintln!("  change {} by {}", mark.number, mark.operator);
+    }
+    for edit in &loss.edits {
+        eprintln!("  {}", serde_json::to_string(edit).unwrap_or_default());
+    }
+}
--- a/crates/amaranthgw/src/entry/attempt.rs
+++ b/crates/amaranthgw/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 use amaranthgw_core::{AttemptNumber, ChunkSequence, MilliSpan};
 use amaranthgw_fleet::answers::{AnswerBreak, AnswerEnd, AnswerState, StreamChunk};
@@ -9,11 +10,10 @@
 use amaranthgw_fleet::retries::{
     FailureCause, NotRunProof, RefusalReason, RunOutcome, SidecarRefusal, UnknownCause,
 };
-use amaranthgw_fleet::routing::TargetRoute;
+use amaranthgw_fleet::routing::{ServiceKind, TargetRoute};
 use futures_util::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::AnswerPart;
 use super::run::CallRun;
 use super::shared::TrafficReport;
 use crate::link::{AttemptOrder, AttemptStep, AttemptStream, BreakCode, LinkError, RefusalCode};
@@ -65,6 +65,7 @@
             workspace: self.call.head.workspace.clone(),
             request: self.call.head.request.clone(),
             attempt,
+            wait: MilliSpan::with_duration(self.longest_wait(now)),
             due: until(self.call.due_at),
             remaining: until(self.call.cutoff),
             is_idempotent: self.is_idempotent(),
@@ -77,6 +78,24 @@
         }
     }
 
+    /// Longest time that the attempt may wait for a slot.
+    ///
+    /// The first attempt leaves half of the time for another one elsewhere.
+    fn longest_wait(&self, now: Instant) -> Duration {
+        let start_by = match self.call.head.kind {
+            ServiceKind::Model => self.timing.next_chunk_by(),
+            ServiceKind::Plain => self.call.due_at,
+        };
+        let left = start_by
+            .min(self.call.cutoff)
+            .saturating_duration_since(now);
+        if self.answer.attempt() == AttemptNumber::new(0) {
+            left / 2
+        } else {
+            left
+        }
+    }
+
     async fn follow(
         &mut self,
         route: &TargetRoute,
@@ -130,9 +149,20 @@
                 self.observe(route, status);
                 Some(self.finish(attempt, chunk_count))
             }
-            AttemptStep::Refused { code, status } => {
+            AttemptStep::Refused {
+                code,
+                request,
+                attempt: refused_attempt,
+                status,
+            } => {
                 self.observe_refusal(route, code, status);
-                Some(refused(attempt, code))
+                let reason = refusal_reason(code);
+                let refusal = SidecarRefusal {
+                    request,
+                    attempt: refused_attempt,
+                    reason,
+                };
+                Some(self.refused(attempt, &refusal))
             }
             AttemptStep::Broken { code, status } => {
                 self.observe(route, status);
@@ -162,8 +192,7 @@
             let Some(data) = self.answer.release() else {
                 return;
             };
-            self.timing.note_chunk(Instant::now());
-            self.send(AnswerPart::Chunk { sequence, data }).await;
+            self.pass_on(sequence, data).await;
         }
     }
 
@@ -186,6 +215,15 @@
         )
     }
 
+    /// The outcome of an attempt that its sidecar refused; a refusal of another one proves nothing.
+    fn refused(&self, attempt: AttemptNumber, refusal: &SidecarRefusal) -> RunOutcome {
+        let request = &self.call.head.request;
+        NotRunProof::with_sidecar_refusal(request, attempt, refusal).map_or(
+            RunOutcome::OutcomeUnknown(UnknownCause::ConnectionLost),
+            RunOutcome::NotRun,
+        )
+    }
+
     fn observe(&self, route: &TargetRoute, status: Option<TargetStatus>) {
         let Some(status) = status else { return };
         let target = route.target.clone();
@@ -214,8 +252,8 @@
     }
 }
 
-fn refused(attempt: AttemptNumber, code: RefusalCode) -> RunOutcome {
-    let reason = match code {
+const fn refusal_reason(code: RefusalCode) -> RefusalReason {
+    match code {
         RefusalCode::GateFull | RefusalCode::NotAlone => RefusalReason::GateFull,
         RefusalCode::Leaving => RefusalReason::Leaving,
         RefusalCode::Expired => RefusalReason::DeadlineTooNear,
@@ -223,12 +261,7 @@
         | RefusalCode::Invalid
         | RefusalCode::TargetUnreachable
         | RefusalCode::Unspecified => RefusalReason::NotReady,
-    };
-    let refusal = SidecarRefusal { attempt, reason };
-    NotRunProof::with_sidecar_refusal(attempt, refusal).map_or(
-        RunOutcome::OutcomeUnknown(UnknownCause::ConnectionLost),
-        RunOutcome::NotRun,
-    )
+    }
 }
 
 const fn broken(code: BreakCode) -> RunOutcome {
--- a/crates/amaranthgw/src/entry/http.rs
+++ b/crates/amaranthgw/src/entry/http.rs
@@ -14,16 +14,19 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::Deserialize;
-use tokio::sync::mpsc::channel;
+use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::Instant;
 
 use super::CallError;
-use super::answer::{AnswerBody, error_response, plain_response, stream_response, whole_response};
+use super::answer::{
+    AnswerBody, AnswerPart, error_response, plain_response, stream_response, whole_response,
+};
+use super::claim::{CallClaim, claim};
 use super::head::CallHead;
 use super::run::{AdmittedCall, CallRun, CallTiming};
 use super::shared::{InFlightGuard, TrafficReport, TrafficThread};
 use crate::runtime::StopPhase;
-use crate::telemetry::NodeEvent;
+use crate::telemetry::{NodeEvent, count_refusal};
 
 /// Parts of an answer that may wait for a slow caller.
 const PART_BUFFER: usize = 64;
@@ -52,25 +55,17 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     match (request.method(), request.uri().path()) {
-        (&Method::GET, "/healthz") => text_response(StatusCode::OK, "alive\n"),
+        (&Method::GET, "/healthz") => text_response(StatusCode::OK, "alive"),
         (&Method::GET, "/readyz") => readiness(&thread),
         _ => answer_call(thread, request).await,
     }
 }
 
 fn readiness(thread: &TrafficThread) -> Response<AnswerBody> {
-    if thread.shared.stop.phase() > StopPhase::Serving {
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    match thread.shared.readiness() {
+        Ok(()) => text_response(StatusCode::OK, "ready"),
+        Err(reason) => text_response(StatusCode::SERVICE_UNAVAILABLE, reason),
     }
-    let snapshot = thread.shared.snapshot.load();
-    if snapshot.config.workspaces.is_empty() {
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n");
-    }
-    let mut services = snapshot.routes.services.rows();
-    if !services.any(|routes| routes.subset().next().is_some()) {
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "no target\n");
-    }
-    text_response(StatusCode::OK, "ready\n")
 }
 
 fn text_response(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
@@ -94,7 +89,7 @@
     }
 }
 
-/// Runs `call`; what `held` counts ends with the run, also where the caller hangs up before.
+/// Runs `call` unless it ran before; what `held` counts ends with the run, also where the caller hangs up before.
 async fn start(
     thread: Arc<TrafficThread>,
     call: AdmittedCall,
@@ -102,9 +97,9 @@
 ) -> Response<AnswerBody> {
     let (sender, parts) = channel(PART_BUFFER);
     let kind = call.head.kind;
-    let run = CallRun::new(thread, call, sender);
+    // The claim is made in the task too: a caller that hangs up must not leave it half made.
     tokio::spawn(async move {
-        run.run().await;
+        run_claimed(thread, call, sender).await;
         drop(held);
     });
     match kind {
@@ -113,28 +108,54 @@
     }
 }
 
+async fn run_claimed(thread: Arc<TrafficThread>, call: AdmittedCall, parts: Sender<AnswerPart>) {
+    let grant = match claim(&thread, &call).await {
+        Ok(CallClaim::NotNeeded) => None,
+        Ok(CallClaim::Granted(grant)) => Some(grant),
+        Ok(CallClaim::Replayed(status, body)) => {
+            // A caller that hung up needs no answer.
+            drop(parts.send(AnswerPart::Replayed(status, body)).await);
+            return;
+        }
+        Err(error) => {
+            record_refused(&thread, Some(&call.head), &error);
+            drop(parts.send(AnswerPart::Failed(error)).await);
+            return;
+        }
+    };
+    CallRun::new(thread, call, parts)
+        .with_grant(grant)
+        .run()
+        .await;
+}
+
 fn refuse(
     thread: &TrafficThread,
     head: Option<&CallHead>,
     error: &CallError,
 ) -> Response<AnswerBody> {
+    record_refused(thread, head, error);
+    error_response(error)
+}
+
+fn record_refused(thread: &TrafficThread, head: Option<&CallHead>, error: &CallError) {
     thread.log.record(NodeEvent::RequestRefused {
         request: head.map(|head| head.request.clone()),
         workspace: head.map(|head| head.workspace.clone()),
         code: error.code(),
         outcome: error.state().name(),
     });
+    count_refusal(error.code());
     if let Some(head) = head {
         record_refusal(thread, head, error);
     }
-    error_response(error)
 }
 
 /// Counts a refusal that the plan's service level speaks of.
 fn record_refusal(thread: &TrafficThread, head: &CallHead, error: &CallError) {
     let outcome = match error {
         CallError::OverLimit { .. } => BurnOutcome::OverLimit,
-        CallError::Leaving => BurnOutcome::Refused,
+        CallError::Leaving | CallError::KeyUnavailable => BurnOutcome::Refused,
         _ => return,
     };
     let snapshot = thread.shared.snapshot.load();
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -8,7 +8,7 @@
 use amaranthgw_fleet::entry::EntryWorld;
 use amaranthgw_fleet::membership::{NodeIdentity, VmRecord};
 use amaranthgw_fleet::retries::RetrySettings;
-use amaranthgw_fleet::routing::DomainNearPolicy;
+use amaranthgw_fleet::routing::{DomainNearPolicy, RoutePolicy};
 use amaranthgw_fleet::settings::EntrySettings;
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
@@ -21,11 +21,13 @@
 use super::listener::serve_callers;
 use super::reporter::EntryReporter;
 use super::shared::{EntryShared, TrafficReport, TrafficThread};
-use crate::control::{ConfigInput, PlatformBorder, forward_reports, report_channel};
+use crate::control::{
+    ClaimDesk, ClaimRequest, ConfigInput, PlatformBorder, forward_reports, report_channel,
+};
 use crate::link::GrpcLink;
 use crate::peer::PeerService;
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
-use crate::telemetry::{EventLog, NodeEvent};
+use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
 use crate::wire::node::peer_server::PeerServer;
 
 /// Time that the platform's balancer gets to notice that the entry leaves.
@@ -35,6 +37,7 @@
 #[derive(Debug)]
 pub struct EntryProcess {
     address: SocketAddr,
+    node_address: SocketAddr,
     stop: StopSignal,
     threads: ThreadGroup,
 }
@@ -44,17 +47,34 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`RuntimeError`] where an address is in use or a thread can't be started.
+    /// Returns a [`RuntimeError`](crate::runtime::RuntimeError) where an address is in use or a thread can't be started.
     pub fn start(settings: &EntrySettings, log: &EventLog) -> Result<Self> {
+        Self::start_with_policy(settings, log, Box::new(DomainNearPolicy::new()))
+    }
+
+    /// Starts the threads of an entry that routes by `policy`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`RuntimeError`](crate::runtime::RuntimeError) where an address is in use or a thread can't be started.
+    pub fn start_with_policy(
+        settings: &EntrySettings,
+        log: &EventLog,
+        policy: Box<dyn RoutePolicy>,
+    ) -> Result<Self> {
         let listener = Arc::new(SharedListener::new(settings.caller_listen)?);
         let node_listener = SharedListener::new(settings.node_listen)?;
         let address = listener.address();
+        let node_address = node_listener.address();
+        let metrics_listener = SharedListener::new(settings.metrics_listen)?;
         let stop = StopSignal::new();
         let (reports, receiver) = report_channel();
+        let (claims, claim_requests) = report_channel();
         let shared = Arc::new(EntryShared {
             snapshot: ArcSwap::default(),
-            policy: Box::new(DomainNearPolicy::new()),
+            policy,
             retries: RetrySettings::new(),
+            claims: ClaimDesk::new(claims),
             reports,
             in_flight: AtomicU32::new(0),
             max_body: settings.max_body,
@@ -75,10 +95,17 @@
             threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
         }
         let (settings, log) = (settings.clone(), log.clone());
-        let control = move || run_control(settings, shared, receiver, node_listener, log);
+        let inputs = ControlInputs {
+            reports: receiver,
+            claim_requests,
+            node_listener,
+            metrics_listener,
+        };
+        let control = move || run_control(settings, shared, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
         Ok(Self {
             address,
+            node_address,
             stop,
             threads,
         })
@@ -90,6 +117,12 @@
         self.address
     }
 
+    /// Address that peers and operators reach the entry at.
+    #[must_use]
+    pub const fn node_address(&self) -> SocketAddr {
+        self.node_address
+    }
+
     /// The signal that stops the process.
     #[must_use]
     pub fn stop_signal(&self) -> StopSignal {
@@ -106,11 +139,18 @@
     }
 }
 
+/// What the control thread receives from the others.
+struct ControlInputs {
+    reports: UnboundedReceiver<TrafficReport>,
+    claim_requests: UnboundedReceiver<ClaimRequest>,
+    node_listener: SharedListener,
+    metrics_listener: SharedListener,
+}
+
 async fn run_control(
     settings: EntrySettings,
     shared: Arc<EntryShared>,
-    receiver: UnboundedReceiver<TrafficReport>,
-    node_listener: SharedListener,
+    inputs: ControlInputs,
     log: EventLog,
 ) {
     let arguments = ControlArguments {
@@ -123,7 +163,13 @@
     let Ok((control, _ended)) = started else {
         return;
     };
-    if start_borders(&settings, &control, receiver, &node_listener, &log)
+    let Ok(observers) = inputs.metrics_listener.handle() else {
+        return;
+    };
+    let observed = Arc::clone(&shared);
+    let ready = Arc::new(move || observed.readiness());
+    tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
+    if start_borders(&settings, &control, inputs, &log)
         .await
         .is_err()
     {
@@ -155,21 +201,20 @@
 async fn start_borders(
     settings: &EntrySettings,
     control: &ActorRef<ControlMessage>,
-    receiver: UnboundedReceiver<TrafficReport>,
-    node_listener: &SharedListener,
+    inputs: ControlInputs,
     log: &EventLog,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
     let to_control = control.clone();
     let forward = move |batch| drop(to_control.cast(ControlMessage::Reports(batch)));
-    tokio::spawn(forward_reports(receiver, forward));
+    tokio::spawn(forward_reports(inputs.reports, forward));
     let (tells, told) = report_channel();
     let reporter = EntryReporter {
         control: control.clone(),
         log: log.clone(),
     };
     let peer = PeerServer::new(PeerService::new(tells, Arc::new(reporter)));
-    let incoming = TcpListenerStream::new(node_listener.handle()?);
+    let incoming = TcpListenerStream::new(inputs.node_listener.handle()?);
     tokio::spawn(
         Server::builder()
             .add_service(peer)
@@ -181,6 +226,7 @@
         vm_list: settings.vm_list,
         log: log.clone(),
     };
+    border.start_claims(inputs.claim_requests).await?;
     let to_control = control.clone();
     let sink = move |state| drop(to_control.cast(ControlMessage::Config(state)));
     let config = border.start_config(Box::new(sink), told).await?;
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -1,8 +1,12 @@
 //! The processes of amaranthgw: entries, sidecars, operators' commands and the demo.
 
+pub mod cli;
 pub mod control;
+pub mod demo;
+pub mod embedded;
 pub mod entry;
 pub mod link;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod runtime;
--- a/crates/amaranthgw/src/sidecar/control.rs
+++ b/crates/amaranthgw/src/sidecar/control.rs
@@ -13,7 +13,7 @@
 
 use super::shared::SidecarShared;
 use crate::runtime::StopPhase;
-use crate::telemetry::{EventLog, NodeEvent};
+use crate::telemetry::{EventLog, NodeEvent, TargetGauges};
 
 /// Owns the tables and runs the tick.
 #[derive(Debug)]
@@ -107,6 +107,7 @@
         for output in std::mem::take(&mut self.world.outbox) {
             self.carry_out(output);
         }
+        self.shared.queue.serve();
         let is_idle = self.shared.slots.in_flight().get() == 0;
         if self.world.is_stopping && is_idle {
             self.shared.stop.advance(StopPhase::Ending);
@@ -115,7 +116,9 @@
 
     fn carry_out(&self, output: SidecarOutput) {
         match output {
-            SidecarOutput::PublishStatus { status, .. } => {
+            SidecarOutput::PublishStatus { target, status } => {
+                let (in_flight, limit) = (status.in_flight, status.limit);
+                TargetGauges { in_flight, limit }.set(&target);
                 self.shared.status.store(Arc::new(status));
             }
             SidecarOutput::GateShifted { target, shift } => {
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -20,6 +20,7 @@
 
 use super::control::{ControlArguments, ControlMessage, SidecarControl};
 use super::load_actor::LoadActor;
+use super::queue::AdmissionQueue;
 use super::reporter::SidecarReporter;
 use super::service::SidecarService;
 use super::shared::SidecarShared;
@@ -29,7 +30,7 @@
 use crate::runtime::{
     Result, RuntimeError, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread,
 };
-use crate::telemetry::{EventLog, NodeEvent};
+use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
 use crate::wire::node::peer_server::PeerServer;
 use crate::wire::node::sidecar_server::SidecarServer;
 
@@ -53,6 +54,7 @@
     pub fn start(settings: &SidecarSettings, log: &EventLog) -> Result<Self> {
         let listener = Arc::new(SharedListener::new(settings.node_listen)?);
         let address = listener.address();
+        let metrics_listener = SharedListener::new(settings.metrics_listen)?;
         let stop = StopSignal::new();
         let (evidence, receiver) = report_channel();
         let (tells, told) = report_channel();
@@ -61,6 +63,7 @@
             served: entry.served.clone(),
             client: target_client(settings),
             slots: Arc::clone(&entry.slots),
+            queue: AdmissionQueue::new(Arc::clone(&entry.slots)),
             status: ArcSwap::from_pointee(initial_status(entry.served.kind)),
             config: ArcSwap::default(),
             evidence,
@@ -93,6 +96,7 @@
         let inputs = ControlInputs {
             evidence: receiver,
             told,
+            metrics_listener,
         };
         let control = move || run_control(settings, arguments, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
@@ -180,6 +184,7 @@
 struct ControlInputs {
     evidence: UnboundedReceiver<TargetEvidence>,
     told: UnboundedReceiver<PeerTell>,
+    metrics_listener: SharedListener,
 }
 
 async fn serve_traffic(services: ThreadServices, stop: StopSignal, listener: Arc<SharedListener>) {
@@ -214,6 +219,12 @@
     let Ok((control, _ended)) = started else {
         return;
     };
+    let Ok(observers) = inputs.metrics_listener.handle() else {
+        return;
+    };
+    let observed = Arc::clone(&shared);
+    let ready = Arc::new(move || observed.readiness());
+    tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
     if start_borders(&settings, &control, shared, inputs, &log)
         .await
         .is_err()
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -39,6 +39,7 @@
 struct AttemptTerms {
     target: TargetId,
     service: ServiceId,
+    wait: Duration,
     due: Duration,
     remaining: Duration,
     call: TargetCall,
@@ -52,22 +53,34 @@
         Self { shared, log }
     }
 
-    /// Checks and admits an attempt.
-    fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+    /// Checks and admits an attempt, after a wait where the target is full.
+    async fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+        self.check(terms)?;
+        let start_by = Instant::now() + terms.wait;
+        let admitted = self.shared.queue.admit(terms.call.priority, start_by).await;
+        let permit = admitted.map_err(|_refusal| RefusalCode::GateFull)?;
+        // The target may have begun to leave during the wait.
+        if let Err(code) = self.check(terms) {
+            permit.finish();
+            return Err(code);
+        }
+        Ok(permit)
+    }
+
+    fn check(&self, terms: &AttemptTerms) -> Result<(), RefusalCode> {
         let order = OrderTerms {
             target: &terms.target,
             service: &terms.service,
             remaining: terms.remaining,
         };
         let status = self.shared.status.load();
-        check_order(&self.shared.served, &status, &order).map_err(refusal_code)?;
-        let admitted = self.shared.slots.try_admit();
-        admitted.map_err(|_refusal| RefusalCode::GateFull)
+        check_order(&self.shared.served, &status, &order).map_err(refusal_code)
     }
 
     fn start(&self, terms: AttemptTerms, permit: AdmissionPermit) -> EventStream {
         self.record_admitted(&terms, &permit);
         let (reports, receiver) = channel(CHUNK_BUFFER);
+        let (request, attempt) = (terms.call.request.clone(), terms.call.attempt);
         let now = Instant::now();
         let driver = AttemptDriver {
             shared: Arc::clone(&self.shared),
@@ -82,7 +95,8 @@
             report: Some(self.shared.report()),
         });
         let shared = Arc::clone(&self.shared);
-        let events = ReceiverStream::new(receiver).map(move |report| event_of(&shared, report));
+        let events = ReceiverStream::new(receiver)
+            .map(move |report| event_of(&shared, &request, attempt, report));
         stream::iter([admitted])
             .chain(events)
             .map(wrap)
@@ -97,6 +111,8 @@
         let refused = Refused {
             code: code.into(),
             report: Some(self.shared.report()),
+            request: request.map(RequestId::to_string).unwrap_or_default(),
+            attempt,
         };
         stream::iter([Ok(wrap(Event::Refused(refused)))]).boxed()
     }
@@ -137,7 +153,7 @@
                 RefusalCode::Invalid,
             )));
         };
-        let events = match self.admit(&terms) {
+        let events = match self.admit(&terms).await {
             Ok(permit) => self.start(terms, permit),
             Err(code) => self.refuse(Some(&terms.call.request), attempt, code),
         };
@@ -164,6 +180,7 @@
     Some(AttemptTerms {
         target: request.target.parse().ok()?,
         service: request.service.parse().ok()?,
+        wait: Duration::from_millis(request.wait_ms),
         due: Duration::from_millis(request.due_ms),
         remaining: Duration::from_millis(request.remaining_ms),
         call,
@@ -178,7 +195,12 @@
     }
 }
 
-fn event_of(shared: &SidecarShared, report: AttemptReport) -> Event {
+fn event_of(
+    shared: &SidecarShared,
+    request: &RequestId,
+    attempt: AttemptNumber,
+    report: AttemptReport,
+) -> Event {
     match report {
         AttemptReport::Chunk { sequence, data } => Event::Chunk(Chunk {
             sequence: sequence.get(),
@@ -191,6 +213,8 @@
         AttemptReport::Refused(code) => Event::Refused(Refused {
             code: code.into(),
             report: Some(shared.report()),
+            request: request.to_string(),
+            attempt: attempt.get(),
         }),
         AttemptReport::Broken(code) => Event::Broken(Broken {
             code: code.into(),
--- a/crates/amaranthgw/src/wire/node.rs
+++ b/crates/amaranthgw/src/wire/node.rs
@@ -36,6 +36,9 @@
     /// Time left until the answer is late, in milliseconds.
     #[prost(uint64, tag = "14")]
     pub due_ms: u64,
+    /// Longest time that the attempt may wait for a slot, in milliseconds.
+    #[prost(uint64, tag = "15")]
+    pub wait_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RunEvent {
@@ -85,6 +88,11 @@
     pub code: i32,
     #[prost(message, optional, tag = "2")]
     pub report: ::core::option::Option<TargetReport>,
+    /// The request and attempt that were refused.
+    #[prost(string, tag = "3")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub attempt: u32,
 }
 /// The attempt ended without a whole answer after its hand-over to the target.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/fleet/tests/it/claims/bench.rs
+++ b/crates/fleet/tests/it/claims/bench.rs
@@ -5,9 +5,9 @@
 
 use amaranthgw_core::{ByteCount, MilliSpan, StoreRevision};
 use amaranthgw_fleet::claims::{
-    BodyFingerprint, ClaimAsk, ClaimBatcher, ClaimGrant, ClaimOutput, ClaimRefusal, ClaimSerial,
-    ClaimSettings, ClaimShard, ClaimStamp, ClaimVerdict, ClockReading, HolderNumber, KeyHash,
-    ShardNumber, StoreCall, StoreOrder, StoreReply, StoredAnswer,
+    BodyFingerprint, CallNumber, ClaimAsk, ClaimBatcher, ClaimGrant, ClaimOutput, ClaimRefusal,
+    ClaimSerial, ClaimSettings, ClaimShard, ClaimStamp, ClaimVerdict, ClockReading, HolderNumber,
+    KeyHash, ShardNumber, StoreCall, StoreOrder, StoreReply, StoredAnswer,
 };
 use amaranthgw_fleet::gate::NotRunProof;
 use proptest::prelude::*;
@@ -55,11 +55,24 @@
     KeyHash::new(&workspace, &key)
 }
 
-pub fn fingerprint(body: u8) -> BodyFingerprint {
+fn fingerprint(body: u8) -> BodyFingerprint {
     let service = "booking-desk".parse().expect("valid id");
     BodyFingerprint::new(&service, "POST /v1/call", &[body])
 }
 
+pub fn ask(serial: u64, key: u8, body: u8, give_up_at: Instant) -> ClaimAsk {
+    ClaimAsk {
+        stamp: ClaimStamp {
+            holder: HolderNumber::new(1),
+            serial: ClaimSerial::new(serial),
+        },
+        key: key_hash(key),
+        fingerprint: fingerprint(body),
+        request: "r-1".parse().expect("valid id"),
+        give_up_at,
+    }
+}
+
 /// A grant that stands for a key until it is released, or its retention is over.
 #[derive(Clone, Debug)]
 struct HeldGrant {
@@ -72,6 +85,7 @@
     batcher: ClaimBatcher,
     holder: u64,
     call: Option<StoreCall>,
+    late: Option<(CallNumber, StoreReply)>,
     grants: Vec<(u8, ClaimGrant)>,
     open: BTreeMap<ClaimStamp, u8>,
     asked: Vec<u8>,
@@ -121,17 +135,10 @@
 
     pub fn ask(&mut self, node: usize, key: u8, body: u8) -> CaseResult {
         self.next_serial += 1;
-        let stamp = ClaimStamp {
-            holder: HolderNumber::new(self.nodes[node].holder),
-            serial: ClaimSerial::new(self.next_serial),
-        };
-        let ask = ClaimAsk {
-            stamp,
-            key: key_hash(key),
-            fingerprint: fingerprint(body),
-            request: "r-1".parse().expect("valid id"),
-            give_up_at: self.now + PATIENCE,
-        };
+        let holder = self.nodes[node].holder;
+        let mut ask = ask(self.next_serial, key, body, self.now + PATIENCE);
+        ask.stamp.holder = HolderNumber::new(holder);
+        let stamp = ask.stamp;
         self.nodes[node].open.insert(stamp, key);
         self.nodes[node].asked.push(key);
         self.nodes[node].batcher.ask(ask, self.now);
@@ -151,7 +158,8 @@
         let reply = match fate {
             CallFate::Answered => self.apply(&call.order),
             CallFate::AnswerLost => {
-                self.apply(&call.order);
+                let late = self.apply(&call.order);
+                self.nodes[node].late = Some((call.number, late));
                 StoreReply::Lost
             }
             CallFate::Delayed => {
@@ -166,6 +174,16 @@
         self.take_output(node, output)
     }
 
+    /// A reply that was given up as lost arrives after all.
+    pub fn reply_late(&mut self, node: usize) -> CaseResult {
+        let Some((number, reply)) = self.nodes[node].late.take() else {
+            return Ok(());
+        };
+        let clock = self.clock(node);
+        let output = self.nodes[node].batcher.reply(number, reply, clock);
+        self.take_output(node, output)
+    }
+
     pub fn land_delayed(&mut self) {
         if let Some(order) = self.delayed.pop() {
             self.apply(&order);
@@ -323,6 +341,7 @@
             batcher: ClaimBatcher::new(ShardNumber::new(0), settings(), now),
             holder,
             call: None,
+            late: None,
             grants: Vec::new(),
             open: BTreeMap::new(),
             asked: Vec::new(),
@@ -330,7 +349,7 @@
     }
 }
 
-pub fn answer_of(key: u8) -> StoredAnswer {
+fn answer_of(key: u8) -> StoredAnswer {
     let body = format!("{{\"booked\":{key}}}");
     StoredAnswer::new(200, body.as_bytes(), 64)
 }
--- a/crates/fleet/tests/it/gate/slots.rs
+++ b/crates/fleet/tests/it/gate/slots.rs
@@ -38,28 +38,33 @@
 /// Abandoned calls run on at the target for good; the others must stay below what is left.
 #[test]
 fn publish_gate_many_threads() {
-    const ABANDONED_PER_THREAD: usize = 1;
+    for _ in 0..1_000 {
+        publish_while_threads_abandon();
+    }
+}
+
+fn publish_while_threads_abandon() {
+    const LIMIT: u32 = 4;
     let now = Instant::now();
     let settings = GateSettings {
-        cold_limit: SlotCount::new(10),
+        cold_limit: SlotCount::new(LIMIT),
         ..GateSettings::default()
     };
-    let limit = settings.cold_limit.get();
     let slots = AdmissionSlots::new(settings.cold_limit);
     let mut row = GateRow::new(settings, now - Duration::from_hours(1));
     let mut seen = slots.setbacks();
     publish_gate(&mut row, &slots, &mut seen, now);
     let running = AtomicU32::new(0);
     std::thread::scope(|scope| {
-        for _ in 0..4 {
+        for _ in 0..3 {
             scope.spawn(|| {
-                for turn in 0..20_000 {
+                for turn in 0..200 {
                     let Ok(permit) = slots.try_admit() else {
                         continue;
                     };
                     let now_running = running.fetch_add(1, Ordering::SeqCst) + 1;
-                    assert!(now_running <= limit, "{now_running} run");
-                    if turn < ABANDONED_PER_THREAD {
+                    assert!(now_running <= LIMIT, "{now_running} run");
+                    if turn == 100 {
                         drop(permit);
                         continue;
                     }
@@ -68,7 +73,7 @@
                 }
             });
         }
-        for _ in 0..20_000 {
+        for _ in 0..200 {
             publish_gate(&mut row, &slots, &mut seen, now);
         }
     });
@@ -109,3 +114,23 @@
     slots.end_alone();
     slots.try_admit().expect("open again").finish();
 }
+
+#[test]
+fn try_admit_alone_beside_leftover() {
+    let start = Instant::now();
+    let settings = GateSettings::default();
+    let settled = start + settings.settle_time.duration();
+    let slots = AdmissionSlots::new(settings.cold_limit);
+    let mut row = GateRow::new(settings.clone(), start);
+    let mut seen = slots.setbacks();
+    publish_gate(&mut row, &slots, &mut seen, settled);
+    drop(slots.try_admit().expect("a free slot"));
+    slots.reserve_alone();
+    publish_gate(&mut row, &slots, &mut seen, settled);
+    assert_eq!(slots.in_flight(), SlotCount::new(0));
+    let refusal = slots.try_admit_alone().expect_err("the call may still run");
+    assert_eq!(refusal.reason(), RefusalReason::NotEmpty);
+    let later = settled + settings.settle_time.duration();
+    publish_gate(&mut row, &slots, &mut seen, later);
+    slots.try_admit_alone().expect("an empty target").finish();
+}
