--- a/crates/fleet/tests/it/limits/meters.rs
+++ b/crates/fleet/tests/it/limits/meters.rs
@@ -66,7 +66,7 @@
 
 #[test]
 fn set_leased_threads_never_torn() {
-    const ROUNDS: u64 = 50_000;
+    const ROUNDS: u64 = 500_000;
     let now = Instant::now();
     let meter = RateMeter::new(now);
     std::thread::scope(|scope| {
