--- a/crates/fleet/src/routing/near.rs
+++ b/crates/fleet/src/routing/near.rs
@@ -101,7 +101,7 @@
         let ranked = self.rank(home)?;
         let bound = self.routes.load().utilisation() + AFFINITY_MARGIN;
         let has_room = ranked.score.class == FitClass::Fit && ranked.score.utilisation <= bound;
-        (has_room && !home.is_slow).then_some(home)
+        has_room.then_some(home)
     }
 
     /// Draws from the nearest tier, and from farther ones while the choice is loaded.
