--- a/crates/fleet/tests/it/gate/slots.rs
+++ b/crates/fleet/tests/it/gate/slots.rs
@@ -44,7 +44,7 @@
 }
 
 fn publish_while_threads_abandon() {
-    const LIMIT: u32 = 4;
+    const LIMIT: u32 = 2;
     let now = Instant::now();
     let settings = GateSettings {
         cold_limit: SlotCount::new(LIMIT),
@@ -56,7 +56,7 @@
     publish_gate(&mut row, &slots, &mut seen, now);
     let running = AtomicU32::new(0);
     std::thread::scope(|scope| {
-        for _ in 0..3 {
+        for _ in 0..4 {
             scope.spawn(|| {
                 for turn in 0..200 {
                     let Ok(permit) = slots.try_admit() else {
