Nodes that no peer tells read more often while the service answers

Failed reads keep the lower budget. A read that only repeats what is known counts as successful for the pace.

--- a/crates/fleet/src/config/follower.rs
+++ b/crates/fleet/src/config/follower.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 use super::history::ChangeHistory;
-use super::pace::{PullPace, ReadPace};
+use super::pace::{PullPace, ReadEnd, ReadPace};
 use super::{
     ConfigBase, ConfigChange, ConfigError, ConfigLog, ConfigMessage, ConfigOffer, ConfigPull,
     ConfigPush, RelayPlan, ServingState, StoreCall, StoreReply,
@@ -120,13 +120,13 @@
             StoreReply::Log { log, revision } => self.on_log(log, revision, now),
             StoreReply::Base(base) => self.on_base(*base, now),
             StoreReply::Unchanged => {
-                self.reads.finish(true, &self.relay, now);
+                self.reads.finish(ReadEnd::Done, &self.relay, now);
                 self.confirm(now, now);
             }
             // An absent base means that the log has moved on to another one.
             _ => {
                 self.waiting_log = None;
-                self.reads.finish(false, &self.relay, now);
+                self.reads.finish(ReadEnd::Failed, &self.relay, now);
             }
         }
         self.take_effects()
@@ -171,7 +171,7 @@
         // An older value than one already seen is no news and confirms nothing.
         let is_stale = revision < self.revision || log.number() < self.state.number;
         if is_stale {
-            self.reads.finish(false, &self.relay, now);
+            self.reads.finish(ReadEnd::Failed, &self.relay, now);
             return;
         }
         if log.base > self.state.number {
@@ -186,12 +186,12 @@
 
     fn on_base(&mut self, base: ConfigBase, now: Instant) {
         let Some((log, revision)) = self.waiting_log.take() else {
-            self.reads.finish(false, &self.relay, now);
+            self.reads.finish(ReadEnd::Failed, &self.relay, now);
             return;
         };
         self.install(base.state, None, now);
         if log.base > self.state.number {
-            self.reads.finish(false, &self.relay, now);
+            self.reads.finish(ReadEnd::Failed, &self.relay, now);
             return;
         }
         self.take_log(log, revision, now);
@@ -201,7 +201,12 @@
         let number = log.number();
         let is_news = revision > self.revision;
         let is_taken = self.apply_all(log.changes, None, now) && self.state.number >= number;
-        self.reads.finish(is_taken && is_news, &self.relay, now);
+        let end = match (is_taken, is_news) {
+            (true, true) => ReadEnd::Done,
+            (true, false) => ReadEnd::Repeated,
+            (false, _) => ReadEnd::Failed,
+        };
+        self.reads.finish(end, &self.relay, now);
         if is_taken {
             self.revision = revision;
             self.confirm(now, now);
--- a/crates/fleet/src/config/pace.rs
+++ b/crates/fleet/src/config/pace.rs
@@ -16,12 +16,12 @@
 pub const QUIET_LIMIT: MilliSpan = MilliSpan::new(5_000);
 /// Shortest time over which the nodes of a quiet fleet spread their first reads.
 pub const FIRST_READ_SPREAD: MilliSpan = MilliSpan::new(2_000);
-/// First reads per second that all nodes of a quiet fleet may make together.
-pub const FIRST_READ_BUDGET: u64 = 1_000;
+/// Reads per second that all nodes of a quiet fleet may make together while they succeed.
+pub const QUIET_READ_BUDGET: u64 = 1_000;
 /// Shortest time between two reads of a node that does not watch, before jitter.
 pub const READ_INTERVAL: MilliSpan = MilliSpan::new(2_000);
-/// Further reads per second that all nodes of a quiet fleet may make together.
-pub const FLEET_READ_BUDGET: u64 = 200;
+/// Reads per second that all nodes of a quiet fleet may make together while they fail.
+pub const OUTAGE_READ_BUDGET: u64 = 200;
 /// Time after which an unanswered call counts as failed.
 pub const CALL_TIMEOUT: MilliSpan = MilliSpan::new(10_000);
 /// Time from hearing of a change to asking for it, as it is likely on its way.
@@ -31,6 +31,17 @@
 /// Requests for a change after which a node waits to hear of it again.
 pub const MAX_PULLS: u32 = 8;
 
+/// How a read ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadEnd {
+    /// It brought a newer log, or waited in vain for one.
+    Done,
+    /// It brought at once what was known already.
+    Repeated,
+    /// It brought nothing that can be used.
+    Failed,
+}
+
 /// Paces the reads of the key-value service.
 #[derive(Debug)]
 pub(super) struct ReadPace {
@@ -70,12 +81,15 @@
     }
 
     /// Notes that a call has ended.
-    pub(super) fn finish(&mut self, is_ok: bool, relay: &RelayPlan, now: Instant) {
+    pub(super) fn finish(&mut self, end: ReadEnd, relay: &RelayPlan, now: Instant) {
         self.open_since = None;
-        let wait = match (relay.is_watcher(), is_ok) {
-            (true, true) => Duration::ZERO,
-            (true, false) => self.jittered(WATCH_RETRY.duration()),
-            (false, _) => self.jittered(budgeted_span(relay, FLEET_READ_BUDGET, READ_INTERVAL)),
+        let wait = match (relay.is_watcher(), end) {
+            (true, ReadEnd::Done) => Duration::ZERO,
+            (true, _) => self.jittered(WATCH_RETRY.duration()),
+            (false, ReadEnd::Failed) => {
+                self.jittered(budgeted_span(relay, OUTAGE_READ_BUDGET, READ_INTERVAL))
+            }
+            (false, _) => self.jittered(budgeted_span(relay, QUIET_READ_BUDGET, READ_INTERVAL)),
         };
         self.next_at = now + wait;
     }
@@ -83,7 +97,7 @@
     /// When a node that does not watch begins to read.
     fn quiet_until(&self, relay: &RelayPlan, confirmed_at: Option<Instant>) -> Instant {
         let behind = relay.position().saturating_sub(WATCHERS_PER_DOMAIN);
-        let spread = budgeted_span(relay, FIRST_READ_BUDGET, FIRST_READ_SPREAD);
+        let spread = budgeted_span(relay, QUIET_READ_BUDGET, FIRST_READ_SPREAD);
         let share = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
         let stagger = spread * share(behind) / share(relay.domain_size().max(1));
         let since = confirmed_at.unwrap_or(self.started_at);
