--- a/crates/fleet/tests/it/gate/schedule.rs
+++ b/crates/fleet/tests/it/gate/schedule.rs
@@ -217,7 +217,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(1_000) })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(2_000) })]
 
     #[test]
     fn publish_gate_any_schedule(events in prop::collection::vec(any_event(), 1..160)) {
