--- a/crates/amaranthgw/src/control/claim_actor.rs
+++ b/crates/amaranthgw/src/control/claim_actor.rs
@@ -3,13 +3,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
 
-use amaranthgw_core::EntityTable;
 use amaranthgw_fleet::claims::{
-    BodyFingerprint, CallNumber, ClaimAsk, ClaimBatcher, ClaimGrant, ClaimOutput, ClaimRefusal,
-    ClaimSerial, ClaimSettings, ClaimStamp, ClaimVerdict, ClockReading, HolderNumber, KeyHash,
-    ShardNumber, StoreCall, StoreReply, StoredAnswer,
+    BatcherTable, BodyFingerprint, CallBudget, CallNumber, ClaimAsk, ClaimBatcher, ClaimGrant,
+    ClaimOutput, ClaimRefusal, ClaimSerial, ClaimSettings, ClaimStamp, ClaimVerdict, ClockReading,
+    HolderNumber, KeyHash, ShardNumber, StoreCall, StoreReply, StoredAnswer, tick_batchers,
 };
 use amaranthgw_fleet::gate::NotRunProof;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -17,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::ReportSender;
+use crate::operator::unix_ms;
 use crate::platform::{StoreClient, perform_claim_call};
 
 /// What traffic threads ask of the claims.
@@ -98,8 +97,10 @@
 pub struct ClaimState {
     store: Arc<dyn StoreClient>,
     settings: ClaimSettings,
-    batchers: EntityTable<ShardNumber, ClaimBatcher>,
+    batchers: BatcherTable,
+    budget: CallBudget,
     waiting: HashMap<ClaimStamp, oneshot::Sender<ClaimVerdict>>,
+    next_wake: Option<Instant>,
 }
 
 /// Inputs of the actor.
@@ -110,7 +111,7 @@
     /// The key-value service replied to a call.
     Reply(ShardNumber, CallNumber, StoreReply),
     /// A batcher is due.
-    Wake(ShardNumber),
+    Wake,
 }
 
 impl Actor for ClaimActor {
@@ -123,11 +124,14 @@
         _myself: ActorRef<Self::Msg>,
         args: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
+        let settings = ClaimSettings::default();
         Ok(ClaimState {
             store: args,
-            settings: ClaimSettings::default(),
-            batchers: EntityTable::new(),
+            budget: CallBudget::new(&settings, Instant::now()),
+            settings,
+            batchers: BatcherTable::new(),
             waiting: HashMap::new(),
+            next_wake: None,
         })
     }
 
@@ -138,43 +142,55 @@
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let clock = read_clock();
-        let (shard, output) = match message {
-            ClaimInput::Request(request) => state.take_request(request, clock),
+        match message {
+            ClaimInput::Request(request) => state.take_request(request, clock.now),
             ClaimInput::Reply(shard, number, reply) => {
-                let batcher = state.batcher(shard, clock.now);
-                (shard, batcher.reply(number, reply, clock))
+                let output = state.take_reply(shard, number, reply, clock);
+                state.carry_out(&myself, output);
             }
-            ClaimInput::Wake(shard) => (shard, state.batcher(shard, clock.now).tick(clock)),
-        };
-        state.carry_out(&myself, shard, output, clock.now);
+            ClaimInput::Wake => state.next_wake = None,
+        }
+        for (_shard, output) in tick_batchers(&mut state.batchers, &mut state.budget, clock) {
+            state.carry_out(&myself, output);
+        }
+        state.schedule_wake(&myself, clock.now);
         Ok(())
     }
 }
 
 impl ClaimState {
-    fn take_request(
-        &mut self,
-        request: ClaimRequest,
-        clock: ClockReading,
-    ) -> (ShardNumber, ClaimOutput) {
-        let shard = match &request {
-            ClaimRequest::Ask(ask, _) => ask.key.shard(),
-            ClaimRequest::Finish(grant, _) | ClaimRequest::Release(grant, _) => grant.key().shard(),
-        };
-        if let ClaimRequest::Ask(ask, _) = &request {
-            self.batcher(shard, clock.now).ask(ask.clone(), clock.now);
-        }
+    fn take_request(&mut self, request: ClaimRequest, now: Instant) {
         match request {
-            ClaimRequest::Ask(ask, sender) => drop(self.waiting.insert(ask.stamp, sender)),
+            ClaimRequest::Ask(ask, sender) => {
+                self.waiting.insert(ask.stamp, sender);
+                self.batcher(ask.key.shard(), now).ask(ask, now);
+            }
             ClaimRequest::Finish(grant, answer) => {
-                self.batcher(shard, clock.now)
-                    .finish(&grant, answer, clock.now);
+                self.batcher(grant.key().shard(), now)
+                    .finish(&grant, answer, now);
             }
             ClaimRequest::Release(grant, proof) => {
-                self.batcher(shard, clock.now).release(&grant, proof);
+                self.batcher(grant.key().shard(), now)
+                    .release(&grant, proof);
             }
         }
-        (shard, self.batcher(shard, clock.now).tick(clock))
+    }
+
+    fn take_reply(
+        &mut self,
+        shard: ShardNumber,
+        number: CallNumber,
+        reply: StoreReply,
+        clock: ClockReading,
+    ) -> ClaimOutput {
+        let free_at = self.budget.free_at();
+        let batcher = self.batcher(shard, clock.now);
+        batcher.hold_calls(free_at);
+        let output = batcher.reply(number, reply, clock);
+        if output.call.is_some() {
+            self.budget.charge(clock.now);
+        }
+        output
     }
 
     fn batcher(&mut self, shard: ShardNumber, now: Instant) -> &mut ClaimBatcher {
@@ -183,13 +199,7 @@
         self.batchers.get_or_insert_with(shard, make)
     }
 
-    fn carry_out(
-        &mut self,
-        myself: &ActorRef<ClaimInput>,
-        shard: ShardNumber,
-        output: ClaimOutput,
-        now: Instant,
-    ) {
+    fn carry_out(&mut self, myself: &ActorRef<ClaimInput>, output: ClaimOutput) {
         for (stamp, verdict) in output.verdicts {
             if let Some(waiting) = self.waiting.remove(&stamp) {
                 // The request runs on without its caller, so somebody always waits.
@@ -199,10 +209,17 @@
         if let Some(call) = output.call {
             self.call_store(myself.clone(), call);
         }
-        if let Some(wake_at) = self.batcher(shard, now).wake_at() {
-            let wait = wake_at.saturating_duration_since(now);
-            myself.send_after(wait, move || ClaimInput::Wake(shard));
+    }
+
+    /// Sees to it that the next due batcher is ticked in time.
+    fn schedule_wake(&mut self, myself: &ActorRef<ClaimInput>, now: Instant) {
+        let due = self.batchers.rows().filter_map(ClaimBatcher::wake_at).min();
+        let Some(wake_at) = due else { return };
+        if self.next_wake.is_some_and(|planned| planned <= wake_at) {
+            return;
         }
+        self.next_wake = Some(wake_at);
+        myself.send_after(wake_at.saturating_duration_since(now), || ClaimInput::Wake);
     }
 
     fn call_store(&self, myself: ActorRef<ClaimInput>, call: StoreCall) {
@@ -215,12 +232,8 @@
 }
 
 fn read_clock() -> ClockReading {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let unix_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
     ClockReading {
         now: Instant::now(),
-        unix_ms,
+        unix_ms: unix_ms(),
     }
 }
--- a/crates/fleet/src/claims/hash.rs
+++ b/crates/fleet/src/claims/hash.rs
@@ -2,6 +2,7 @@
 
 use amaranthgw_core::{IdempotencyKey, ParseError, ServiceId, WorkspaceId};
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// Number of values over which claims are spread.
 ///
@@ -9,19 +10,22 @@
 /// value that does not know it, and could run again.
 pub const SHARD_COUNT: u32 = 64;
 
-const FNV_OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
-const FNV_PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
+/// Length of the part of a digest that is kept, in bytes.
+const HASH_BYTES: usize = 16;
 
-/// FNV-1a over the parts, each preceded by its length so that parts cannot run together.
+/// The first 128 bits of SHA-256 over the parts, each preceded by its length so that parts
+/// cannot run together.
 fn hash_parts(parts: &[&[u8]]) -> u128 {
-    let mut hash = FNV_OFFSET;
-    let mut mix = |byte: u8| hash = (hash ^ u128::from(byte)).wrapping_mul(FNV_PRIME);
+    let mut hasher = Sha256::new();
     for part in parts {
         let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
-        length.to_le_bytes().into_iter().for_each(&mut mix);
-        part.iter().copied().for_each(&mut mix);
+        hasher.update(length.to_le_bytes());
+        hasher.update(part);
     }
-    hash
+    let digest = hasher.finalize();
+    let mut kept = [0; HASH_BYTES];
+    kept.copy_from_slice(&digest[..HASH_BYTES]);
+    u128::from_be_bytes(kept)
 }
 
 /// Declares a 128-bit hash that is written as 32 hexadecimal digits.
--- a/crates/fleet/src/sidecar/systems/drain.rs
+++ b/crates/fleet/src/sidecar/systems/drain.rs
@@ -3,10 +3,12 @@
 use amaranthgw_core::TickSystem;
 use tokio::time::Instant;
 
+use super::evidence::push_shift;
+use crate::gate::GateEvidence;
 use crate::membership::VmState;
 use crate::sidecar::{DrainReason, SidecarOutput, SidecarWorld};
 
-/// Sets each target's reason to leave, if it has one.
+/// Sets each target's reason to leave, if it has one; a target that returns starts cold.
 #[derive(Debug)]
 pub struct DrainSystem;
 
@@ -15,7 +17,7 @@
         "drain"
     }
 
-    fn run(&mut self, world: &mut SidecarWorld, _now: Instant) {
+    fn run(&mut self, world: &mut SidecarWorld, now: Instant) {
         world.is_stopping |= world.inbox.is_stopping;
         let reason = drain_reason(world);
         let SidecarWorld {
@@ -26,6 +28,10 @@
                 continue;
             }
             entry.drain = reason;
+            if reason.is_none() {
+                let shift = entry.gate.record(GateEvidence::Returned, now);
+                push_shift(outbox, target, shift);
+            }
             outbox.push(SidecarOutput::DrainShifted {
                 target: target.clone(),
                 reason,
