--- a/crates/amaranthgw/tests/it/claims.rs
+++ b/crates/amaranthgw/tests/it/claims.rs
@@ -1,7 +1,7 @@
 use http::Method;
 use serde_json::json;
 
-use crate::env::{CallerClient, TestFleet, eventually};
+use crate::env::{TestFleet, eventually};
 
 /// Runs of `request` over all plain targets.
 async fn runs_of(fleet: &TestFleet, body: &str) -> usize {
@@ -18,14 +18,6 @@
     runs
 }
 
-async fn set_store(fleet: &TestFleet, faults: serde_json::Value) {
-    let store = CallerClient::new(fleet.store.address("listening"));
-    let answer = store
-        .send(Method::POST, "/admin/faults", &[], faults.to_string())
-        .await;
-    assert!(answer.expect("an answer").status.is_success());
-}
-
 #[tokio::test]
 async fn claim_resend_to_another_entry_runs_once() {
     let fleet = TestFleet::start("resend").await;
@@ -73,7 +65,7 @@
 #[tokio::test]
 async fn claim_in_outage_is_refused_as_not_run() {
     let fleet = TestFleet::start("outage").await;
-    set_store(&fleet, json!({ "mode": "down" })).await;
+    fleet.set_store(json!({ "mode": "down" })).await;
     let key = [("idempotency-key", "order-3")];
     let answer = fleet
         .caller(0)
@@ -89,7 +81,7 @@
         .generate("draft-llm", "e-2", "in an outage", 3)
         .await;
     assert!(model.expect("an answer").status.is_success());
-    set_store(&fleet, json!({ "mode": "up" })).await;
+    fleet.set_store(json!({ "mode": "up" })).await;
     eventually("run after the outage", || async {
         let answer = fleet
             .caller(0)
@@ -104,7 +96,9 @@
 #[tokio::test]
 async fn claim_with_lost_answers_runs_once() {
     let fleet = TestFleet::start("lost").await;
-    set_store(&fleet, json!({ "mode": "up", "lose_answers": 3 })).await;
+    fleet
+        .set_store(json!({ "mode": "up", "lose_answers": 3 }))
+        .await;
     let key = [("idempotency-key", "order-4")];
     eventually("an answer", || async {
         let answer = fleet
--- a/crates/amaranthgw/tests/it/env/fleet.rs
+++ b/crates/amaranthgw/tests/it/env/fleet.rs
@@ -251,6 +251,66 @@
         }
     }
 
+    /// Puts a fault proxy in front of the sidecar of the target with this index; the VM list has
+    /// to be published again.
+    pub fn put_behind_proxy(&mut self, index: usize) -> TestProcess {
+        let sidecar = &mut self.targets[index].sidecar;
+        let settings = json!({ "upstream": sidecar.address }).to_string();
+        let arguments = [
+            "standin",
+            "--listen",
+            "127.0.0.1:0",
+            "--settings",
+            &settings,
+            "proxy",
+        ];
+        let proxy = TestProcess::start(&arguments, &["listening", "control"]);
+        sidecar.address = proxy.address("listening");
+        proxy
+    }
+
+    /// Sets the faults of the key-value service.
+    pub async fn set_store(&self, faults: Value) {
+        let store = CallerClient::new(self.store.address("listening"));
+        let answer = store
+            .send(Method::POST, "/admin/faults", &[], faults.to_string())
+            .await;
+        assert!(answer.expect("an answer").status.is_success());
+    }
+
+    /// Waits until the entry with this index is ready.
+    pub async fn wait_until_entry_ready(&self, entry: usize) {
+        eventually("ready entry", || async {
+            let ready = self
+                .caller(entry)
+                .send(Method::GET, "/readyz", &[], "")
+                .await?;
+            ready.status.is_success().then_some(())
+        })
+        .await;
+    }
+
+    /// VM of a sidecar that has a request in flight.
+    pub async fn busy_vm(&self) -> String {
+        eventually("request in flight", || async {
+            let status = self.status();
+            let nodes = status["nodes"].as_array()?.clone();
+            let node = nodes
+                .iter()
+                .find(|node| node["in_flight"].as_u64() > Some(0))?;
+            node["vm"].as_str().map(str::to_owned)
+        })
+        .await
+    }
+
+    /// The target beside the VM.
+    pub fn target_on(&mut self, vm: &str) -> &mut TestTarget {
+        let mut targets = self.targets.iter_mut();
+        targets
+            .find(|target| target.sidecar.vm == vm)
+            .expect("a target on the VM")
+    }
+
     /// Waits until every entry answers both kinds of call.
     pub async fn wait_until_ready(&self) {
         for entry in 0..self.entries.len() {
--- a/crates/amaranthgw/tests/it/env/process.rs
+++ b/crates/amaranthgw/tests/it/env/process.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+use super::{POLL_PERIOD, WAIT_BOUND};
+
 /// A running process; it is killed when dropped.
 #[derive(Debug)]
 pub struct TestProcess {
@@ -63,7 +65,7 @@
     }
 
     /// The exit code, once the process has ended.
-    pub fn exit_code(&mut self) -> Option<i32> {
+    fn exit_code(&mut self) -> Option<i32> {
         let status = self
             .child
             .try_wait()
@@ -72,6 +74,23 @@
     }
 }
 
+impl TestProcess {
+    /// Waits for the end of the process and gives its exit code.
+    pub async fn wait_exit(&mut self) -> i32 {
+        let wait = async {
+            loop {
+                if let Some(code) = self.exit_code() {
+                    return code;
+                }
+                tokio::time::sleep(POLL_PERIOD).await;
+            }
+        };
+        tokio::time::timeout(WAIT_BOUND, wait)
+            .await
+            .expect("the process ends")
+    }
+}
+
 impl Drop for TestProcess {
     fn drop(&mut self) {
         // It may have ended already.
--- /dev/null
+++ b/crates/amaranthgw/tests/it/faults.rs
@@ -0,0 +1,120 @@
+use http::Method;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use crate::env::{CallAnswer, CallerClient, TestFleet, eventually};
+
+const LONG_ANSWER: u32 = 400;
+
+fn start_long_answer(fleet: &TestFleet, entry: usize) -> JoinHandle<CallAnswer> {
+    let caller = fleet.caller(entry);
+    tokio::spawn(async move {
+        let answer = caller
+            .generate("draft-llm", "long", "a long answer", LONG_ANSWER)
+            .await;
+        answer.expect("an answer")
+    })
+}
+
+async fn assert_whole(call: JoinHandle<CallAnswer>) {
+    let answer = call.await.expect("the call ends");
+    assert!(answer.is_clean, "the answer was cut off");
+    assert_eq!(answer.lines().len(), LONG_ANSWER as usize + 1);
+}
+
+#[tokio::test]
+async fn freeze_sidecar_resumes_the_answer_elsewhere() {
+    let mut fleet = TestFleet::start("freeze").await;
+    let call = start_long_answer(&fleet, 0);
+    let vm = fleet.busy_vm().await;
+    fleet.target_on(&vm).sidecar.process.signal("STOP");
+    assert_whole(call).await;
+    fleet.target_on(&vm).sidecar.process.signal("CONT");
+}
+
+#[tokio::test]
+async fn stop_sidecar_ends_running_answers() {
+    let mut fleet = TestFleet::start("stop-sidecar").await;
+    let call = start_long_answer(&fleet, 0);
+    let vm = fleet.busy_vm().await;
+    let sidecar = &mut fleet.target_on(&vm).sidecar;
+    sidecar.process.signal("TERM");
+    let code = sidecar.process.wait_exit().await;
+    assert_eq!(code, 0);
+    assert_whole(call).await;
+    let log = fleet
+        .target_on(&vm)
+        .client()
+        .get("/admin/log")
+        .await
+        .expect("a log");
+    let events = log["events"].as_array().expect("events");
+    let is_end = |event: &&serde_json::Value| event["event"] == "end" && event["request"] == "long";
+    assert!(
+        events.iter().any(|event| is_end(&event)),
+        "the answer was moved: {log}"
+    );
+}
+
+#[tokio::test]
+async fn cut_connections_resume_the_answer() {
+    let mut fleet = TestFleet::start("cut").await;
+    let proxies: Vec<_> = (0..fleet.targets.len())
+        .map(|index| fleet.put_behind_proxy(index))
+        .collect();
+    fleet.publish_vms(&[]).await;
+    fleet.wait_until_ready().await;
+    let call = start_long_answer(&fleet, 0);
+    fleet.busy_vm().await;
+    for proxy in &proxies {
+        let control = CallerClient::new(proxy.address("control"));
+        for mode in ["cut", "pass"] {
+            let faults = json!({ "mode": mode }).to_string();
+            control
+                .send(Method::POST, "/admin/faults", &[], faults)
+                .await
+                .expect("an answer");
+        }
+    }
+    assert_whole(call).await;
+}
+
+#[tokio::test]
+async fn start_entry_in_outage_learns_from_peers() {
+    let mut fleet = TestFleet::start("fresh-entry").await;
+    fleet.set_store(json!({ "mode": "down" })).await;
+    fleet.add_entry("elva-c");
+    fleet.publish_vms(&[]).await;
+    fleet.wait_until_entry_ready(2).await;
+    let answer = eventually("an answer of the fresh entry", || async {
+        let answer = fleet
+            .caller(2)
+            .generate("draft-llm", "fresh", "in an outage", 3)
+            .await?;
+        answer.status.is_success().then_some(answer)
+    })
+    .await;
+    assert_eq!(answer.lines().len(), 4);
+}
+
+#[tokio::test]
+async fn apply_in_outage_changes_nothing() {
+    let fleet = TestFleet::start("apply-outage").await;
+    let accepted = fleet.status()["accepted"].clone();
+    fleet.set_store(json!({ "mode": "down" })).await;
+    let (code, text) = fleet.try_operate(&["out", "domain", "tartu-a"]);
+    assert_eq!(code, 1, "{text}");
+    fleet.set_store(json!({ "mode": "up" })).await;
+    assert_eq!(fleet.status()["accepted"], accepted);
+}
+
+#[tokio::test]
+async fn out_with_lost_answer_is_accepted_once() {
+    let fleet = TestFleet::start("out-lost").await;
+    let accepted = fleet.status()["accepted"].as_u64().expect("a number");
+    fleet
+        .set_store(json!({ "mode": "up", "lose_answers": 1 }))
+        .await;
+    fleet.operate(&["out", "domain", "tartu-a"]);
+    assert_eq!(fleet.status()["accepted"], accepted + 1);
+}
--- a/crates/amaranthgw/tests/it/leave.rs
+++ b/crates/amaranthgw/tests/it/leave.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use http::Method;
 use serde_json::Value;
 
@@ -101,19 +99,10 @@
     let answer = call.await.expect("the call ends");
     assert!(answer.is_clean, "the answer was cut off");
     assert_eq!(answer.lines().len(), 601);
-    let code = wait_exit(&mut fleet).await;
+    let code = fleet.entries[0].process.wait_exit().await;
     assert_eq!(code, 0);
 }
 
-async fn wait_exit(fleet: &mut TestFleet) -> i32 {
-    loop {
-        if let Some(code) = fleet.entries[0].process.exit_code() {
-            return code;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[tokio::test]
 async fn kill_sidecar_resumes_the_answer_elsewhere() {
     let mut fleet = TestFleet::start("kill-sidecar").await;
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod claims;
 mod env;
+mod faults;
 mod leave;
 mod serve;
 mod suspects;
