--- a/crates/fleet/examples/measure_routing.rs
+++ b/crates/fleet/examples/measure_routing.rs
@@ -1,11 +1,15 @@
-//! Measures routing decisions, route snapshots and herding on old load reports.
+//! Measures routing decisions, route snapshots, herding on old load reports and the size of
+//! shared limits.
 //!
 //! Prints Markdown tables; runs with the same seed make the same decisions.
 
 use std::hint::black_box;
 use std::time::Duration;
 
-use amaranthgw_core::SlotCount;
+use amaranthgw_core::{SlotCount, StartMark};
+use amaranthgw_fleet::limits::{
+    HolderId, KeyShares, MilliRate, RenewalNumber, ShareAmount, ShareKey, ShareRow, ShareValue,
+};
 use amaranthgw_fleet::routing::{
     DomainDistance, DomainNearPolicy, LeastLoadedPolicy, LoadHint, RoundRobinPolicy, RouteAsk,
     RoutePolicy, ServiceKind, ServiceRoutes, SubsetSettings, TargetRoute, TargetStage,
@@ -33,6 +37,7 @@
     measure_snapshots();
     measure_herding();
     measure_warming();
+    measure_shares();
 }
 
 /// A target of a large service: one of 36 failure domains is the entry's own, three more are in
@@ -281,6 +286,48 @@
     }
 }
 
+/// Size of one value of plan limits, as entries write it.
+fn measure_shares() {
+    println!();
+    println!("| workspaces | entries | value bytes | bytes per share |");
+    println!("| ---: | ---: | ---: | ---: |");
+    for (workspaces, entries) in [(10, 3), (100, 20), (500, 40)] {
+        let value = share_value(workspaces, entries);
+        let bytes = serde_json::to_vec(&value).expect("serialises").len();
+        let per_share = bytes / (workspaces * entries);
+        println!("| {workspaces} | {entries} | {bytes} | {per_share} |");
+    }
+}
+
+/// A value in which every entry holds a share of every workspace.
+fn share_value(workspaces: usize, entries: usize) -> ShareValue {
+    let amount = ShareAmount::new(MilliRate::new(12_500), SlotCount::new(25));
+    let row = ShareRow {
+        held: amount,
+        wanted: amount,
+    };
+    let holder = |index: usize| {
+        let vm = format!("entry-{index}").parse().expect("valid id");
+        HolderId::new(vm, StartMark::new(1_000_000 + index as u64))
+    };
+    let shares = KeyShares {
+        pool: amount,
+        holders: (0..entries).map(|index| (holder(index), row)).collect(),
+    };
+    let key = |index: usize| -> ShareKey {
+        let text = format!("workspace-{index}|draft-llm");
+        text.parse().expect("valid key")
+    };
+    ShareValue {
+        renewals: (0..entries)
+            .map(|index| (holder(index), RenewalNumber::default()))
+            .collect(),
+        keys: (0..workspaces)
+            .map(|index| (key(index), shares.clone()))
+            .collect(),
+    }
+}
+
 fn columns(nanos: Vec<u64>) -> String {
     let (p50, p99) = percentiles(nanos);
     format!("{p50} | {p99}")
