Pools are forgotten by a confirmed write only

A schedule of the property test showed the sum pass the limit by 1 in 83,334: a holder forgot the larger pool at the start of a cycle, then read an old revision, and scaled its share from a pool that was too small, while a write planned under the larger limit had landed. The same follows without an old read, if that write lands after the read. Pools are now noted since the last write known to be in force was sent. Ruled out: rounding of the floors.

--- a/crates/fleet/src/limits/batcher.rs
+++ b/crates/fleet/src/limits/batcher.rs
@@ -147,8 +147,6 @@
         }
         let targets = self.plan(demand).targets(&self.seen);
         self.own.lower(&targets);
-        self.own.forget_pools();
-        self.note_pools(demand);
         self.phase = CallPhase::Reading;
         Some(ShareCall::Read)
     }
@@ -223,6 +221,8 @@
             self.next_cycle = now + self.settings.starved_every;
             return None;
         }
+        self.own.restart_pools();
+        self.note_pools(demand);
         Some(self.start_write(next, now))
     }
 
@@ -308,6 +308,7 @@
             .find(is_sent)
             .map(|write| write.sent_at);
         self.open_writes.clear();
+        self.own.forget_pools();
         let lease_until = sent_at.map(|sent_at| sent_at + self.settings.lease);
         self.own.adopt(&value, &self.holder, lease_until);
         self.own.raise_to_aims();
--- a/crates/fleet/src/limits/own.rs
+++ b/crates/fleet/src/limits/own.rs
@@ -34,8 +34,10 @@
     pub rows: EntityTable<ShareKey, OwnRow>,
     pub lease_until: Option<Instant>,
     aims: EntityTable<ShareKey, ShareAmount>,
-    /// The largest pool of each key since the current cycle began.
+    /// The largest pool of each key since the last write that is known to be in force was sent.
     seen_pools: EntityTable<ShareKey, ShareAmount>,
+    /// The largest pool of each key since the last write was sent.
+    sent_pools: EntityTable<ShareKey, ShareAmount>,
 }
 
 impl OwnTable {
@@ -68,15 +70,23 @@
         if let Some(row) = self.rows.get_mut(key) {
             row.pool = row.pool.max(pool);
         }
-        let seen = self
-            .seen_pools
-            .get_or_insert_with(key.clone(), ShareAmount::default);
-        *seen = seen.max(pool);
+        for pools in [&mut self.seen_pools, &mut self.sent_pools] {
+            let seen = pools.get_or_insert_with(key.clone(), ShareAmount::default);
+            *seen = seen.max(pool);
+        }
+    }
+
+    /// Starts anew to note the pools since the write that is about to be sent.
+    pub fn restart_pools(&mut self) {
+        self.sent_pools.clear();
     }
 
-    /// Forgets the pools noted before the cycle that begins.
+    /// Forgets the pools noted before the write that is now known to be in force.
+    ///
+    /// Any other write in force after it was planned after it was sent. A read proves less:
+    /// a write planned earlier, under a larger pool, may still come into force.
     pub fn forget_pools(&mut self) {
-        self.seen_pools.clear();
+        self.seen_pools.clone_from(&self.sent_pools);
     }
 
     /// Lowers what is used of each key to at most what `targets` says.
--- a/crates/fleet/tests/it/limits/shares.rs
+++ b/crates/fleet/tests/it/limits/shares.rs
@@ -137,6 +137,25 @@
     }
 }
 
+#[test]
+fn local_share_old_read_keeps_larger_pool() {
+    let mut world = share_world(0);
+    world.set_wanted(1, 3, 38);
+    world.tick(1);
+    world.finish_call(1, CallFate::Answered);
+    world.set_limit(147_519);
+    world.finish_call(1, CallFate::Answered);
+    world.set_wanted(0, 73_757, 0);
+    world.tick(0);
+    world.finish_call(0, CallFate::Answered);
+    world.set_limit(83_334);
+    world.advance(Duration::from_secs(1));
+    world.finish_call(0, CallFate::Answered);
+    world.tick(1);
+    world.finish_call(1, CallFate::Stale);
+    assert!(world.total_rate() <= 83_334, "{}", world.total_rate());
+}
+
 #[test]
 fn local_share_unused_given_up_at_once() {
     let mut world = share_world(0);
