Entries share plan limits by demand through the key-value service

Cause: each entry enforced an equal part of a limit by the number of entries in its own VM list, so entries with different lists admitted more than the limit together, and a workspace whose callers all reach one entry got only a part. Shares are read again twice a second, as an entry that holds the whole limit otherwise gave nothing to a fresh one until its renewal after 10 s. Ruled out: the fixed part of entry slots, as no setting gives a process a slot that no other running process can have; so shares end with their lease in an outage.

--- a/crates/amaranthgw/src/control/border.rs
+++ b/crates/amaranthgw/src/control/border.rs
@@ -10,7 +10,8 @@
 
 use super::{
     ClaimActor, ClaimInput, ClaimRequest, ConfigActor, ConfigArguments, ConfigInput, ConfigSink,
-    VmListActor, VmListArguments, VmListSink, forward_reports,
+    ShareActor, ShareArguments, ShareInput, VmListActor, VmListArguments, VmListSink,
+    forward_reports,
 };
 use crate::peer::{GrpcPeerLink, PeerTell};
 use crate::platform::{HttpStore, HttpVmList};
@@ -80,6 +81,21 @@
         Ok(())
     }
 
+    /// Starts to share the limits of plans with the other entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RuntimeError::Actor`] where the actor can't be started.
+    pub async fn start_shares(&self) -> Result<ActorRef<ShareInput>> {
+        let arguments = ShareArguments {
+            vm: self.identity.vm.clone(),
+            store: Arc::new(HttpStore::new(self.store)),
+        };
+        let spawned = Actor::spawn(None, ShareActor, arguments).await;
+        let (shares, _ended) = spawned.map_err(|_failed| RuntimeError::Actor)?;
+        Ok(shares)
+    }
+
     /// Starts to read the VM list.
     ///
     /// # Errors
--- a/crates/amaranthgw/src/entry/control.rs
+++ b/crates/amaranthgw/src/entry/control.rs
@@ -15,6 +15,7 @@
 use super::probe::probe;
 use super::reporter::{burn_json, status_json};
 use super::shared::{EntryShared, TrafficReport};
+use crate::control::ShareInput;
 use crate::link::TargetLink;
 use crate::peer::ReportKind;
 use crate::runtime::StopPhase;
@@ -30,6 +31,7 @@
     pub(super) world: EntryWorld,
     pub(super) shared: Arc<EntryShared>,
     pub(super) link: Arc<dyn TargetLink>,
+    pub(super) shares: ActorRef<ShareInput>,
     pub(super) log: EventLog,
 }
 
@@ -40,6 +42,7 @@
     schedule: TickSchedule<EntryWorld>,
     shared: Arc<EntryShared>,
     link: Arc<dyn TargetLink>,
+    shares: ActorRef<ShareInput>,
     log: EventLog,
 }
 
@@ -72,6 +75,7 @@
             world,
             shared,
             link,
+            shares,
             log,
         } = args;
         Ok(ControlState {
@@ -79,6 +83,7 @@
             schedule: entry_schedule(),
             shared,
             link,
+            shares,
             log,
         })
     }
@@ -146,6 +151,9 @@
     fn carry_out(&self, output: EntryOutput) {
         match output {
             EntryOutput::Publish(snapshot) => self.publish(snapshot),
+            EntryOutput::ShareLimits(limits) => {
+                drop(self.shares.cast(ShareInput::Limits(limits)));
+            }
             EntryOutput::Probe { target, address } => {
                 let (link, reports) = (Arc::clone(&self.link), self.shared.reports.clone());
                 tokio::spawn(probe(link, reports, target, address));
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -153,10 +153,15 @@
     inputs: ControlInputs,
     log: EventLog,
 ) {
+    let border = platform_border(&settings, &log);
+    let Ok(share_actor) = border.start_shares().await else {
+        return;
+    };
     let arguments = ControlArguments {
         world: EntryWorld::new(identity(&settings), Instant::now()),
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
+        shares: share_actor,
         log: log.clone(),
     };
     let started = Actor::spawn(None, EntryControl, arguments).await;
@@ -169,7 +174,7 @@
     let observed = Arc::clone(&shared);
     let ready = Arc::new(move || observed.readiness());
     tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
-    if start_borders(&settings, &control, inputs, &log)
+    if start_borders(&settings, &border, &control, inputs)
         .await
         .is_err()
     {
@@ -200,9 +205,9 @@
 
 async fn start_borders(
     settings: &EntrySettings,
+    border: &PlatformBorder,
     control: &ActorRef<ControlMessage>,
     inputs: ControlInputs,
-    log: &EventLog,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
     let to_control = control.clone();
@@ -211,7 +216,7 @@
     let (tells, told) = report_channel();
     let reporter = EntryReporter {
         control: control.clone(),
-        log: log.clone(),
+        log: border.log.clone(),
     };
     let peer = PeerServer::new(PeerService::new(tells, Arc::new(reporter)));
     let incoming = TcpListenerStream::new(inputs.node_listener.handle()?);
@@ -220,12 +225,6 @@
             .add_service(peer)
             .serve_with_incoming(incoming),
     );
-    let border = PlatformBorder {
-        identity: identity(settings),
-        store: settings.store,
-        vm_list: settings.vm_list,
-        log: log.clone(),
-    };
     border.start_claims(inputs.claim_requests).await?;
     let to_control = control.clone();
     let sink = move |state| drop(to_control.cast(ControlMessage::Config(state)));
@@ -238,6 +237,15 @@
     border.start_vm_list(Box::new(sink)).await
 }
 
+fn platform_border(settings: &EntrySettings, log: &EventLog) -> PlatformBorder {
+    PlatformBorder {
+        identity: identity(settings),
+        store: settings.store,
+        vm_list: settings.vm_list,
+        log: log.clone(),
+    }
+}
+
 fn identity(settings: &EntrySettings) -> NodeIdentity {
     NodeIdentity {
         vm: settings.vm.clone(),
--- a/crates/amaranthgw/src/platform/mod.rs
+++ b/crates/amaranthgw/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod config_store;
 mod error;
 mod http;
+mod share_store;
 mod store;
 mod vms;
 
@@ -11,6 +12,7 @@
 pub use config_store::perform_config_call;
 pub use error::PlatformError;
 pub use http::HttpCaller;
+pub use share_store::{read_shares, write_shares};
 pub use store::{HttpStore, StoreClient, StoreValue, SwapAnswer};
 pub use vms::{HttpVmList, VmListClient};
 
--- /dev/null
+++ b/crates/amaranthgw/src/platform/share_store.rs
@@ -0,0 +1,45 @@
+//! Performs the calls of the key-value service that shares of limits need.
+
+use amaranthgw_core::StoreRevision;
+use amaranthgw_fleet::limits::{ReadAnswer, ShareShard, ShareValue, WriteAnswer};
+use bytes::Bytes;
+
+use super::{StoreClient, SwapAnswer};
+
+/// Reads the value of `shard`. A value that can't be decoded counts as no answer.
+pub async fn read_shares(store: &dyn StoreClient, shard: ShareShard) -> ReadAnswer {
+    match store.read(&shard.store_key()).await {
+        Ok(None) => ReadAnswer::Found {
+            revision: StoreRevision::default(),
+            value: ShareValue::default(),
+        },
+        Ok(Some(stored)) => {
+            serde_json::from_slice(&stored.bytes).map_or(ReadAnswer::Lost, |value| {
+                ReadAnswer::Found {
+                    revision: stored.revision,
+                    value,
+                }
+            })
+        }
+        Err(_) => ReadAnswer::Lost,
+    }
+}
+
+/// Replaces the value of `shard` if its revision is still `expect`.
+pub async fn write_shares(
+    store: &dyn StoreClient,
+    shard: ShareShard,
+    expect: StoreRevision,
+    value: &ShareValue,
+) -> WriteAnswer {
+    // A value that can't be encoded is never sent, which is as if the service were down.
+    let Ok(encoded) = serde_json::to_vec(value) else {
+        return WriteAnswer::Lost;
+    };
+    let key = shard.store_key();
+    match store.swap(&key, expect, Bytes::from(encoded)).await {
+        Ok(SwapAnswer::Swapped(revision)) => WriteAnswer::Written { revision },
+        Ok(SwapAnswer::Conflict(_)) => WriteAnswer::Conflict,
+        Err(_) => WriteAnswer::Lost,
+    }
+}
--- a/crates/amaranthgw/tests/it/env/fleet.rs
+++ b/crates/amaranthgw/tests/it/env/fleet.rs
@@ -78,6 +78,11 @@
 impl TestFleet {
     /// Starts two entries, and an engine and a plain service in each failure domain.
     pub async fn start(name: &str) -> Self {
+        Self::start_with_lists(name, CUSTOMERS, PLANS).await
+    }
+
+    /// Starts the fleet with these lists in force.
+    pub async fn start_with_lists(name: &str, customers: &str, plans: &str) -> Self {
         let store = start_standin("store", "{}");
         let vms = start_standin("vms", r#"{"lag_ms":0}"#);
         let files = std::env::temp_dir().join(format!("amaranthgw-{}-{name}", std::process::id()));
@@ -96,7 +101,7 @@
         fleet.add_entry(DOMAINS[0]);
         fleet.add_entry(DOMAINS[1]);
         fleet.publish_vms(&[]).await;
-        fleet.apply_lists();
+        fleet.apply_lists(customers, plans);
         fleet.wait_until_ready().await;
         fleet
     }
@@ -159,10 +164,10 @@
         assert!(answer.expect("an answer").status.is_success());
     }
 
-    /// Puts the lists of the tests in force.
-    pub fn apply_lists(&self) {
-        let customers = self.write("customers.jsonc", CUSTOMERS);
-        let plans = self.write("plans.jsonc", PLANS);
+    /// Puts these lists in force.
+    pub fn apply_lists(&self, customers: &str, plans: &str) {
+        let customers = self.write("customers.jsonc", customers);
+        let plans = self.write("plans.jsonc", plans);
         self.operate(&["apply", "--customers", &customers, "--plans", &plans]);
     }
 
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -4,4 +4,5 @@
 mod claims;
 mod env;
 mod leave;
+mod limits;
 mod serve;
--- a/crates/fleet/src/entry/input.rs
+++ b/crates/fleet/src/entry/input.rs
@@ -8,6 +8,7 @@
 use super::EntrySnapshot;
 use crate::burn::BurnOutcome;
 use crate::config::ServingState;
+use crate::limits::LimitTable;
 use crate::membership::VmRecord;
 use crate::routing::{ServiceKind, TargetStage};
 
@@ -78,6 +79,8 @@
 pub enum EntryOutput {
     /// Traffic threads are to use this snapshot from now on.
     Publish(Arc<EntrySnapshot>),
+    /// The entry is to take part in sharing these limits; they replace the last.
+    ShareLimits(LimitTable),
     /// The sidecar at `address` is to be asked for the state of `target`.
     Probe {
         /// The target.
--- a/crates/fleet/src/entry/schedule.rs
+++ b/crates/fleet/src/entry/schedule.rs
@@ -18,7 +18,7 @@
         .with_system(ObservationSystem)
         .with_system(BurnSystem)
         .with_system(ProbeSystem)
-        .with_system(MeterSystem::default())
+        .with_system(MeterSystem)
         .with_system(BudgetSystem)
         .with_system(SnapshotSystem)
 }
--- a/crates/fleet/src/entry/systems/meters.rs
+++ b/crates/fleet/src/entry/systems/meters.rs
@@ -2,22 +2,19 @@
 
 use std::sync::Arc;
 
-use amaranthgw_core::{EntityTable, SlotCount, TickSystem, WorkspaceId};
+use amaranthgw_core::{EntityTable, TickSystem, WorkspaceId};
 use tokio::time::Instant;
 
-use crate::config::{PlanRow, UseRow};
-use crate::entry::{EntryWorld, WorkspaceMeters};
-use crate::limits::{MilliRate, UsageMeter};
-use crate::membership::NodeRole;
+use crate::config::ServingState;
+use crate::entry::{EntryOutput, EntryWorld, WorkspaceMeters};
+use crate::limits::{LimitRow, LimitTable, ShareAmount, ShareKey, UsageMeter};
 
-/// Rebuilds the meters when the configuration or the number of entries changes.
+/// Rebuilds limits and meters when the configuration changes.
 ///
-/// Each entry enforces an equal part of every limit, rounded down, so that all parts together
-/// never exceed it.
-#[derive(Debug, Default)]
-pub struct MeterSystem {
-    entries: u32,
-}
+/// A new meter admits nothing: the shares come from
+/// [`ShareDesk`](crate::limits::ShareDesk), which receives the limits.
+#[derive(Debug)]
+pub struct MeterSystem;
 
 impl TickSystem<EntryWorld> for MeterSystem {
     fn name(&self) -> &'static str {
@@ -25,63 +22,68 @@
     }
 
     fn run(&mut self, world: &mut EntryWorld, now: Instant) {
-        let entries = count_entries(world);
-        let is_changed = entries != self.entries || world.meters_change != world.config.number;
-        if !is_changed || entries == 0 {
+        if world.meters_change == world.config.number {
             return;
         }
-        self.entries = entries;
         world.meters_change = world.config.number;
-        world.meters = Arc::new(make_meters(world, entries, now));
+        let planned = planned_limits(&world.config);
+        keep_used(&mut world.limits, &planned);
+        let meters = put_limits(&mut world.limits, &planned, now);
+        world.meters = Arc::new(meters);
         world.are_routes_dirty = true;
+        world
+            .outbox
+            .push(EntryOutput::ShareLimits(world.limits.clone()));
     }
 }
 
-fn count_entries(world: &EntryWorld) -> u32 {
-    let entries = world
-        .vms
-        .rows()
-        .filter(|record| record.role == NodeRole::Entry)
-        .count();
-    u32::try_from(entries).unwrap_or(u32::MAX)
-}
-
-fn make_meters(
-    world: &EntryWorld,
-    entries: u32,
-    now: Instant,
-) -> EntityTable<WorkspaceId, WorkspaceMeters> {
-    let mut meters = EntityTable::new();
-    for (workspace, row) in world.config.workspaces.iter() {
-        let Some(plan) = world.config.plans.get(&row.plan) else {
+/// What the plans of the configuration allow.
+fn planned_limits(config: &ServingState) -> EntityTable<ShareKey, ShareAmount> {
+    let mut limits = EntityTable::new();
+    for (workspace, row) in config.workspaces.iter() {
+        let Some(plan) = config.plans.get(&row.plan) else {
             continue;
         };
-        let old = world.meters.get(workspace);
-        meters.insert(workspace.clone(), make_workspace(plan, old, entries, now));
+        for (service, allowance) in plan.uses.iter() {
+            let key = ShareKey::new(workspace.clone(), service.clone());
+            limits.insert(key, ShareAmount::with_use(allowance));
+        }
     }
-    meters
+    limits
 }
 
-/// Keeps the meters of services that stay, as their requests in flight still count.
-fn make_workspace(
-    plan: &PlanRow,
-    old: Option<&WorkspaceMeters>,
-    entries: u32,
-    now: Instant,
-) -> WorkspaceMeters {
-    let mut meters = WorkspaceMeters::new();
-    for (service, allowance) in plan.uses.iter() {
-        let kept = old.and_then(|meters| meters.get(service)).map(Arc::clone);
-        let meter = kept.unwrap_or_else(|| Arc::new(UsageMeter::new(now)));
-        set_share(&meter, allowance, entries);
-        meters.insert(service.clone(), meter);
+/// Allows nothing under limits that no plan includes any more.
+///
+/// Their rows stay until the next change at least, and while requests are in flight, as these
+/// count should a plan include the limit again.
+fn keep_used(limits: &mut LimitTable, planned: &EntityTable<ShareKey, ShareAmount>) {
+    limits.retain(|key, row| {
+        let is_used = row.meter.in_flight.used().get() > 0;
+        planned.contains(key) || is_used || row.limit != ShareAmount::default()
+    });
+    for (key, row) in limits.iter_mut() {
+        if !planned.contains(key) {
+            row.limit = ShareAmount::default();
+        }
     }
-    meters
 }
 
-fn set_share(meter: &UsageMeter, allowance: &UseRow, entries: u32) {
-    let rate = MilliRate::with_rate(allowance.rate).get() / u64::from(entries);
-    meter.rate.set_floor(MilliRate::new(rate));
-    let slots = allowance.in_flight.get() / entries;
-    meter.in_flight.set_floor(SlotCount::new(slots));
+/// Sets the planned limits and gives their meters by workspace and service.
+fn put_limits(
+    limits: &mut LimitTable,
+    planned: &EntityTable<ShareKey, ShareAmount>,
+    now: Instant,
+) -> EntityTable<WorkspaceId, WorkspaceMeters> {
+    let mut meters: EntityTable<WorkspaceId, WorkspaceMeters> = EntityTable::new();
+    for (key, limit) in planned.iter() {
+        let make = || LimitRow {
+            limit: *limit,
+            meter: Arc::new(UsageMeter::new(now)),
+        };
+        let row = limits.get_or_insert_with(key.clone(), make);
+        row.limit = *limit;
+        let workspace = meters.get_or_insert_with(key.workspace.clone(), WorkspaceMeters::new);
+        workspace.insert(key.service.clone(), Arc::clone(&row.meter));
+    }
+    meters
 }
--- a/crates/fleet/src/entry/world.rs
+++ b/crates/fleet/src/entry/world.rs
@@ -9,6 +9,7 @@
 use super::{EntryInbox, EntryOutput, TargetRow, WorkspaceMeters};
 use crate::burn::BurnTable;
 use crate::config::ServingState;
+use crate::limits::LimitTable;
 use crate::membership::{NodeIdentity, VmRecord};
 use crate::retries::RetryBudget;
 use crate::routing::SubsetSettings;
@@ -44,6 +45,8 @@
     pub vms: EntityTable<VmId, VmRecord>,
     /// Targets of all services.
     pub targets: EntityTable<TargetId, TargetRow>,
+    /// Limits of all plans in use with their meters.
+    pub limits: LimitTable,
     /// Meters of all workspaces.
     pub meters: Arc<EntityTable<WorkspaceId, WorkspaceMeters>>,
     /// Configuration change that the meters were made for.
@@ -69,6 +72,7 @@
     #[must_use]
     pub fn new(identity: NodeIdentity, now: Instant) -> Self {
         Self {
+            limits: LimitTable::new(),
             meters: Arc::default(),
             meters_change: ChangeNumber::default(),
             budgets: EntityTable::new(),
--- a/crates/fleet/src/limits/batcher.rs
+++ b/crates/fleet/src/limits/batcher.rs
@@ -5,12 +5,12 @@
 use amaranthgw_core::{EntityTable, StoreRevision};
 use tokio::time::Instant;
 
-use super::divide::pool_amount;
+use super::divide::{idle_amount, pool_amount};
 use super::own::OwnTable;
 use super::peers::PeerTable;
 use super::plan::SharePlan;
 use super::{
-    DemandRow, HolderId, LocalShare, RenewalNumber, ShareAmount, ShareKey, ShareSettings,
+    DemandRow, HolderId, LocalShare, RenewalNumber, ShareAmount, ShareKey, ShareRow, ShareSettings,
     ShareValue,
 };
 
@@ -91,6 +91,8 @@
     failures: u32,
     renewed_at: Option<Instant>,
     next_cycle: Instant,
+    /// When the value is read again though nothing has changed here.
+    review_at: Instant,
 }
 
 impl ShareBatcher {
@@ -111,6 +113,7 @@
             failures: 0,
             renewed_at: None,
             next_cycle: now,
+            review_at: now,
         }
     }
 
@@ -128,6 +131,17 @@
         self.own.share(key, limit, self.has_slot, &self.settings)
     }
 
+    /// What this entry is to ask of `key` at least, as long as the plan allows `limit`.
+    #[must_use]
+    pub fn least_wanted(&self, key: &ShareKey, limit: ShareAmount) -> ShareAmount {
+        let Some(shares) = self.seen.keys.get(key) else {
+            return idle_amount(limit, &ShareRow::default(), 1);
+        };
+        let holders = shares.holders.len() + usize::from(!shares.holders.contains(&self.holder));
+        let holders = u64::try_from(holders).unwrap_or(u64::MAX);
+        idle_amount(limit, &shares.others(&self.holder), holders)
+    }
+
     /// Keys of which this entry holds a part.
     pub fn held_keys(&self) -> impl Iterator<Item = &ShareKey> {
         self.own.rows.ids()
@@ -220,7 +234,10 @@
         self.own.set_aims(aims);
         if !is_worth_writing {
             self.own.raise_to_aims();
-            self.next_cycle = now + self.settings.starved_every;
+            self.review_at = now + self.settings.review_every;
+            if self.has_changed(demand) {
+                self.next_cycle = self.review_at;
+            }
             return None;
         }
         Some(self.start_write(next, now))
@@ -238,7 +255,7 @@
         if !has_interest || now < self.next_cycle {
             return false;
         }
-        self.is_renewal_due(now) || self.has_changed(demand)
+        self.is_renewal_due(now) || now >= self.review_at || self.has_changed(demand)
     }
 
     fn is_renewal_due(&self, now: Instant) -> bool {
@@ -316,6 +333,7 @@
         self.renewed_at = sent_at;
         self.failures = 0;
         self.next_cycle = now + self.settings.cycle_gap;
+        self.review_at = now + self.settings.review_every;
     }
 
     /// Puts the next cycle off by a random time that grows with the failures in a row.
--- a/crates/fleet/src/limits/divide.rs
+++ b/crates/fleet/src/limits/divide.rs
@@ -49,6 +49,22 @@
     ShareAmount::new(MilliRate::new(rate), slots(in_flight))
 }
 
+/// What an entry without callers asks for under `limit`, beside `holders` in all of which the
+/// others want `others`.
+///
+/// It is a part of what the others leave, so that the first requests of a workspace find a share
+/// and a loaded entry still gets nearly the whole limit. The part shrinks with the number of
+/// holders, so that idle entries that answer each other's demand settle.
+pub(super) fn idle_amount(limit: ShareAmount, others: &ShareRow, holders: u64) -> ShareAmount {
+    const MOST: u64 = 4;
+    const LEAST: u64 = 50;
+    let left = limit.minus(others.wanted);
+    let part = map_amount(left, |amount| amount / (2 * holders.max(1)));
+    let most = map_amount(limit, |amount| amount.div_ceil(MOST));
+    let least = map_amount(limit, |amount| amount.div_ceil(LEAST));
+    part.min(most).max(least)
+}
+
 /// `amount`, a share of the pool `from`, reduced in proportion where the pool `to` is smaller.
 pub(super) fn scale_amount(amount: ShareAmount, to: ShareAmount, from: ShareAmount) -> ShareAmount {
     let rate = scale_part(amount.rate.get(), to.rate.get(), from.rate.get());
--- a/crates/fleet/src/limits/key.rs
+++ b/crates/fleet/src/limits/key.rs
@@ -87,7 +87,7 @@
     /// Key of the value in the key-value service.
     #[must_use]
     pub fn store_key(self) -> CompactString {
-        compact_str::format_compact!("shares/{}", self.0)
+        compact_str::format_compact!("limits/{}", self.0)
     }
 }
 
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -2,6 +2,8 @@
 
 mod batcher;
 mod cell;
+mod demand;
+mod desk;
 mod divide;
 mod error;
 mod in_flight;
@@ -16,6 +18,8 @@
 mod value;
 
 pub use batcher::{ReadAnswer, ShareBatcher, ShareCall, WriteAnswer};
+pub use demand::DemandEstimate;
+pub use desk::{LimitRow, LimitTable, ShareDesk};
 pub use divide::DemandRow;
 pub use error::LimitError;
 pub use in_flight::{InFlightMeter, InFlightPermit};
--- a/crates/fleet/src/limits/settings.rs
+++ b/crates/fleet/src/limits/settings.rs
@@ -14,8 +14,8 @@
     pub longest_request: Duration,
     /// Time between two renewals.
     pub renew_every: Duration,
-    /// Time between two reads of an entry that wants more than it holds.
-    pub starved_every: Duration,
+    /// Time between two reads of an entry whose shares stay as they are.
+    pub review_every: Duration,
     /// Shortest time between two cycles.
     pub cycle_gap: Duration,
     /// Part of each limit, in hundredths, that is fixed to the entry slots.
@@ -33,7 +33,7 @@
             margin: Duration::from_secs(5),
             longest_request: Duration::from_mins(2),
             renew_every: Duration::from_secs(10),
-            starved_every: Duration::from_secs(2),
+            review_every: Duration::from_millis(500),
             cycle_gap: Duration::from_millis(500),
             floor_percent: 50,
             entry_slots,
--- /dev/null
+++ b/crates/fleet/tests/it/limits/desk.rs
@@ -0,0 +1,136 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{EntityTable, SlotCount, StartMark, StoreRevision};
+use amaranthgw_fleet::limits::{
+    HolderId, LimitRow, LimitTable, MilliRate, ReadAnswer, ShareAmount, ShareCall, ShareDesk,
+    ShareSettings, ShareShard, ShareValue, UsageMeter, WriteAnswer,
+};
+use tokio::time::Instant;
+
+use super::world::share_key;
+
+const LIMIT: ShareAmount = ShareAmount::new(MilliRate::new(20_000), SlotCount::new(40));
+const TICK: Duration = Duration::from_millis(100);
+
+/// Entries with one limit each, which share it through a store that answers at once.
+struct DeskWorld {
+    desks: Vec<ShareDesk>,
+    meters: Vec<Arc<UsageMeter>>,
+    store: EntityTable<ShareShard, (StoreRevision, ShareValue)>,
+    now: Instant,
+    writes: u32,
+}
+
+impl DeskWorld {
+    fn new(count: u64) -> Self {
+        let now = Instant::now();
+        let settings = ShareSettings::new(1).with_floor_percent(0);
+        let make = |start: u64| {
+            let vm = "entry".parse().expect("valid id");
+            ShareDesk::new(HolderId::new(vm, StartMark::new(start)), settings, now)
+        };
+        let mut world = Self {
+            desks: (0..count).map(make).collect(),
+            meters: (0..count).map(|_| Arc::new(UsageMeter::new(now))).collect(),
+            store: EntityTable::new(),
+            now,
+            writes: 0,
+        };
+        for index in 0..world.desks.len() {
+            world.set_limit(index, LIMIT);
+        }
+        world
+    }
+
+    fn set_limit(&mut self, index: usize, limit: ShareAmount) {
+        let meter = Arc::clone(&self.meters[index]);
+        let mut limits = LimitTable::new();
+        limits.insert(share_key(), LimitRow { limit, meter });
+        let calls = self.desks[index].set_limits(&limits, self.now);
+        self.answer(index, calls);
+    }
+
+    fn run(&mut self, span: Duration, asked: &[u32]) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            for index in 0..self.desks.len() {
+                for _ in 0..asked.get(index).copied().unwrap_or(0) {
+                    drop(self.meters[index].try_admit(self.now));
+                }
+                let calls = self.desks[index].tick(self.now);
+                self.answer(index, calls);
+                let total: u64 = (0..self.desks.len()).map(|index| self.rate(index)).sum();
+                assert!(total <= LIMIT.rate.get(), "{total} over the limit");
+            }
+        }
+    }
+
+    fn answer(&mut self, index: usize, calls: Vec<(ShareShard, ShareCall)>) {
+        for (shard, call) in calls {
+            assert_eq!(call, ShareCall::Read);
+            let stored = self.store.get(&shard).cloned();
+            let (revision, value) = stored.unwrap_or_default();
+            let found = ReadAnswer::Found { revision, value };
+            let write = self.desks[index].on_read(shard, found, self.now);
+            if let Some(ShareCall::Write { expect, value }) = write {
+                assert_eq!(expect, revision);
+                self.writes += 1;
+                let revision = revision.next();
+                self.store.insert(shard, (revision, value));
+                let written = WriteAnswer::Written { revision };
+                self.desks[index].on_write(shard, written, self.now);
+            }
+        }
+    }
+
+    fn rate(&self, index: usize) -> u64 {
+        self.meters[index].rate.rate(self.now).get()
+    }
+}
+
+#[yare::parameterized(
+    set_limits_two_fresh_entries = { 2 },
+    set_limits_ten_fresh_entries = { 10 },
+    set_limits_thirty_fresh_entries = { 30 },
+)]
+fn set_limits_fresh_entries_share_within_a_second(count: u64) {
+    let mut world = DeskWorld::new(count);
+    world.run(Duration::from_secs(1), &[]);
+    let without = (0..world.desks.len()).find(|index| world.rate(*index) == 0);
+    assert_eq!(without, None);
+    world.run(Duration::from_secs(20), &[]);
+    world.writes = 0;
+    world.run(Duration::from_mins(1), &[]);
+    let most = u32::try_from(count).expect("few entries") * 7;
+    assert!(world.writes <= most, "{} writes while idle", world.writes);
+}
+
+#[test]
+fn tick_late_entry_gets_share_of_a_loaded_one() {
+    let mut world = DeskWorld::new(2);
+    world.run(Duration::from_secs(20), &[10]);
+    assert!(world.rate(0) >= 19_000, "{}", world.rate(0));
+    world.run(Duration::from_secs(10), &[0, 10]);
+    assert!(world.rate(1) >= 16_000, "{}", world.rate(1));
+}
+
+#[test]
+fn set_limits_gone_limit_counts_requests_in_flight() {
+    let mut world = DeskWorld::new(2);
+    world.run(Duration::from_secs(3), &[]);
+    let open: Vec<_> =
+        std::iter::from_fn(|| world.meters[0].in_flight.try_enter(world.now).ok()).collect();
+    let held = u32::try_from(open.len()).expect("few requests");
+    assert!(held > 0);
+    world.set_limit(0, ShareAmount::default());
+    assert_eq!(world.rate(0), 0);
+    assert_eq!(world.meters[0].in_flight.limit(world.now).get(), 0);
+    world.run(Duration::from_secs(5), &[0, 10]);
+    let others = world.meters[1].in_flight.limit(world.now).get();
+    assert!(
+        held + others <= LIMIT.in_flight.get(),
+        "{held} and {others}"
+    );
+}
--- a/crates/fleet/tests/it/limits/mod.rs
+++ b/crates/fleet/tests/it/limits/mod.rs
@@ -1,5 +1,6 @@
 //! Plan limits at one entry and over several.
 
+mod desk;
 mod meters;
 mod shares;
 mod world;
