--- a/crates/amaranthgw/src/entry/control.rs
+++ b/crates/amaranthgw/src/entry/control.rs
@@ -16,6 +16,7 @@
 use super::probe::probe;
 use super::reporter::{burn_json, status_json};
 use super::shared::{EntryShared, TrafficReport};
+use crate::control::ShareInput;
 use crate::link::TargetLink;
 use crate::peer::{PeerLink, ReportKind};
 use crate::runtime::StopPhase;
@@ -32,6 +33,7 @@
     pub(super) shared: Arc<EntryShared>,
     pub(super) link: Arc<dyn TargetLink>,
     pub(super) peers: Arc<dyn PeerLink>,
+    pub(super) shares: ActorRef<ShareInput>,
     pub(super) log: EventLog,
 }
 
@@ -43,6 +45,7 @@
     shared: Arc<EntryShared>,
     link: Arc<dyn TargetLink>,
     peers: Arc<dyn PeerLink>,
+    shares: ActorRef<ShareInput>,
     log: EventLog,
 }
 
@@ -76,6 +79,7 @@
             shared,
             link,
             peers,
+            shares,
             log,
         } = args;
         let schedule = entry_schedule();
@@ -85,6 +89,7 @@
             shared,
             link,
             peers,
+            shares,
             log,
         })
     }
@@ -166,6 +171,9 @@
     fn carry_out(&self, output: EntryOutput) {
         match output {
             EntryOutput::Publish(snapshot) => self.publish(snapshot),
+            EntryOutput::ShareLimits(limits) => {
+                drop(self.shares.cast(ShareInput::Limits(limits)));
+            }
             EntryOutput::Probe { target, address } => {
                 let (link, reports) = (Arc::clone(&self.link), self.shared.reports.clone());
                 tokio::spawn(probe(link, reports, target, address));
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod env;
 mod faults;
 mod leave;
+mod limits;
 mod serve;
 mod suspects;
