--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -3,5 +3,7 @@
 mod bad_input;
 mod claims;
 mod env;
+mod events;
 mod leave;
+mod promises;
 mod serve;
