--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -7,3 +7,4 @@
 mod leave;
 mod promises;
 mod serve;
+mod suspects;
