--- a/crates/amaranthgw/tests/it/promises.rs
+++ b/crates/amaranthgw/tests/it/promises.rs
@@ -448,7 +448,11 @@
                 chunk(1),
                 chunk(0),
                 chunk(3),
-                Event::Broken(Broken { code, report }),
+                Event::Broken(Broken {
+                    code,
+                    report,
+                    verdict: Bytes::new(),
+                }),
             ]
         } else {
             let chunk_count = 4;
