--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -156,11 +156,16 @@
     inputs: ControlInputs,
     log: EventLog,
 ) {
+    let border = platform_border(&settings, &log);
+    let Ok(share_actor) = border.start_shares().await else {
+        return;
+    };
     let arguments = ControlArguments {
         world: EntryWorld::new(identity(&settings), Instant::now()),
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
         peers: Arc::new(GrpcPeerLink::new()),
+        shares: share_actor,
         log: log.clone(),
     };
     let started = Actor::spawn(None, EntryControl, arguments).await;
@@ -173,7 +178,7 @@
     let observed = Arc::clone(&shared);
     let ready = Arc::new(move || observed.readiness());
     tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
-    if start_borders(&settings, &control, &shared, inputs, &log)
+    if start_borders(&settings, &border, &control, &shared, inputs)
         .await
         .is_err()
     {
@@ -204,10 +209,10 @@
 
 async fn start_borders(
     settings: &EntrySettings,
+    border: &PlatformBorder,
     control: &ActorRef<ControlMessage>,
     shared: &Arc<EntryShared>,
     inputs: ControlInputs,
-    log: &EventLog,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
     let to_control = control.clone();
@@ -216,7 +221,7 @@
     let (tells, told) = report_channel();
     let reporter = EntryReporter {
         control: control.clone(),
-        log: log.clone(),
+        log: border.log.clone(),
     };
     let peer = PeerServer::new(PeerService::new(
         tells,
@@ -229,12 +234,6 @@
             .add_service(peer)
             .serve_with_incoming(incoming),
     );
-    let border = PlatformBorder {
-        identity: identity(settings),
-        store: settings.store,
-        vm_list: settings.vm_list,
-        log: log.clone(),
-    };
     border.start_claims(inputs.claim_requests).await?;
     let to_control = control.clone();
     let sink = move |state| drop(to_control.cast(ControlMessage::Config(state)));
@@ -247,6 +246,15 @@
     border.start_vm_list(Box::new(sink)).await
 }
 
+fn platform_border(settings: &EntrySettings, log: &EventLog) -> PlatformBorder {
+    PlatformBorder {
+        identity: identity(settings),
+        store: settings.store,
+        vm_list: settings.vm_list,
+        log: log.clone(),
+    }
+}
+
 fn identity(settings: &EntrySettings) -> NodeIdentity {
     NodeIdentity {
         vm: settings.vm.clone(),
