A fresh report counts exactly

Rounding in the estimate took a target with one free slot for full: the mean was subtracted and added again. Found by choose_room_before_full, which failed after 4,581 cases before and passed 60,000 after.

--- a/crates/fleet/src/routing/candidate.rs
+++ b/crates/fleet/src/routing/candidate.rs
@@ -155,7 +155,7 @@
     /// entries do not follow one old report. The entry's own requests are always known.
     pub fn estimated_load(&self, own: u32, now: Instant) -> f32 {
         let trust = self.trust(now);
-        let others = self.expected_others + trust * (self.others - self.expected_others);
+        let others = trust * self.others + (1.0 - trust) * self.expected_others;
         others + as_load(own)
     }
 
