--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -22,10 +22,11 @@
 use super::reporter::EntryReporter;
 use super::shared::{EntryShared, TrafficReport, TrafficThread};
 use crate::control::{
-    ClaimDesk, ClaimRequest, ConfigInput, PlatformBorder, forward_reports, report_channel,
+    ClaimDesk, ClaimRequest, ConfigInput, PlatformBorder, SuspectDesk, forward_reports,
+    report_channel,
 };
 use crate::link::GrpcLink;
-use crate::peer::PeerService;
+use crate::peer::{GrpcPeerLink, PeerService};
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
 use crate::wire::node::peer_server::PeerServer;
@@ -74,6 +75,8 @@
             snapshot: ArcSwap::default(),
             policy,
             retries: RetrySettings::new(),
+            suspects: SuspectDesk::new(),
+            suspect_turn: tokio::sync::Mutex::new(()),
             claims: ClaimDesk::new(claims),
             reports,
             in_flight: AtomicU32::new(0),
@@ -162,6 +165,7 @@
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
         shares: share_actor,
+        peers: Arc::new(GrpcPeerLink::new()),
         log: log.clone(),
     };
     let started = Actor::spawn(None, EntryControl, arguments).await;
@@ -174,7 +178,7 @@
     let observed = Arc::clone(&shared);
     let ready = Arc::new(move || observed.readiness());
     tokio::spawn(serve_observers(observers, MetricsHandle::new(), ready));
-    if start_borders(&settings, &border, &control, inputs)
+    if start_borders(&settings, &border, &control, &shared, inputs)
         .await
         .is_err()
     {
@@ -207,6 +211,7 @@
     settings: &EntrySettings,
     border: &PlatformBorder,
     control: &ActorRef<ControlMessage>,
+    shared: &Arc<EntryShared>,
     inputs: ControlInputs,
 ) -> Result<()> {
     control.send_interval(settings.tick.duration(), || ControlMessage::Tick);
@@ -218,7 +223,11 @@
         control: control.clone(),
         log: border.log.clone(),
     };
-    let peer = PeerServer::new(PeerService::new(tells, Arc::new(reporter)));
+    let peer = PeerServer::new(PeerService::new(
+        tells,
+        Arc::clone(shared) as _,
+        Arc::new(reporter),
+    ));
     let incoming = TcpListenerStream::new(inputs.node_listener.handle()?);
     tokio::spawn(
         Server::builder()
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -6,3 +6,4 @@
 mod leave;
 mod limits;
 mod serve;
+mod suspects;
