--- a/crates/amaranthgw/src/entry/control.rs
+++ b/crates/amaranthgw/src/entry/control.rs
@@ -32,8 +32,8 @@
     pub(super) world: EntryWorld,
     pub(super) shared: Arc<EntryShared>,
     pub(super) link: Arc<dyn TargetLink>,
-    pub(super) shares: ActorRef<ShareInput>,
     pub(super) peers: Arc<dyn PeerLink>,
+    pub(super) shares: ActorRef<ShareInput>,
     pub(super) log: EventLog,
 }
 
@@ -44,8 +44,8 @@
     schedule: TickSchedule<EntryWorld>,
     shared: Arc<EntryShared>,
     link: Arc<dyn TargetLink>,
-    shares: ActorRef<ShareInput>,
     peers: Arc<dyn PeerLink>,
+    shares: ActorRef<ShareInput>,
     log: EventLog,
 }
 
@@ -78,8 +78,8 @@
             world,
             shared,
             link,
-            shares,
             peers,
+            shares,
             log,
         } = args;
         let schedule = entry_schedule();
@@ -88,8 +88,8 @@
             schedule,
             shared,
             link,
-            shares,
             peers,
+            shares,
             log,
         })
     }
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -164,8 +164,8 @@
         world: EntryWorld::new(identity(&settings), Instant::now()),
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
-        shares: share_actor,
         peers: Arc::new(GrpcPeerLink::new()),
+        shares: share_actor,
         log: log.clone(),
     };
     let started = Actor::spawn(None, EntryControl, arguments).await;
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -3,7 +3,10 @@
 mod bad_input;
 mod claims;
 mod env;
+mod events;
+mod faults;
 mod leave;
 mod limits;
+mod promises;
 mod serve;
 mod suspects;
