--- /dev/null
+++ b/crates/groups/tests/it/agreement/mod.rs
@@ -0,0 +1,6 @@
+mod choice;
+mod engine_fake;
+mod interleavings;
+mod rows;
+mod scheduler;
+mod store_fake;
--- a/crates/groups/tests/it/main.rs
+++ b/crates/groups/tests/it/main.rs
@@ -1,1 +1,3 @@
 //! Tests of this crate.
+
+mod agreement;
