--- /dev/null
+++ b/crates/groups/src/measure/report.rs
@@ -0,0 +1,125 @@
+//! Figures of a measurement and their form as a table.
+
+use super::plan_time::PlanTime;
+
+/// Figures of one policy under one pattern.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PolicyFigures {
+    /// Name of the pattern.
+    pub pattern: &'static str,
+    /// Name of the policy.
+    pub policy: &'static str,
+    /// Replicas loaded.
+    pub moves: u64,
+    /// Bytes taken from the weight store.
+    pub bytes: u64,
+    /// Changes of the map.
+    pub switches: u64,
+    /// Steps in which the group stood still.
+    pub stalled_steps: u64,
+    /// Seconds lost because weights were loading.
+    pub slowed: f64,
+    /// Skew and weight of each stretch of steps.
+    skews: Vec<(f64, f64)>,
+}
+
+impl PolicyFigures {
+    pub(super) fn new(pattern: &'static str, policy: &'static str) -> Self {
+        Self {
+            pattern,
+            policy,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn add_steps(&mut self, skew: f64, weight: f64) {
+        if weight > 0.0 {
+            self.skews.push((skew, weight));
+        }
+    }
+
+    /// Mean over all steps of slowest over mean.
+    #[must_use]
+    pub fn mean_skew(&self) -> f64 {
+        let total: f64 = self.skews.iter().map(|(_, weight)| weight).sum();
+        self.skews
+            .iter()
+            .map(|(skew, weight)| skew * weight)
+            .sum::<f64>()
+            / total
+    }
+
+    /// Skew that a part of the steps does not exceed.
+    #[must_use]
+    pub fn skew_at(&self, part: f64) -> f64 {
+        let mut sorted = self.skews.clone();
+        sorted.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let total: f64 = sorted.iter().map(|(_, weight)| weight).sum();
+        let mut passed = 0.0;
+        for (skew, weight) in &sorted {
+            passed += weight;
+            if passed >= total * part {
+                return *skew;
+            }
+        }
+        sorted.last().map_or(1.0, |(skew, _)| *skew)
+    }
+}
+
+impl std::fmt::Display for PolicyFigures {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        const GIGA: u64 = 1_000_000_000;
+        write!(
+            f,
+            "| {} | {} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {} | {:.0} |",
+            self.pattern,
+            self.policy,
+            self.mean_skew(),
+            self.skew_at(0.5),
+            self.skew_at(0.99),
+            self.moves,
+            self.bytes / GIGA,
+            self.switches,
+            self.stalled_steps,
+            self.slowed,
+        )
+    }
+}
+
+/// Figures of a whole measurement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MeasureReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Figures by pattern and policy.
+    pub figures: Vec<PolicyFigures>,
+    /// Time of a plan by size.
+    pub plan_times: Vec<PlanTime>,
+}
+
+impl std::fmt::Display for MeasureReport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "seed {}", self.seed)?;
+        writeln!(
+            f,
+            "| pattern | policy | mean skew | p50 | p99 | replicas loaded | GB | switches \
+             | stalled steps | seconds slowed |"
+        )?;
+        writeln!(
+            f,
+            "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+        )?;
+        for figures in &self.figures {
+            writeln!(f, "{figures}")?;
+        }
+        writeln!(
+            f,
+            "\n| ranks | experts | policy | median plan, µs per layer | p99 |"
+        )?;
+        writeln!(f, "| --- | --- | --- | --- | --- |")?;
+        for time in &self.plan_times {
+            writeln!(f, "{time}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/groups/tests/it/agreement/scheduler.rs
+++ b/crates/groups/tests/it/agreement/scheduler.rs
@@ -19,7 +19,9 @@
 
 const LEASE_TTL: MilliSpan = MilliSpan::new(3_000);
 const LEASE_MARGIN: MilliSpan = MilliSpan::new(500);
-const FAULTY_ACTIONS: usize = 1_500;
+const FAULTY_ACTIONS: usize = 2_000;
+/// Faults per thousand actions, at most.
+const MAX_FAULTS: u32 = 60;
 const HEALING_ROUNDS: usize = 2_000;
 const STEPS_TO_SEE: u64 = 20;
 
@@ -79,6 +81,8 @@
     calls: Vec<(usize, GroupEffect)>,
     commits: Vec<MapProposal>,
     maps_wanted: usize,
+    /// Faults per thousand actions.
+    faults: u32,
 }
 
 impl GroupScheduler {
@@ -99,7 +103,9 @@
             calls: Vec::new(),
             commits: Vec::new(),
             maps_wanted: 0,
+            faults: 0,
         };
+        scheduler.faults = scheduler.rng.u32(5..MAX_FAULTS);
         for rank in 0..ranks {
             let start = scheduler.mark();
             scheduler
@@ -161,14 +167,15 @@
 
     fn act(&mut self) -> Result<(), Violation> {
         let rank = self.rng.usize(..self.members.len());
+        if self.rng.u32(..1_000) < self.faults {
+            self.fail(rank);
+        }
         match self.rng.u32(..1_000) {
-            0..500 => self.deliver_some(),
-            500..620 => self.deliver_order(),
-            620..700 => self.deliver_call(),
-            700..850 => self.pass_time(),
-            850..985 => return self.step(),
-            985..990 => self.change_coordinator(rank),
-            _ => self.fail(rank),
+            0..450 => self.deliver_some(),
+            450..600 => self.deliver_order(),
+            600..650 => self.deliver_call(),
+            650..850 => self.pass_time(),
+            _ => return self.step(),
         }
         Ok(())
     }
@@ -188,7 +195,7 @@
     }
 
     fn fail(&mut self, rank: usize) {
-        match self.rng.u32(..4) {
+        match self.rng.u32(..7) {
             0 if self.plan.restarts => self.start_sidecar(rank),
             1 if self.plan.restarts => {
                 self.members[rank] = None;
@@ -196,7 +203,8 @@
             }
             2 if self.plan.replaces => self.replace(rank),
             3 if self.plan.store_outages => self.store.is_down = !self.store.is_down,
-            _ => {}
+            4 if self.members[rank].is_none() => self.start_sidecar(rank),
+            _ => self.change_coordinator(rank),
         }
     }
 
--- a/crates/groups/tests/it/main.rs
+++ b/crates/groups/tests/it/main.rs
@@ -1,3 +1,5 @@
 //! Tests of this crate.
 
 mod agreement;
+mod orders;
+mod placement;
--- /dev/null
+++ b/crates/groups/tests/it/placement/mod.rs
@@ -0,0 +1,3 @@
+mod layers;
+mod policies;
+mod stragglers;
