Measurements of hops, domain moves and control on one machine

The sizes that the system has to reach need slopes: what entry and sidecar add to a call, what a move of a failure domain costs callers, and what each part of control costs by size. An embedded fleet tells the processor time of its nodes' threads apart by the threads that each start adds.

--- /dev/null
+++ b/crates/amaranthgw/src/bench/hops/low_load.rs
@@ -0,0 +1,155 @@
+//! Latency of calls through entry and sidecar against direct calls, one at a time.
+
+use hdrhistogram::Histogram;
+
+use crate::bench::{BenchCell, BenchEffort, BenchError, BenchTable, Result};
+use crate::embedded::{
+    CallAnswer, EmbeddedFleet, FleetTarget, LoadCaller, LoadTally, MODEL_SERVICE, PLAIN_SERVICE,
+};
+
+/// Calls before those that count.
+const WARM_UP_CALLS: u32 = 20;
+/// Tokens of each model call.
+const MAX_TOKENS: u32 = 8;
+
+/// A kind of call.
+#[derive(Clone, Copy, Debug)]
+enum CallKind {
+    Plain,
+    PlainWithKey,
+    Model,
+}
+
+/// Callers of both ways.
+struct CallWays {
+    entry: LoadCaller,
+    engine: LoadCaller,
+    plain: LoadCaller,
+    /// Calls of each kind and way that count.
+    calls: u32,
+}
+
+/// Times of one kind of call on both ways.
+#[derive(Default)]
+struct WayTimes {
+    direct: LoadTally,
+    through: LoadTally,
+}
+
+pub(super) async fn measure(fleet: &EmbeddedFleet, effort: BenchEffort) -> Result<BenchTable> {
+    let ways = CallWays::new(fleet, effort.single_calls())?;
+    let mut table = BenchTable::new(
+        "Latency with one call at a time, in microseconds",
+        &[
+            "call",
+            "time",
+            "direct p50",
+            "direct p99",
+            "through p50",
+            "through p99",
+            "added p50",
+            "added p99",
+        ],
+    );
+    let plain = ways.measure(CallKind::Plain).await?;
+    table.push(row("plain", "whole answer", &plain, |tally| &tally.total));
+    let keyed = ways.measure(CallKind::PlainWithKey).await?;
+    table.push(row("plain with key", "whole answer", &keyed, |tally| {
+        &tally.total
+    }));
+    let model = ways.measure(CallKind::Model).await?;
+    table.push(row("model", "first token", &model, |tally| {
+        &tally.first_byte
+    }));
+    table.push(row("model", "whole answer", &model, |tally| &tally.total));
+    Ok(table)
+}
+
+fn row(
+    call: &str,
+    time: &str,
+    times: &WayTimes,
+    part: impl Fn(&LoadTally) -> &Histogram<u64>,
+) -> Vec<BenchCell> {
+    let quantile = |tally, at| part(tally).value_at_quantile(at);
+    let direct = [0.5, 0.99].map(|at| quantile(&times.direct, at));
+    let through = [0.5, 0.99].map(|at| quantile(&times.through, at));
+    let added = [0, 1].map(|index: usize| through[index].saturating_sub(direct[index]));
+    let counts = [direct, through, added].concat();
+    let mut cells = vec![BenchCell::text(call), BenchCell::text(time)];
+    cells.extend(counts.into_iter().map(BenchCell::Count));
+    cells
+}
+
+impl CallWays {
+    fn new(fleet: &EmbeddedFleet, calls: u32) -> Result<Self> {
+        let missing = BenchError::Malformed { value: "the fleet" };
+        let entry = fleet.caller_addresses().first().copied();
+        let target = |service| {
+            let found = fleet.targets().iter().find(|row| row.service == service);
+            found.map(FleetTarget::address)
+        };
+        let addresses = (entry, target(MODEL_SERVICE), target(PLAIN_SERVICE));
+        let (Some(entry), Some(engine), Some(plain)) = addresses else {
+            return Err(missing);
+        };
+        Ok(Self {
+            entry: LoadCaller::new(entry),
+            engine: LoadCaller::new(engine),
+            plain: LoadCaller::new(plain),
+            calls,
+        })
+    }
+
+    /// Makes direct calls and calls through the entry in turn.
+    async fn measure(&self, kind: CallKind) -> Result<WayTimes> {
+        let mut times = WayTimes::default();
+        for index in 0..WARM_UP_CALLS + self.calls {
+            let request = format!("{kind:?}-{index}");
+            let direct = self.call_directly(kind, &request).await;
+            let through = self.call_through(kind, &request).await;
+            let (Some(direct), Some(through)) = (whole(direct), whole(through)) else {
+                return Err(BenchError::Malformed { value: "an answer" });
+            };
+            if index >= WARM_UP_CALLS {
+                times.direct.add_times(direct.first_byte, direct.total);
+                times.through.add_times(through.first_byte, through.total);
+            }
+        }
+        Ok(times)
+    }
+
+    async fn call_directly(&self, kind: CallKind, request: &str) -> Option<CallAnswer> {
+        match kind {
+            CallKind::Model => {
+                self.engine
+                    .generate_directly(request, "prompt", MAX_TOKENS)
+                    .await
+            }
+            CallKind::Plain | CallKind::PlainWithKey => {
+                self.plain.call_directly(request, "body").await
+            }
+        }
+    }
+
+    async fn call_through(&self, kind: CallKind, request: &str) -> Option<CallAnswer> {
+        let entry = &self.entry;
+        match kind {
+            CallKind::Model => {
+                entry
+                    .generate(MODEL_SERVICE, request, "prompt", MAX_TOKENS)
+                    .await
+            }
+            CallKind::Plain => entry.call(PLAIN_SERVICE, request, None, "body").await,
+            CallKind::PlainWithKey => {
+                entry
+                    .call(PLAIN_SERVICE, request, Some(request), "body")
+                    .await
+            }
+        }
+    }
+}
+
+fn whole(answer: Option<CallAnswer>) -> Option<CallAnswer> {
+    answer.filter(|answer| answer.is_clean && answer.status.is_success())
+}
--- /dev/null
+++ b/crates/amaranthgw/src/bench/hops/mod.rs
@@ -0,0 +1,41 @@
+//! What entry and sidecar add to a call: latency at low load, processor time at saturation.
+
+mod low_load;
+mod saturation;
+
+use amaranthgw_core::{MilliSpan, SlotCount};
+use amaranthgw_standins::{EngineSettings, PlainSettings};
+
+use super::lists::unlimited_lists;
+use super::{BenchEffort, BenchTable, Result};
+use crate::embedded::{EmbeddedFleet, FleetShape};
+
+/// The only failure domain of the fleet.
+const DOMAIN: &str = "tartu-a";
+/// Limit of every gate, above what the callers have in flight.
+const SLOTS: SlotCount = SlotCount::new(512);
+
+/// Measures one entry with an engine and a plain service.
+pub(super) async fn measure(effort: BenchEffort) -> Result<Vec<BenchTable>> {
+    let fleet = EmbeddedFleet::start(shape(), &unlimited_lists()?).await?;
+    let tables = vec![
+        low_load::measure(&fleet, effort).await?,
+        saturation::measure(&fleet, effort).await?,
+    ];
+    tokio::task::block_in_place(|| fleet.stop())?;
+    Ok(tables)
+}
+
+fn shape() -> FleetShape {
+    let engine = EngineSettings::new()
+        .with_cold_slots(SLOTS)
+        .with_warm_slots(SLOTS)
+        .with_token_span(MilliSpan::new(1))
+        .with_prefill_span(MilliSpan::new(1))
+        .with_cached_prefill_span(MilliSpan::new(1));
+    FleetShape::new(vec![DOMAIN])
+        .with_targets(1, 1)
+        .with_engine(engine)
+        .with_plain(PlainSettings::new().with_call_span(MilliSpan::new(0)))
+        .with_limits(SLOTS, SLOTS)
+}
--- /dev/null
+++ b/crates/amaranthgw/src/bench/hops/saturation.rs
@@ -0,0 +1,134 @@
+//! Calls that entry and sidecar carry for each second of processor time.
+
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::bench::{BenchCell, BenchEffort, BenchTable, Result};
+use crate::embedded::{EmbeddedFleet, LoadCaller, MODEL_SERVICE, NodeTimes, PLAIN_SERVICE};
+
+/// Callers that each call again as soon as they are answered.
+const CALLERS: u32 = 64;
+/// Load before the time that counts, as a part of that time.
+const WARM_UP_DIVISOR: u32 = 5;
+
+/// A load of one kind of call.
+#[derive(Clone, Copy, Debug)]
+struct CallLoad {
+    name: &'static str,
+    service: &'static str,
+    /// Tokens of a model call; 0 for calls of the plain service.
+    max_tokens: u32,
+}
+
+const LOADS: [CallLoad; 3] = [
+    CallLoad {
+        name: "plain",
+        service: PLAIN_SERVICE,
+        max_tokens: 0,
+    },
+    CallLoad {
+        name: "model, 16 tokens",
+        service: MODEL_SERVICE,
+        max_tokens: 16,
+    },
+    CallLoad {
+        name: "model, 200 tokens",
+        service: MODEL_SERVICE,
+        max_tokens: 200,
+    },
+];
+
+/// What one load took.
+struct LoadCost {
+    calls: u32,
+    length: Duration,
+    entry: NodeTimes,
+    sidecar: NodeTimes,
+}
+
+pub(super) async fn measure(fleet: &EmbeddedFleet, effort: BenchEffort) -> Result<BenchTable> {
+    let mut table = BenchTable::new(
+        "Saturation by 64 callers; one traffic thread in the entry and one in each sidecar",
+        &[
+            "call",
+            "calls/s",
+            "entry traffic cores",
+            "entry control cores",
+            "sidecar traffic cores",
+            "sidecar control cores",
+            "entry us/call",
+            "sidecar us/call",
+            "entry calls/s per core",
+            "sidecar calls/s per core",
+        ],
+    );
+    for load in LOADS {
+        let length = effort.load_length();
+        run(fleet, load, length / WARM_UP_DIVISOR).await;
+        let cost = run(fleet, load, length).await;
+        table.push(row(load, &cost));
+    }
+    Ok(table)
+}
+
+async fn run(fleet: &EmbeddedFleet, load: CallLoad, length: Duration) -> LoadCost {
+    let (entry, sidecar) = (fleet.entry_times(), fleet.sidecar_times());
+    let started_at = Instant::now();
+    let mut callers = JoinSet::new();
+    for address in fleet.caller_addresses() {
+        for _ in 0..CALLERS {
+            callers.spawn(call_until(
+                LoadCaller::new(address),
+                load,
+                started_at + length,
+            ));
+        }
+    }
+    let calls = callers.join_all().await.iter().sum();
+    LoadCost {
+        calls,
+        length: started_at.elapsed(),
+        entry: fleet.entry_times().since(entry),
+        sidecar: fleet.sidecar_times().since(sidecar),
+    }
+}
+
+/// Calls until `end` and tells how many whole answers came.
+async fn call_until(caller: LoadCaller, load: CallLoad, end: Instant) -> u32 {
+    let mut calls = 0;
+    while Instant::now() < end {
+        let answer = if load.max_tokens == 0 {
+            caller.call(load.service, "saturation", None, "body").await
+        } else {
+            caller
+                .generate(load.service, "saturation", "prompt", load.max_tokens)
+                .await
+        };
+        calls += u32::from(answer.is_some_and(|row| row.is_clean && row.status.is_success()));
+    }
+    calls
+}
+
+fn row(load: CallLoad, cost: &LoadCost) -> Vec<BenchCell> {
+    let seconds = cost.length.as_secs_f64();
+    let calls = f64::from(cost.calls);
+    let cores = |time: Duration| time.as_secs_f64() / seconds;
+    let micros = |time: Duration| time.as_secs_f64() * 1e6 / calls;
+    let per_core = |time: Duration| calls / time.as_secs_f64();
+    let (entry, sidecar) = (cost.entry.traffic, cost.sidecar.traffic);
+    let numbers = [
+        calls / seconds,
+        cores(entry),
+        cores(cost.entry.control),
+        cores(sidecar),
+        cores(cost.sidecar.control),
+        micros(entry),
+        micros(sidecar),
+        per_core(entry),
+        per_core(sidecar),
+    ];
+    let numbers = numbers.map(BenchCell::Number);
+    [vec![BenchCell::text(load.name)], numbers.to_vec()].concat()
+}
--- a/crates/amaranthgw/src/cli/mod.rs
+++ b/crates/amaranthgw/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod bench;
 mod check;
 mod commit;
 mod explain;
@@ -64,6 +65,7 @@
         CliCommand::Report { fleet, json } => report::run(fleet.vm_list, json),
         CliCommand::Explain { fleet, subject } => explain::run(fleet.vm_list, &subject),
         CliCommand::Demo => Ok(if run_demo()? { EXIT_DONE } else { EXIT_FAILED }),
+        CliCommand::Bench { quick, json, kind } => bench::run(kind, quick, json),
         CliCommand::Standin {
             listen,
             settings,
--- a/crates/amaranthgw/src/cli/options.rs
+++ b/crates/amaranthgw/src/cli/options.rs
@@ -8,6 +8,8 @@
 use amaranthgw_standins::StandinKind;
 use bpaf::Bpaf;
 
+use crate::bench::BenchKind;
+
 /// Files that `check` reads.
 #[derive(Clone, Debug, Bpaf)]
 pub(super) struct CheckFiles {
@@ -167,6 +169,17 @@
     /// Show the whole system at work within this process
     #[bpaf(command)]
     Demo,
+    /// Measure the system on this machine
+    #[bpaf(command)]
+    Bench {
+        /// Make few calls, only to see that it works
+        quick: bool,
+        /// Print JSON
+        json: bool,
+        /// hops, move or control
+        #[bpaf(positional("KIND"))]
+        kind: BenchKind,
+    },
     /// Run a stand-in for the platform or a target, for tests
     #[bpaf(command)]
     Standin {
--- a/crates/amaranthgw/src/embedded/caller.rs
+++ b/crates/amaranthgw/src/embedded/caller.rs
@@ -74,6 +74,26 @@
             .await
     }
 
+    /// Calls an engine at the caller's address itself.
+    pub async fn generate_directly(
+        &self,
+        request: &str,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Option<CallAnswer> {
+        let body = serde_json::json!({
+            "request": request, "prompt": prompt, "max_tokens": max_tokens,
+        });
+        let body = body.to_string().into();
+        self.post("/v1/generate", request, None, body).await
+    }
+
+    /// Calls a plain service at the caller's address itself.
+    pub async fn call_directly(&self, request: &str, body: &str) -> Option<CallAnswer> {
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        self.post("/v1/call", request, None, body).await
+    }
+
     async fn post(
         &self,
         path: &str,
@@ -84,7 +104,8 @@
         let started_at = Instant::now();
         let mut builder = Request::post(format!("http://{}{path}", self.address))
             .header("x-workspace", WORKSPACE)
-            .header("x-request-id", request);
+            .header("x-request-id", request)
+            .header("x-request", request);
         if let Some(key) = key {
             builder = builder.header("idempotency-key", key);
         }
--- a/crates/amaranthgw/src/embedded/fleet.rs
+++ b/crates/amaranthgw/src/embedded/fleet.rs
@@ -17,7 +17,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::platform::{ANY_PORT, EmbeddedPlatform, start_engine, start_plain};
-use super::{EmbeddedError, FleetShape, Result};
+use super::times::NodeThreads;
+use super::{EmbeddedError, FleetShape, FleetTarget, NodeTimes, Result};
 use crate::entry::EntryProcess;
 use crate::operator::{commit, read_config, unix_ms};
 use crate::peer::{GrpcPeerLink, PeerLink, ReportKind};
@@ -38,43 +39,13 @@
 const CALL_TIME: Duration = Duration::from_secs(2);
 const COMMIT_TIME: Duration = Duration::from_secs(5);
 
-/// A target of the fleet with its sidecar.
-#[derive(Debug)]
-pub struct FleetTarget {
-    /// Its failure domain.
-    pub domain: &'static str,
-    /// Its service.
-    pub service: &'static str,
-    name: String,
-    standin: RunningStandin,
-    sidecar: SidecarProcess,
-}
-
-impl FleetTarget {
-    /// What the stand-in has logged.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`EmbeddedError`] where it does not answer.
-    pub async fn log(&self) -> Result<Value> {
-        let caller = HttpCaller::new(self.standin.address());
-        let answer = caller
-            .call(Method::GET, "/admin/log", Bytes::new(), CALL_TIME)
-            .await?;
-        Ok(serde_json::from_slice(answer.body()).unwrap_or_default())
-    }
-
-    fn vm(&self) -> String {
-        format!("vm-{}", self.name)
-    }
-}
-
 /// An entry of the fleet.
 #[derive(Debug)]
 struct FleetEntry {
     vm: String,
     domain: &'static str,
     process: EntryProcess,
+    threads: NodeThreads,
 }
 
 /// A running embedded fleet.
@@ -124,6 +95,20 @@
         &self.targets
     }
 
+    /// Processor time of all entries until now.
+    #[must_use]
+    pub fn entry_times(&self) -> NodeTimes {
+        let times = self.entries.iter().map(|entry| entry.threads.times());
+        times.fold(NodeTimes::default(), NodeTimes::plus)
+    }
+
+    /// Processor time of all sidecars until now.
+    #[must_use]
+    pub fn sidecar_times(&self) -> NodeTimes {
+        let times = self.targets.iter().map(|target| target.threads.times());
+        times.fold(NodeTimes::default(), NodeTimes::plus)
+    }
+
     /// Takes `domain` out of service and waits until that is in force everywhere.
     ///
     /// # Errors
@@ -201,7 +186,7 @@
                 self.start_target(domain, MODEL_SERVICE, "model", standin)?;
             }
             for _ in 0..self.shape.plains {
-                self.start_target(domain, PLAIN_SERVICE, "plain", start_plain()?)?;
+                self.start_target(domain, PLAIN_SERVICE, "plain", start_plain(&self.shape)?)?;
             }
             self.start_entry(domain)?;
         }
@@ -225,13 +210,16 @@
             "traffic_threads": 1, "tick": TICK,
         });
         let settings = SidecarSettings::parse(&settings.to_string(), "embedded sidecar")?;
-        let sidecar = SidecarProcess::start(&settings, &self.log)?;
+        let (sidecar, threads) =
+            NodeThreads::started_by(|| SidecarProcess::start(&settings, &self.log));
+        let sidecar = sidecar?;
         self.targets.push(FleetTarget {
             domain,
             service,
             name,
             standin,
             sidecar,
+            threads,
         });
         Ok(())
     }
@@ -246,11 +234,15 @@
         });
         let settings = EntrySettings::parse(&settings.to_string(), "embedded entry")?;
         let policy = self.shape.policy.policy();
-        let process = EntryProcess::start_with_policy(&settings, &self.log, policy)?;
+        let (process, threads) = NodeThreads::started_by(|| {
+            EntryProcess::start_with_policy(&settings, &self.log, policy)
+        });
+        let process = process?;
         self.entries.push(FleetEntry {
             vm,
             domain,
             process,
+            threads,
         });
         Ok(())
     }
--- a/crates/amaranthgw/src/embedded/mod.rs
+++ b/crates/amaranthgw/src/embedded/mod.rs
@@ -10,10 +10,14 @@
 mod platform;
 mod shape;
 mod tally;
+mod target;
+mod times;
 
-pub use caller::{CallAnswer, LoadCaller};
+pub use caller::{CallAnswer, LoadCaller, WORKSPACE};
 pub use error::{EmbeddedError, Result};
-pub use fleet::{EmbeddedFleet, FleetTarget};
+pub use fleet::{EmbeddedFleet, MODEL_SERVICE, PLAIN_SERVICE};
 pub use load::{LoadPlan, run_load};
 pub use shape::{FleetShape, PolicyChoice};
 pub use tally::LoadTally;
+pub use target::FleetTarget;
+pub use times::NodeTimes;
--- a/crates/amaranthgw/src/embedded/platform.rs
+++ b/crates/amaranthgw/src/embedded/platform.rs
@@ -3,8 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use amaranthgw_standins::{
-    EngineStandin, PlainSettings, PlainStandin, RunningStandin, Standin, StoreSettings,
-    StoreStandin, VmListSettings, VmListStandin,
+    EngineStandin, PlainStandin, RunningStandin, Standin, StoreSettings, StoreStandin,
+    VmListSettings, VmListStandin,
 };
 
 use super::{FleetShape, Result};
@@ -40,6 +40,6 @@
 }
 
 /// Starts one plain service.
-pub(super) fn start_plain() -> Result<RunningStandin> {
-    Ok(PlainStandin::new(PlainSettings::new()).start(ANY_PORT)?)
+pub(super) fn start_plain(shape: &FleetShape) -> Result<RunningStandin> {
+    Ok(PlainStandin::new(shape.plain.clone()).start(ANY_PORT)?)
 }
--- a/crates/amaranthgw/src/embedded/shape.rs
+++ b/crates/amaranthgw/src/embedded/shape.rs
@@ -4,7 +4,7 @@
 use amaranthgw_fleet::routing::{
     DomainNearPolicy, LeastLoadedPolicy, RoundRobinPolicy, RoutePolicy,
 };
-use amaranthgw_standins::EngineSettings;
+use amaranthgw_standins::{EngineSettings, PlainSettings};
 
 /// Which policy the entries route by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +50,8 @@
     pub plains: usize,
     /// Settings of the engines.
     pub engine: EngineSettings,
+    /// Settings of the plain services.
+    pub plain: PlainSettings,
     /// Requests that a gate admits right after a start.
     pub cold_limit: SlotCount,
     /// Requests that a gate admits once the target is warm.
@@ -70,6 +72,7 @@
             engine: EngineSettings::new()
                 .with_cold_slots(cold)
                 .with_warm_slots(full),
+            plain: PlainSettings::new(),
             cold_limit: cold,
             full_limit: full,
             policy: PolicyChoice::DomainNear,
@@ -91,6 +94,13 @@
         self
     }
 
+    /// Sets the settings of the plain services.
+    #[must_use]
+    pub fn with_plain(mut self, plain: PlainSettings) -> Self {
+        self.plain = plain;
+        self
+    }
+
     /// Sets the limits of the gates.
     #[must_use]
     pub const fn with_limits(mut self, cold_limit: SlotCount, full_limit: SlotCount) -> Self {
--- a/crates/amaranthgw/tests/it/env/mod.rs
+++ b/crates/amaranthgw/tests/it/env/mod.rs
@@ -6,7 +6,7 @@
 
 pub use caller::{CallAnswer, CallerClient};
 pub use fleet::TestFleet;
-pub use process::TestProcess;
+pub use process::{TestProcess, run_command};
 
 use std::time::Duration;
 
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests that run the real binary as separate processes.
 
 mod bad_input;
+mod bench;
 mod claims;
 mod env;
 mod leave;
