No delayed acknowledgements between entry and sidecar

Cause: connections accepted from our own listener had no TCP_NODELAY, as the server's option only covers listeners that it binds itself; small messages waited for a delayed acknowledgement. Ruled out: the ticks (no request waits for one) and the queue (no load).

--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -14,8 +14,8 @@
 use ractor::{Actor, ActorRef};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, timeout};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use super::control::{ControlArguments, ControlMessage, EntryControl};
 use super::listener::serve_callers;
@@ -228,7 +228,7 @@
         Arc::clone(shared) as _,
         Arc::new(reporter),
     ));
-    let incoming = TcpListenerStream::new(inputs.node_listener.handle()?);
+    let incoming = TcpIncoming::from(inputs.node_listener.handle()?).with_nodelay(Some(true));
     tokio::spawn(
         Server::builder()
             .add_service(peer)
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -15,8 +15,8 @@
 use ractor::{Actor, ActorRef};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, timeout};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use super::control::{ControlArguments, ControlMessage, SidecarControl};
 use super::load_actor::LoadActor;
@@ -197,11 +197,10 @@
     let Ok(handle) = listener.handle() else {
         return;
     };
-    let incoming = TcpListenerStream::new(handle);
+    let incoming = TcpIncoming::from(handle).with_nodelay(Some(true));
     let ending = stop.clone();
     let shutdown = async move { ending.reached(StopPhase::Ending).await };
     let serving = Server::builder()
-        .tcp_nodelay(true)
         .add_service(SidecarServer::new(services.sidecar))
         .add_service(PeerServer::new(services.peer))
         .serve_with_incoming_shutdown(incoming, shutdown);
