Entry slots keep a fixed part of each limit; a suspect's turn ends when it is dropped

Cause: entries had no slots, so that in an outage of the key-value service longer than the lease every request was over its limit, and a fresh entry admitted nothing. Ruled out: keeping leased shares through an outage, which lets the sum pass the limit once one entry is cut off alone. A suspect that stopped waiting left its target reserved for good; the reservation now ends with the turn. subset_size takes effect.

--- a/crates/amaranthgw/src/control/border.rs
+++ b/crates/amaranthgw/src/control/border.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use amaranthgw_fleet::membership::NodeIdentity;
+use amaranthgw_fleet::settings::SlotSettings;
 use ractor::{Actor, ActorRef};
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -86,10 +87,11 @@
     /// # Errors
     ///
     /// Returns [`RuntimeError::Actor`] where the actor can't be started.
-    pub async fn start_shares(&self) -> Result<ActorRef<ShareInput>> {
+    pub async fn start_shares(&self, slot: Option<SlotSettings>) -> Result<ActorRef<ShareInput>> {
         let arguments = ShareArguments {
             vm: self.identity.vm.clone(),
             store: Arc::new(HttpStore::new(self.store)),
+            slot,
         };
         let spawned = Actor::spawn(None, ShareActor, arguments).await;
         let (shares, _ended) = spawned.map_err(|_failed| RuntimeError::Actor)?;
--- a/crates/amaranthgw/src/control/share_actor.rs
+++ b/crates/amaranthgw/src/control/share_actor.rs
@@ -7,6 +7,7 @@
 use amaranthgw_fleet::limits::{
     HolderId, LimitTable, ReadAnswer, ShareCall, ShareDesk, ShareSettings, ShareShard, WriteAnswer,
 };
+use amaranthgw_fleet::settings::SlotSettings;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
 
@@ -26,6 +27,8 @@
     pub vm: VmId,
     /// The key-value service.
     pub store: Arc<dyn StoreClient>,
+    /// Slot of the entry, if entries have slots.
+    pub slot: Option<SlotSettings>,
 }
 
 /// State of the actor.
@@ -62,7 +65,7 @@
         let holder = HolderId::new(args.vm, StartMark::new(fastrand::u64(..)));
         Ok(ShareState {
             store: args.store,
-            desk: ShareDesk::new(holder, share_settings(), Instant::now()),
+            desk: new_desk(holder, args.slot.as_ref()),
         })
     }
 
@@ -110,7 +113,13 @@
     }
 }
 
-/// Settings of entries without numbered slots, which share all of each limit by demand.
-const fn share_settings() -> ShareSettings {
-    ShareSettings::new(1).with_floor_percent(0)
+/// The desk of an entry; without slots, entries share all of each limit by demand.
+fn new_desk(holder: HolderId, slot: Option<&SlotSettings>) -> ShareDesk {
+    let now = Instant::now();
+    match slot {
+        Some(slot) => {
+            ShareDesk::new(holder, ShareSettings::new(slot.slots.into()), now).with_slot()
+        }
+        None => ShareDesk::new(holder, ShareSettings::new(1).with_floor_percent(0), now),
+    }
 }
--- a/crates/amaranthgw/src/entry/process.rs
+++ b/crates/amaranthgw/src/entry/process.rs
@@ -8,7 +8,7 @@
 use amaranthgw_fleet::entry::EntryWorld;
 use amaranthgw_fleet::membership::{NodeIdentity, VmRecord};
 use amaranthgw_fleet::retries::RetrySettings;
-use amaranthgw_fleet::routing::{DomainNearPolicy, RoutePolicy};
+use amaranthgw_fleet::routing::{DomainNearPolicy, RoutePolicy, SubsetSettings};
 use amaranthgw_fleet::settings::EntrySettings;
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
@@ -157,11 +157,11 @@
     log: EventLog,
 ) {
     let border = platform_border(&settings, &log);
-    let Ok(share_actor) = border.start_shares().await else {
+    let Ok(share_actor) = border.start_shares(settings.limit_slot.clone()).await else {
         return;
     };
     let arguments = ControlArguments {
-        world: EntryWorld::new(identity(&settings), Instant::now()),
+        world: new_world(&settings),
         shared: Arc::clone(&shared),
         link: Arc::new(GrpcLink::new()),
         peers: Arc::new(GrpcPeerLink::new()),
@@ -255,6 +255,12 @@
     }
 }
 
+fn new_world(settings: &EntrySettings) -> EntryWorld {
+    let size = usize::from(settings.subset_size);
+    let subset = SubsetSettings::new(&settings.vm).with_sizes(size, size, size);
+    EntryWorld::new(identity(settings), Instant::now()).with_subset(subset)
+}
+
 fn identity(settings: &EntrySettings) -> NodeIdentity {
     NodeIdentity {
         vm: settings.vm.clone(),
--- a/crates/amaranthgw/src/sidecar/attempt.rs
+++ b/crates/amaranthgw/src/sidecar/attempt.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep_until};
 
+use super::queue::AloneTurn;
 use super::shared::SidecarShared;
 use super::target::{TargetCall, TargetError, TargetStep, TargetStream};
 use crate::link::{BreakCode, RefusalCode};
@@ -49,8 +50,8 @@
     pub(super) due_at: Instant,
     /// When the entry gives the request up.
     pub(super) deadline: Instant,
-    /// Whether the attempt runs with nothing else at the target.
-    pub(super) alone: bool,
+    /// Keeps other requests out of the target, where the attempt has to run alone.
+    pub(super) alone: Option<AloneTurn>,
     /// Way of reports to the entry; closed when the entry has abandoned the attempt.
     pub(super) reports: Sender<AttemptReport>,
 }
@@ -86,10 +87,9 @@
         };
         self.settle(end, permit, &times).await;
         self.shared.running.remove(request, attempt);
-        if self.alone {
-            self.shared.slots.end_alone();
-        }
-        self.shared.queue.serve();
+        let queue = &self.shared.queue;
+        drop(self.alone);
+        queue.serve();
     }
 
     async fn open(&self) -> Result<TargetStream, DriveEnd> {
--- a/crates/amaranthgw/src/sidecar/queue.rs
+++ b/crates/amaranthgw/src/sidecar/queue.rs
@@ -75,22 +75,27 @@
 
     /// Takes a slot of a target that runs nothing else, after a wait until `start_by` at most.
     ///
-    /// Other requests are kept out meanwhile, and until [`AdmissionSlots::end_alone`].
+    /// Other requests are kept out meanwhile, and until the turn is dropped.
     ///
     /// # Errors
     ///
     /// Returns a [`GateRefusal`] where the target does not become empty in time; the request has
     /// not run.
-    pub(super) async fn admit_alone(&self, start_by: Instant) -> QueueVerdict {
+    pub(super) async fn admit_alone(
+        &self,
+        start_by: Instant,
+    ) -> Result<(AdmissionPermit, AloneTurn), GateRefusal> {
+        let turn = AloneTurn {
+            slots: Arc::clone(&self.slots),
+        };
         loop {
             let freed = self.freed.notified();
             self.slots.reserve_alone();
             let refusal = match self.slots.try_admit_alone() {
-                Ok(permit) => return Ok(permit),
+                Ok(permit) => return Ok((permit, turn)),
                 Err(refusal) => refusal,
             };
             if timeout_at(start_by, freed).await.is_err() {
-                self.slots.end_alone();
                 return Err(refusal);
             }
         }
@@ -174,6 +179,18 @@
     }
 }
 
+/// Keeps other requests out of the target until it is dropped.
+#[derive(Debug)]
+pub(super) struct AloneTurn {
+    slots: Arc<AdmissionSlots>,
+}
+
+impl Drop for AloneTurn {
+    fn drop(&mut self) {
+        self.slots.end_alone();
+    }
+}
+
 /// Leaves the queue when the request no longer waits.
 struct QueuePlace<'a> {
     queue: &'a AdmissionQueue,
--- a/crates/amaranthgw/src/sidecar/service.rs
+++ b/crates/amaranthgw/src/sidecar/service.rs
@@ -16,6 +16,7 @@
 use tonic::{Request, Response, Status};
 
 use super::attempt::{AttemptDriver, AttemptReport};
+use super::queue::AloneTurn;
 use super::shared::SidecarShared;
 use super::target::TargetCall;
 use crate::link::RefusalCode;
@@ -48,6 +49,12 @@
     call: TargetCall,
 }
 
+/// A slot of the target, and the sole use of it where the attempt has to run alone.
+struct TakenSlot {
+    permit: AdmissionPermit,
+    alone: Option<AloneTurn>,
+}
+
 type EventStream = BoxStream<'static, Result<RunEvent, Status>>;
 
 impl SidecarService {
@@ -57,28 +64,34 @@
     }
 
     /// Checks and admits an attempt, after a wait where the target is full.
-    async fn admit(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+    async fn admit(&self, terms: &AttemptTerms) -> Result<TakenSlot, RefusalCode> {
         self.check(terms)?;
-        let permit = self.take_slot(terms).await?;
+        let slot = self.take_slot(terms).await?;
         // The target may have begun to leave during the wait.
         if let Err(code) = self.check(terms) {
-            permit.finish();
+            slot.permit.finish();
             return Err(code);
         }
-        Ok(permit)
+        Ok(slot)
     }
 
-    async fn take_slot(&self, terms: &AttemptTerms) -> Result<AdmissionPermit, RefusalCode> {
+    async fn take_slot(&self, terms: &AttemptTerms) -> Result<TakenSlot, RefusalCode> {
         let start_by = Instant::now() + terms.wait;
         let queue = &self.shared.queue;
         if terms.alone {
-            return queue
-                .admit_alone(start_by)
-                .await
-                .map_err(|_refusal| RefusalCode::NotAlone);
+            let admitted = queue.admit_alone(start_by).await;
+            let (permit, turn) = admitted.map_err(|_refusal| RefusalCode::NotAlone)?;
+            return Ok(TakenSlot {
+                permit,
+                alone: Some(turn),
+            });
         }
         let admitted = queue.admit(terms.call.priority, start_by).await;
-        admitted.map_err(|_refusal| RefusalCode::GateFull)
+        let permit = admitted.map_err(|_refusal| RefusalCode::GateFull)?;
+        Ok(TakenSlot {
+            permit,
+            alone: None,
+        })
     }
 
     fn check(&self, terms: &AttemptTerms) -> Result<(), RefusalCode> {
@@ -94,8 +107,8 @@
         check_order(&self.shared.served, &status, &order).map_err(refusal_code)
     }
 
-    fn start(&self, terms: AttemptTerms, permit: AdmissionPermit) -> EventStream {
-        self.record_admitted(&terms, &permit);
+    fn start(&self, terms: AttemptTerms, slot: TakenSlot) -> EventStream {
+        self.record_admitted(&terms, &slot.permit);
         let (reports, receiver) = channel(CHUNK_BUFFER);
         let (request, attempt) = (terms.call.request.clone(), terms.call.attempt);
         let now = Instant::now();
@@ -105,10 +118,10 @@
             due_at: now + terms.due,
             deadline: now + terms.remaining,
             call: terms.call,
-            alone: terms.alone,
+            alone: slot.alone,
             reports,
         };
-        tokio::spawn(driver.run(permit));
+        tokio::spawn(driver.run(slot.permit));
         let admitted = Event::Admitted(Admitted {
             report: Some(self.shared.report()),
         });
@@ -172,7 +185,7 @@
             )));
         };
         let events = match self.admit(&terms).await {
-            Ok(permit) => self.start(terms, permit),
+            Ok(slot) => self.start(terms, slot),
             Err(code) => self.refuse(Some(&terms.call.request), attempt, code),
         };
         Ok(Response::new(events))
--- a/crates/amaranthgw/tests/it/env/fleet.rs
+++ b/crates/amaranthgw/tests/it/env/fleet.rs
@@ -58,8 +58,11 @@
     /// The entries.
     pub entries: Vec<TestNode>,
     files: PathBuf,
+    limit_slots: Option<u16>,
 }
 
+/// Slots among which the fixed part of each limit is divided.
+const LIMIT_SLOTS: u16 = 4;
 const ENGINE_SETTINGS: &str = r#"{"cold_slots":2,"warm_slots":8,"warm_after":4,"token_ms":5,"prefill_ms":5,"restart_ms":300,"load_lag_ms":50}"#;
 const PLAIN_SETTINGS: &str = r#"{"call_ms":10}"#;
 const CUSTOMERS: &str = r#"{"customers": [{"workspace": "care-homes", "plan": "gold"}]}"#;
@@ -78,11 +81,20 @@
 impl TestFleet {
     /// Starts two entries, and an engine and a plain service in each failure domain.
     pub async fn start(name: &str) -> Self {
-        Self::start_with_lists(name, CUSTOMERS, PLANS).await
+        Self::start_with(name, CUSTOMERS, PLANS, Some(LIMIT_SLOTS)).await
     }
 
-    /// Starts the fleet with these lists in force.
+    /// Starts the fleet with these lists in force and without slots for the limits.
     pub async fn start_with_lists(name: &str, customers: &str, plans: &str) -> Self {
+        Self::start_with(name, customers, plans, None).await
+    }
+
+    async fn start_with(
+        name: &str,
+        customers: &str,
+        plans: &str,
+        limit_slots: Option<u16>,
+    ) -> Self {
         let store = start_standin("store", "{}");
         let vms = start_standin("vms", r#"{"lag_ms":0}"#);
         let files = std::env::temp_dir().join(format!("amaranthgw-{}-{name}", std::process::id()));
@@ -93,6 +105,7 @@
             targets: Vec::new(),
             entries: Vec::new(),
             files,
+            limit_slots,
         };
         for domain in DOMAINS {
             fleet.add_target("draft-llm", "model", domain);
@@ -188,13 +201,16 @@
     /// Starts one more entry in `domain`; the VM list does not name it yet.
     pub fn add_entry(&mut self, domain: &str) {
         let vm = format!("entry-{}", self.entries.len());
-        let settings = json!({
+        let mut settings = json!({
             "vm": vm, "domain": domain, "region": "ee-south",
             "caller_listen": "127.0.0.1:0", "node_listen": "127.0.0.1:0",
             "metrics_listen": "127.0.0.1:0",
             "store": self.store.address("listening"), "vm_list": self.vms.address("listening"),
             "tick": "10ms",
         });
+        if let Some(slots) = self.limit_slots {
+            settings["limit_slot"] = json!({ "slot": self.entries.len(), "slots": slots });
+        }
         let file = self.write(&format!("{vm}.json"), &settings.to_string());
         let process = TestProcess::start(&["entry", "--settings", &file], &["node", "listening"]);
         let address = process.address("node");
--- a/crates/fleet/src/entry/world.rs
+++ b/crates/fleet/src/entry/world.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Sets how many targets of a service the entry uses.
+    #[must_use]
+    pub fn with_subset(mut self, subset: SubsetSettings) -> Self {
+        self.subset = subset;
+        self
+    }
+
     /// Sets the times the systems go by.
     #[must_use]
     pub fn with_timings(mut self, timings: EntryTimings) -> Self {
--- a/crates/fleet/src/limits/desk.rs
+++ b/crates/fleet/src/limits/desk.rs
@@ -49,8 +49,9 @@
 ///
 /// A meter admits nothing until a share is known to be held. A changed share is in force at the
 /// meters before the call that is returned with it may be sent. While the key-value service is
-/// down the shares stay as they are until their lease ends; then the meters admit nothing, as
-/// another entry may have taken the shares over.
+/// down the shares stay as they are until their lease ends; then the meters admit the fixed part
+/// of an entry with a slot, and nothing without one, as another entry may have taken the shares
+/// over.
 ///
 /// # Calls of the key-value service
 ///
@@ -64,6 +65,7 @@
 pub struct ShareDesk {
     holder: HolderId,
     settings: ShareSettings,
+    has_slot: bool,
     shards: EntityTable<ShareShard, ShardRow>,
     sampled_at: Instant,
 }
@@ -75,11 +77,20 @@
         Self {
             holder,
             settings,
+            has_slot: false,
             shards: EntityTable::new(),
             sampled_at: now,
         }
     }
 
+    /// Gives the entry one of the slots among which the fixed part of each limit is divided. No
+    /// two running processes may have the same slot.
+    #[must_use]
+    pub const fn with_slot(mut self) -> Self {
+        self.has_slot = true;
+        self
+    }
+
     /// Puts the limits of a configuration in force and returns the calls that are due.
     ///
     /// Lower limits hold at the meters at once. A limit that is gone has to come once more with
@@ -142,7 +153,7 @@
     ) {
         let shard = ShareShard::with_workspace(&key.workspace, SHARD_COUNT);
         let make = || ShardRow {
-            batcher: ShareBatcher::new(self.holder.clone(), self.settings, now),
+            batcher: new_batcher(&self.holder, self.settings, self.has_slot, now),
             limits: EntityTable::new(),
         };
         let shard = self.shards.get_or_insert_with(shard, make);
@@ -242,3 +253,17 @@
             .set_leased(leased.in_flight, leased_until);
     }
 }
+
+fn new_batcher(
+    holder: &HolderId,
+    settings: ShareSettings,
+    has_slot: bool,
+    now: Instant,
+) -> ShareBatcher {
+    let batcher = ShareBatcher::new(holder.clone(), settings, now);
+    if has_slot {
+        batcher.with_slot()
+    } else {
+        batcher
+    }
+}
--- a/crates/fleet/src/settings/entry.rs
+++ b/crates/fleet/src/settings/entry.rs
@@ -5,7 +5,10 @@
 use amaranthgw_core::{ByteCount, DomainId, MilliSpan, RegionId, VmId};
 use serde::{Deserialize, Serialize};
 
-use super::{FieldRange, FieldRule, JsonDocument, Result, parse_document};
+use super::{
+    FieldPath, FieldProblem, FieldRange, FieldRule, JsonDocument, ProblemKind, Result,
+    field_problem, parse_document,
+};
 
 /// Settings of an entry: a process that takes callers' requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,11 +42,26 @@
     /// Largest request body in bytes, 1 KiB to 64 MiB; 1 MiB unless given.
     #[serde(default = "default_max_body")]
     pub max_body: ByteCount,
+    /// Part of each limit that needs no lease and outlives an outage of the key-value service;
+    /// none unless given. Either every entry has a slot, each a different one of the same number,
+    /// or none has.
+    #[serde(default)]
+    pub limit_slot: Option<SlotSettings>,
     /// Targets of each service that this entry keeps connections to, 1 to 1024; 16 unless given.
     #[serde(default = "default_subset_size")]
     pub subset_size: u16,
 }
 
+/// One of the slots among which the fixed part of each limit is divided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlotSettings {
+    /// The slot, counted from 0; no two running entries may have the same one.
+    pub slot: u16,
+    /// Number of slots, the same at every entry.
+    pub slots: u16,
+}
+
 impl EntrySettings {
     /// The fields with their allowed ranges and defaults.
     pub const RULES: &'static [FieldRule] = &[
@@ -59,6 +77,9 @@
         FieldRule::new("tick", TICK_RANGE).with_default("50ms"),
         FieldRule::new("grace", GRACE_RANGE).with_default("30s"),
         FieldRule::new("max_body", BODY_RANGE).with_default("1048576"),
+        FieldRule::new("limit_slot", FieldRange::Group).with_default("none"),
+        FieldRule::new("limit_slot.slot", FieldRange::Number(0, 4_095)),
+        FieldRule::new("limit_slot.slots", FieldRange::Number(1, 4_096)),
         FieldRule::new("subset_size", FieldRange::Number(1, 1_024)).with_default("16"),
     ];
 
@@ -68,7 +89,23 @@
     ///
     /// Returns every problem that was found, each with its line, field and allowed range.
     pub fn parse(text: &str, name: &str) -> Result<Self> {
-        parse_document(&JsonDocument::new(name, text), Self::RULES)
+        let document = JsonDocument::new(name, text);
+        let settings: Self = parse_document(&document, Self::RULES)?;
+        match settings.slot_problem(&document) {
+            Some(problem) => Err(document.error(vec![problem])),
+            None => Ok(settings),
+        }
+    }
+
+    fn slot_problem(&self, document: &JsonDocument) -> Option<FieldProblem> {
+        let SlotSettings { slot, slots } = self.limit_slot.as_ref()?;
+        if slot < slots {
+            return None;
+        }
+        let path = FieldPath::new().with_key("limit_slot").with_key("slot");
+        let message = format!("slot {slot} is not below limit_slot.slots, {slots}");
+        let kind = ProblemKind::Shape(message.into());
+        Some(field_problem(document, Self::RULES, path, kind))
     }
 }
 
--- a/crates/fleet/src/settings/mod.rs
+++ b/crates/fleet/src/settings/mod.rs
@@ -8,7 +8,7 @@
 mod sidecar;
 
 pub(crate) use document::JsonDocument;
-pub use entry::EntrySettings;
+pub use entry::{EntrySettings, SlotSettings};
 pub(crate) use parse::{field_problem, parse_document};
 pub use problem::{DocumentError, FieldPath, FieldProblem, PathPart, ProblemKind, TextPosition};
 pub use rule::{FieldRange, FieldRule};
--- a/crates/fleet/tests/it/settings/mod.rs
+++ b/crates/fleet/tests/it/settings/mod.rs
@@ -40,13 +40,13 @@
         .expect("first optional field");
     let required = text[..optional]
         .trim_end()
-        .trim_end_matches("// The rest may be left out; these are the defaults.");
+        .trim_end_matches("// The rest may be left out; these are the defaults but for the slot.");
     let required = format!("{}}}", required.trim_end().trim_end_matches(','));
     let settings = EntrySettings::parse(&required, "entry.jsonc").expect("valid settings");
-    assert_eq!(
-        settings,
-        EntrySettings::parse(&text, "entry.jsonc").expect("valid settings")
-    );
+    let mut example = EntrySettings::parse(&text, "entry.jsonc").expect("valid settings");
+    let slot = example.limit_slot.take().expect("the slot of the example");
+    assert_eq!((slot.slot, slot.slots), (0, 3));
+    assert_eq!(settings, example);
     assert_eq!(settings.tick, MilliSpan::new(50));
 }
 
@@ -89,10 +89,14 @@
     },
     parse_entry_repeated_field = {
         r#""subset_size": 16"#, r#""subset_size": 16, "tick": "50ms""#,
-        "entry.jsonc:22:27: duplicate field `tick`"
+        "entry.jsonc:25:27: duplicate field `tick`"
     },
-    parse_entry_trailing_text = { "16\n}", "16\n} x", "entry.jsonc:23:3: trailing characters" },
-    parse_entry_not_json = { "16\n}", "16\n", "entry.jsonc:24:0: EOF while parsing an object" },
+    parse_entry_slot_out_of_range = {
+        r#""slot": 0"#, r#""slot": 3"#,
+        "entry.jsonc:24:19: limit_slot.slot: slot 3 is not below limit_slot.slots, 3; allowed is a whole number from 0 to 4095"
+    },
+    parse_entry_trailing_text = { "16\n}", "16\n} x", "entry.jsonc:26:3: trailing characters" },
+    parse_entry_not_json = { "16\n}", "16\n", "entry.jsonc:27:0: EOF while parsing an object" },
 )]
 fn parse_entry_refused(from: &str, to: &str, expected: &str) {
     let text = entry_text();
