--- a/crates/amaranthgw/src/entry/answer.rs
+++ b/crates/amaranthgw/src/entry/answer.rs
@@ -1,20 +1,26 @@
 //! The answer to a caller while it is made.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use amaranthgw_core::ChunkSequence;
 use bytes::Bytes;
-use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
+use futures_util::{Stream, StreamExt, stream};
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use serde::Serialize;
 use tokio::sync::mpsc::Receiver;
+use tokio::time::sleep;
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::CallError;
 
+/// Time between an error line and the cut of its connection.
+const CUT_DELAY: Duration = Duration::from_millis(50);
+
 /// Body of an answer.
 pub(super) type AnswerBody = UnsyncBoxBody<Bytes, AnswerCut>;
 
@@ -129,8 +135,8 @@
         Some(first) => first,
     };
     let rest = ReceiverStream::new(parts);
-    let parts = futures_util::stream::iter([first]).chain(rest);
-    let frames = parts.flat_map(|part| futures_util::stream::iter(frames_of(&part)));
+    let parts = stream::iter([first]).chain(rest);
+    let frames = parts.flat_map(|part| frames_of(&part));
     let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
     let content_type = HeaderValue::from_static("application/x-ndjson");
     response
@@ -140,7 +146,7 @@
 }
 
 /// The line of a part; an error line is followed by the cut of the connection.
-fn frames_of(part: &AnswerPart) -> Vec<Result<Frame<Bytes>, AnswerCut>> {
+fn frames_of(part: &AnswerPart) -> BoxStream<'static, Result<Frame<Bytes>, AnswerCut>> {
     let line = match part {
         AnswerPart::Chunk { sequence, data } => {
             let text = String::from_utf8_lossy(data);
@@ -153,14 +159,23 @@
             end: EndFields { chunks: *chunks },
         }),
         // Only plain calls are replayed.
-        AnswerPart::Replayed(..) => return vec![Err(AnswerCut)],
+        AnswerPart::Replayed(..) => return cut_after(Duration::ZERO).boxed(),
         AnswerPart::Failed(error) => {
             let mut line = Vec::from(error.body());
             line.push(b'\n');
-            return vec![Ok(Frame::data(line.into())), Err(AnswerCut)];
+            let error_line = stream::iter([Ok(Frame::data(line.into()))]);
+            return error_line.chain(cut_after(CUT_DELAY)).boxed();
         }
     };
-    vec![Ok(Frame::data(line))]
+    stream::iter([Ok(Frame::data(line))]).boxed()
+}
+
+/// Cuts the connection after `delay`, so that what was written before can leave.
+fn cut_after(delay: Duration) -> impl Stream<Item = Result<Frame<Bytes>, AnswerCut>> + Send {
+    stream::once(async move {
+        sleep(delay).await;
+        Err(AnswerCut)
+    })
 }
 
 fn json_line(value: &impl Serialize) -> Bytes {
--- a/crates/amaranthgw/src/sidecar/process.rs
+++ b/crates/amaranthgw/src/sidecar/process.rs
@@ -155,6 +155,7 @@
     let gate = GateSettings {
         cold_limit: settings.gate.cold_limit,
         full_limit: settings.gate.full_limit,
+        growth_answers: settings.gate.growth_answers,
         ..GateSettings::default()
     };
     GateRow::new(gate, Instant::now())
--- a/crates/amaranthgw/tests/it/promises.rs
+++ b/crates/amaranthgw/tests/it/promises.rs
@@ -290,6 +290,9 @@
     }
     let answer = call.await.expect("the call ends");
     assert!(!answer.is_clean, "a cut answer ended like a whole one");
+    let lines = answer.lines();
+    let last = lines.last().expect("a line");
+    assert_eq!(last["error"]["outcome"], "outcome_unknown", "{last}");
 }
 
 #[tokio::test]
--- a/crates/fleet/src/settings/sidecar.rs
+++ b/crates/fleet/src/settings/sidecar.rs
@@ -77,6 +77,10 @@
     pub cold_limit: SlotCount,
     /// Requests in flight that it bears once warm, 1 to 65536, at least `cold_limit`.
     pub full_limit: SlotCount,
+    /// Answers in time that a raise of the limit needs at least, 1 to 1000000; 4 unless given.
+    /// At least as many as the target needs to warm up, where that is known.
+    #[serde(default = "default_growth_answers")]
+    pub growth_answers: u32,
 }
 
 /// Place of a target in a rank group.
@@ -110,6 +114,7 @@
         FieldRule::new("gate", FieldRange::Group),
         FieldRule::new("gate.cold_limit", FieldRange::Number(1, 65_536)),
         FieldRule::new("gate.full_limit", FieldRange::Number(1, 65_536)),
+        FieldRule::new("gate.growth_answers", FieldRange::Number(1, 1_000_000)).with_default("4"),
         FieldRule::new("rank_group", FieldRange::Group).with_default("none"),
         FieldRule::new("rank_group.group", FieldRange::Id),
         FieldRule::new("rank_group.rank", FieldRange::Number(0, 1_023)),
@@ -146,6 +151,7 @@
         let GateSettings {
             cold_limit,
             full_limit,
+            ..
         } = self.gate;
         if cold_limit > full_limit {
             let message = format!("{cold_limit} is more than gate.full_limit, {full_limit}");
@@ -160,3 +166,7 @@
         problems
     }
 }
+
+const fn default_growth_answers() -> u32 {
+    4
+}
