One way to count runs, events and what is known of a request

Cause: three tests counted the runs of plain targets each by itself, the demo read engine logs beside FleetTarget::count_events, and a sidecar searched all suspects for one fingerprint and built verdicts that nobody read. They now call TestFleet::count_runs, FleetTarget::count_events and SuspectTable::verdict. No assertion changed; the test command passes.

--- a/crates/amaranthgw/src/demo/checks.rs
+++ b/crates/amaranthgw/src/demo/checks.rs
@@ -2,8 +2,6 @@
 
 use std::collections::HashMap;
 
-use serde_json::Value;
-
 use crate::embedded::{EmbeddedFleet, LoadTally, Result};
 
 /// One promise and whether it held.
@@ -43,9 +41,7 @@
     {
         let log = target.log().await?;
         work += log["runs"].as_array().map_or(0, Vec::len);
-        work += events(&log)
-            .filter(|event| event["event"] == "hand_over")
-            .count();
+        work += target.count_events("hand_over").await?;
     }
     Ok(work)
 }
@@ -105,14 +101,7 @@
 async fn count_overloads(fleet: &EmbeddedFleet) -> Result<usize> {
     let mut overloads = 0;
     for target in fleet.targets() {
-        let log = target.log().await?;
-        overloads += events(&log)
-            .filter(|event| event["event"] == "fall_over")
-            .count();
+        overloads += target.count_events("fall_over").await?;
     }
     Ok(overloads)
 }
-
-fn events(log: &Value) -> impl Iterator<Item = &Value> {
-    log["events"].as_array().into_iter().flatten()
-}
--- a/crates/amaranthgw/src/sidecar/running.rs
+++ b/crates/amaranthgw/src/sidecar/running.rs
@@ -4,7 +4,7 @@
 
 use amaranthgw_core::{AttemptNumber, EntityTable, MilliSpan, RequestId, StartMark};
 use amaranthgw_fleet::sidecar::ServedTarget;
-use amaranthgw_fleet::suspects::{DeathMark, RunningRow, SuspectVerdict, TargetDeath};
+use amaranthgw_fleet::suspects::{DeathMark, RunningRow, TargetDeath};
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -48,17 +48,15 @@
     }
 
     /// Records the death of the target process with the start mark `mark`; each counts once.
-    ///
-    /// Returns what peers should know.
     pub(super) fn record_death(
         &self,
         served: &ServedTarget,
         mark: StartMark,
         suspects: &SuspectDesk,
-    ) -> Vec<SuspectVerdict> {
+    ) {
         let mut state = self.lock();
         if state.last_death.replace(mark) == Some(mark) {
-            return Vec::new();
+            return;
         }
         let running: Vec<_> = state
             .rows
@@ -73,7 +71,7 @@
             at_unix_ms: unix_ms(),
             is_whole_view: true,
         };
-        suspects.lock().record_death(&death, &running)
+        suspects.lock().record_death(&death, &running);
     }
 
     fn lock(&self) -> MutexGuard<'_, RunningState> {
--- a/crates/amaranthgw/src/sidecar/shared.rs
+++ b/crates/amaranthgw/src/sidecar/shared.rs
@@ -63,11 +63,7 @@
         self.running
             .record_death(&self.served, mark, &self.suspects);
         let fingerprint = call_fingerprint(&self.served.service, self.served.kind, body);
-        let table = self.suspects.lock();
-        table
-            .rows()
-            .find(|row| row.fingerprint == fingerprint)
-            .cloned()
+        self.suspects.lock().verdict(&fingerprint).cloned()
     }
 
     /// The published status with the counts of this instant.
--- a/crates/amaranthgw/tests/it/claims.rs
+++ b/crates/amaranthgw/tests/it/claims.rs
@@ -3,21 +3,6 @@
 
 use crate::env::{TestFleet, eventually};
 
-/// Runs of `request` over all plain targets.
-async fn runs_of(fleet: &TestFleet, body: &str) -> usize {
-    let mut runs = 0;
-    for target in fleet
-        .targets
-        .iter()
-        .filter(|row| row.service == "booking-desk")
-    {
-        let log = target.client().get("/admin/log").await.expect("a log");
-        let rows = log["runs"].as_array().expect("runs");
-        runs += rows.iter().filter(|row| row["body"] == body).count();
-    }
-    runs
-}
-
 #[tokio::test]
 async fn claim_resend_to_another_entry_runs_once() {
     let fleet = TestFleet::start("resend").await;
@@ -37,13 +22,13 @@
     })
     .await;
     assert_eq!(again.body, first.body);
-    assert_eq!(runs_of(&fleet, "tin 7").await, 1);
+    assert_eq!(fleet.count_runs("body", "tin 7").await, 1);
     let other = fleet
         .caller(1)
         .call("booking-desk", "c-3", &key, "tin 8")
         .await;
     assert_eq!(other.expect("an answer").error().0, "key_reused");
-    assert_eq!(runs_of(&fleet, "tin 8").await, 0);
+    assert_eq!(fleet.count_runs("body", "tin 8").await, 0);
 }
 
 #[tokio::test]
@@ -59,7 +44,7 @@
         }
     });
     futures_util::future::join_all(calls).await;
-    assert_eq!(runs_of(&fleet, "tin 9").await, 1);
+    assert_eq!(fleet.count_runs("body", "tin 9").await, 1);
 }
 
 #[tokio::test]
@@ -90,7 +75,7 @@
         answer.status.is_success().then_some(())
     })
     .await;
-    assert_eq!(runs_of(&fleet, "tin 10").await, 1);
+    assert_eq!(fleet.count_runs("body", "tin 10").await, 1);
 }
 
 #[tokio::test]
@@ -108,7 +93,7 @@
         answer.status.is_success().then_some(())
     })
     .await;
-    assert_eq!(runs_of(&fleet, "tin 11").await, 1);
+    assert_eq!(fleet.count_runs("body", "tin 11").await, 1);
 }
 
 #[tokio::test]
@@ -132,7 +117,7 @@
         caller.call("booking-desk", "g-1", &key, "tin 12").await
     });
     eventually("running call", || async {
-        (runs_of(&fleet, "tin 12").await == 1).then_some(())
+        (fleet.count_runs("body", "tin 12").await == 1).then_some(())
     })
     .await;
     fleet.entries[0].process.kill();
@@ -150,5 +135,5 @@
         (code.as_str(), outcome.as_str()),
         ("already_sent", "outcome_unknown")
     );
-    assert_eq!(runs_of(&fleet, "tin 12").await, 1);
+    assert_eq!(fleet.count_runs("body", "tin 12").await, 1);
 }
--- a/crates/amaranthgw/tests/it/env/fleet.rs
+++ b/crates/amaranthgw/tests/it/env/fleet.rs
@@ -311,6 +311,21 @@
         .await;
     }
 
+    /// Runs over all plain targets whose `field` has this value.
+    pub async fn count_runs(&self, field: &str, value: &str) -> usize {
+        let mut runs = 0;
+        for target in self
+            .targets
+            .iter()
+            .filter(|row| row.service == "booking-desk")
+        {
+            let log = target.client().get("/admin/log").await.expect("a log");
+            let rows = log["runs"].as_array().expect("runs");
+            runs += rows.iter().filter(|row| row[field] == value).count();
+        }
+        runs
+    }
+
     /// VM of a sidecar that has a request in flight.
     pub async fn busy_vm(&self) -> String {
         eventually("request in flight", || async {
--- a/crates/amaranthgw/tests/it/promises.rs
+++ b/crates/amaranthgw/tests/it/promises.rs
@@ -76,21 +76,6 @@
     }
 }
 
-/// Runs of `body` over all plain targets.
-async fn runs_of(fleet: &TestFleet, body: &str) -> usize {
-    let mut runs = 0;
-    for target in fleet
-        .targets
-        .iter()
-        .filter(|row| row.service == "booking-desk")
-    {
-        let log = target.client().get("/admin/log").await.expect("a log");
-        let rows = log["runs"].as_array().expect("runs");
-        runs += rows.iter().filter(|row| row["body"] == body).count();
-    }
-    runs
-}
-
 async fn run_count(client: &CallerClient) -> usize {
     let log = client.get("/admin/log").await.expect("a log");
     log["runs"].as_array().expect("runs").len()
@@ -245,7 +230,7 @@
             let again = send(1).await.error();
             assert_eq!(again, ("already_sent".into(), "outcome_unknown".into()));
         }
-        assert_eq!(runs_of(&fleet, body).await, 1, "{body}");
+        assert_eq!(fleet.count_runs("body", body).await, 1, "{body}");
         set_plain_targets(&fleet, json!({ "lose_answers": 1 })).await;
     }
 }
@@ -261,7 +246,7 @@
         answer.expect("an answer")
     });
     eventually("running booking", || async {
-        (runs_of(&fleet, "tin 22").await == 1).then_some(())
+        (fleet.count_runs("body", "tin 22").await == 1).then_some(())
     })
     .await;
     for target in &mut fleet.targets {
@@ -269,7 +254,7 @@
     }
     let error = call.await.expect("the call ends").error();
     assert_eq!(error, ("outcome_unknown".into(), "outcome_unknown".into()));
-    assert_eq!(runs_of(&fleet, "tin 22").await, 1);
+    assert_eq!(fleet.count_runs("body", "tin 22").await, 1);
 }
 
 #[tokio::test]
@@ -319,7 +304,7 @@
         let answer = answer.expect("an answer");
         assert_eq!(answer.error(), ("over_limit".into(), "not_run".into()));
     }
-    assert!(runs_of(&fleet, "held").await <= LIMIT);
+    assert!(fleet.count_runs("body", "held").await <= LIMIT);
 }
 
 #[test]
--- a/crates/amaranthgw/tests/it/serve.rs
+++ b/crates/amaranthgw/tests/it/serve.rs
@@ -44,16 +44,7 @@
     }
     for index in 0..24 {
         let request = format!("p-{index}");
-        let mut runs = 0;
-        for target in fleet
-            .targets
-            .iter()
-            .filter(|row| row.service == "booking-desk")
-        {
-            let log = target.client().get("/admin/log").await.expect("a log");
-            let rows = log["runs"].as_array().expect("runs");
-            runs += rows.iter().filter(|row| row["request"] == request).count();
-        }
+        let runs = fleet.count_runs("request", &request).await;
         assert_eq!(runs, 1, "{request}");
     }
 }
--- a/crates/fleet/src/suspects/table.rs
+++ b/crates/fleet/src/suspects/table.rs
@@ -121,6 +121,12 @@
         })
     }
 
+    /// What is known of `fingerprint`.
+    #[must_use]
+    pub fn verdict(&self, fingerprint: &BodyFingerprint) -> Option<&SuspectVerdict> {
+        self.rows.get(fingerprint)
+    }
+
     /// Removes what is out of date.
     pub fn prune(&mut self, unix_ms: u64) {
         let expiry = self.settings.expiry;
