--- a/crates/amaranthgw/src/cli/mod.rs
+++ b/crates/amaranthgw/src/cli/mod.rs
@@ -52,6 +52,7 @@
     match command {
         CliCommand::Entry { settings, verbose } => node::run_entry(&settings, verbose),
         CliCommand::Sidecar { settings, verbose } => node::run_sidecar(&settings, verbose),
+        CliCommand::Gateway { settings } => node::run_gateway(&settings),
         CliCommand::Check { files } => check::run(&files),
         CliCommand::Apply { operator, lists } => commit::run_apply(&operator, &lists),
         CliCommand::Out {
--- a/crates/amaranthgw/src/cli/options.rs
+++ b/crates/amaranthgw/src/cli/options.rs
@@ -105,6 +105,13 @@
         /// Log the events of single requests too
         verbose: bool,
     },
+    /// Run a gateway: pass callers' requests straight to targets on the users' platform
+    #[bpaf(command)]
+    Gateway {
+        /// Settings of the process
+        #[bpaf(env("AMARANTHGW_CONFIG"), argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Check settings and lists without changing anything
     #[bpaf(command)]
     Check {
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -0,0 +1,165 @@
+//! One attempt of a request at one target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_fleet::gateway::{FlightGuard, TargetChoice, TargetGauge};
+use amaranthgw_net::{DialSettings, HttpConnection, NetError, dial};
+use amaranthgw_platform::answer::{AnswerHead, AnswerStanding, decode_head};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::shared::GatewayThread;
+
+/// Longest wait for a connection to a target: some hundred times a handshake within a region.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// Time after which unacknowledged bytes end a connection to a target.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// How long an idle connection is used where the target does not say how long it keeps it.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+/// Part of the time that a target keeps an idle connection after which it is no longer used,
+/// so that a request does not cross its closing.
+const KEEP_PART: f64 = 0.7;
+
+/// Why an attempt gave no answer of the target to this request.
+#[derive(Debug)]
+pub(super) enum AttemptFailure {
+    /// Nothing reached the target.
+    Unsent(NetError),
+    /// The target says that it did not run the request.
+    NotRun(StatusCode),
+    /// The connection broke; the target may have run the request.
+    Broken(NetError),
+    /// No answer came in time; the target may run the request.
+    TimedOut,
+    /// What came is not an answer to this request; the target may have run it.
+    Foreign,
+}
+
+impl AttemptFailure {
+    /// Whether the target certainly did not run the request.
+    pub(super) const fn is_not_run(&self) -> bool {
+        matches!(self, Self::Unsent(_) | Self::NotRun(_))
+    }
+
+    /// Name for logs and metrics.
+    pub(super) const fn name(&self) -> &'static str {
+        match self {
+            Self::Unsent(_) => "unsent",
+            Self::NotRun(StatusCode::MISDIRECTED_REQUEST) => "other_target",
+            Self::NotRun(_) => "not_run",
+            Self::Broken(_) => "broken",
+            Self::TimedOut => "no_answer",
+            Self::Foreign => "foreign_answer",
+        }
+    }
+}
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+pub(super) struct OpenAttempt {
+    /// Where the request runs.
+    pub(super) target: TargetChoice,
+    /// What the head of the answer says.
+    pub(super) head: AnswerHead,
+    /// Headers of the answer.
+    pub(super) headers: HeaderMap,
+    /// The rest of the answer.
+    pub(super) body: Incoming,
+    connection: HttpConnection,
+    _flight: FlightGuard,
+}
+
+/// Sends `request` to `target` and waits until `give_up_at` for the head of the answer.
+pub(super) async fn open_attempt(
+    thread: &GatewayThread,
+    target: &TargetChoice,
+    request: &Request<Full<Bytes>>,
+    give_up_at: Instant,
+) -> Result<OpenAttempt, AttemptFailure> {
+    let flight = TargetGauge::enter(&target.gauge);
+    let opening = send(thread, target, request);
+    let opened = timeout_at(give_up_at, opening).await;
+    let now = Instant::now();
+    let opened = opened.unwrap_or(Err(AttemptFailure::TimedOut));
+    let (connection, response) = opened.inspect_err(|_| {
+        target.gauge.fail(now);
+    })?;
+    let (parts, body) = response.into_parts();
+    let head = decode_head(parts.status, &parts.headers, request.headers());
+    if let Some(load) = head.load {
+        target.gauge.report(load.in_flight, now);
+    }
+    let attempt = OpenAttempt {
+        target: target.clone(),
+        head,
+        headers: parts.headers,
+        body,
+        connection,
+        _flight: flight,
+    };
+    match head.standing {
+        AnswerStanding::Own => Ok(attempt),
+        AnswerStanding::NotRun => {
+            // The refusal is short; reading it keeps the connection.
+            drop(timeout_at(give_up_at, attempt.collect(thread)).await);
+            Err(AttemptFailure::NotRun(head.status))
+        }
+        AnswerStanding::Foreign => {
+            target.gauge.fail(now);
+            Err(AttemptFailure::Foreign)
+        }
+    }
+}
+
+async fn send(
+    thread: &GatewayThread,
+    target: &TargetChoice,
+    request: &Request<Full<Bytes>>,
+) -> Result<(HttpConnection, http::Response<Incoming>), AttemptFailure> {
+    let address = target.record.address;
+    loop {
+        let mut connection = match thread.pool.take(address) {
+            Some(connection) => connection,
+            None => {
+                let settings =
+                    DialSettings::new(CONNECT_LIMIT).with_silence_timeout(SILENCE_LIMIT);
+                dial(address, settings).await.map_err(AttemptFailure::Unsent)?
+            }
+        };
+        let was_fresh = connection.is_fresh();
+        match connection.send(request.clone()).await {
+            Ok(response) => return Ok((connection, response)),
+            // A kept connection that had closed says nothing about the target.
+            Err(NetError::Unsent) if !was_fresh => {}
+            Err(error) if error.is_unsent() => return Err(AttemptFailure::Unsent(error)),
+            Err(error) => return Err(AttemptFailure::Broken(error)),
+        }
+    }
+}
+
+impl OpenAttempt {
+    /// Reads the whole answer and keeps the connection.
+    pub(super) async fn collect(mut self, thread: &GatewayThread) -> Result<Bytes, hyper::Error> {
+        let collected = (&mut self.body).collect().await?;
+        self.finish(thread);
+        Ok(collected.to_bytes())
+    }
+
+    /// Keeps the connection after the whole answer was read.
+    pub(super) fn finish(self, thread: &GatewayThread) {
+        if self.head.closes {
+            return;
+        }
+        let keep = self.head.keeps_open.unwrap_or(DEFAULT_KEEP).mul_f64(KEEP_PART);
+        thread.pool.put(self.target.record.address, self.connection, keep);
+    }
+
+    /// What this process sees of the target.
+    pub(super) fn gauge(&self) -> &Arc<TargetGauge> {
+        &self.target.gauge
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -0,0 +1,128 @@
+//! The control thread of a gateway: owns the world and publishes what traffic threads read.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use amaranthgw_core::DomainId;
+use amaranthgw_fleet::gateway::{GatewayWorld, TargetRecord, TargetShift};
+use compact_str::{CompactString, ToCompactString};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::time::Instant;
+
+use super::feeds::FollowedConfig;
+use super::shared::GatewayShared;
+use crate::telemetry::{EventLog, NodeEvent};
+
+/// What the control thread receives.
+#[derive(Debug)]
+pub(super) enum ControlMessage {
+    /// Time to run the systems.
+    Tick,
+    /// A configuration, and where it came from.
+    Config(FollowedConfig, &'static str),
+    /// The failure domains that are out, and where the set came from.
+    Evacuated(BTreeSet<DomainId>, &'static str),
+    /// The whole registry.
+    Registry(Vec<TargetRecord>),
+    /// The registry could not be read.
+    RegistryFailed,
+}
+
+/// The actor of the control thread.
+#[derive(Debug)]
+pub(super) struct GatewayControl;
+
+/// State of the actor.
+#[derive(Debug)]
+pub(super) struct ControlState {
+    pub(super) world: GatewayWorld,
+    pub(super) shared: Arc<GatewayShared>,
+    pub(super) log: EventLog,
+    pub(super) was_ready: bool,
+}
+
+impl Actor for GatewayControl {
+    type Msg = ControlMessage;
+    type State = ControlState;
+    type Arguments = ControlState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<ControlMessage>,
+        state: ControlState,
+    ) -> Result<ControlState, ActorProcessingErr> {
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<ControlMessage>,
+        message: ControlMessage,
+        state: &mut ControlState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            ControlMessage::Tick => {}
+            ControlMessage::Config(config, source) => state.adopt_config(&config, source),
+            ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(domains, source),
+            ControlMessage::Registry(records) => state.adopt_registry(records),
+            ControlMessage::RegistryFailed => state.world.registry_failed(),
+        }
+        state.publish();
+        Ok(())
+    }
+}
+
+impl ControlState {
+    fn adopt_config(&mut self, config: &FollowedConfig, source: &'static str) {
+        let previous = self.world.routes.version;
+        if !self.world.adopt_routes(Arc::clone(&config.routes)) {
+            return;
+        }
+        self.log.record(NodeEvent::RoutesAdopted {
+            version: config.routes.version,
+            previous,
+            routes: u64::try_from(config.routes.route_count()).unwrap_or(u64::MAX),
+            unusable_rows: config.unusable_rows,
+            source,
+        });
+    }
+
+    fn adopt_evacuated(&mut self, domains: BTreeSet<DomainId>, source: &'static str) {
+        let names: Vec<_> = domains.iter().map(DomainId::as_str).collect();
+        let names = CompactString::from(names.join(","));
+        if self.world.adopt_evacuated(domains) {
+            let domains = names;
+            self.log.record(NodeEvent::DomainsOut { domains, source });
+        }
+    }
+
+    fn adopt_registry(&mut self, records: Vec<TargetRecord>) {
+        for shift in self.world.adopt_registry(records, Instant::now()) {
+            let (target, state, address) = match shift {
+                TargetShift::Seen(record) => {
+                    let address = record.address.to_compact_string();
+                    (record.target, "seen", address)
+                }
+                TargetShift::Draining(target) => (target, "draining", CompactString::default()),
+                TargetShift::Gone(target) => (target, "gone", CompactString::default()),
+            };
+            self.log.record(NodeEvent::TargetShifted {
+                target,
+                state,
+                address,
+            });
+        }
+    }
+
+    fn publish(&mut self) {
+        if self.world.is_changed {
+            let snapshot = Arc::new(self.world.snapshot());
+            self.shared.snapshot.store(snapshot);
+        }
+        let ready = self.shared.readiness().is_ok();
+        if ready != self.was_ready {
+            self.was_ready = ready;
+            self.log.record(NodeEvent::ReadinessShifted { ready });
+        }
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/listener.rs
@@ -0,0 +1,73 @@
+//! Accepts callers' connections and serves the requests on them.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use super::serve::answer;
+use super::shared::GatewayThread;
+use crate::runtime::{SharedListener, StopPhase};
+
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Pause after a failed accept: descriptors are freed as requests end.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which unacknowledged bytes end a connection to a caller.
+const CALLER_SILENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Serves callers until the process ends.
+pub(super) async fn serve_callers(thread: Arc<GatewayThread>, listener: Arc<SharedListener>) {
+    let stop = thread.shared.stop.clone();
+    let accepting = accept_callers(Arc::clone(&thread), listener);
+    tokio::select! {
+        () = accepting => {}
+        () = stop.reached(StopPhase::Draining) => {}
+    }
+    stop.reached(StopPhase::Ending).await;
+}
+
+async fn accept_callers(thread: Arc<GatewayThread>, listener: Arc<SharedListener>) {
+    let Ok(accepting) = listener.handle() else {
+        return;
+    };
+    loop {
+        match accepting.accept().await {
+            Ok((stream, _peer)) => drop(tokio::spawn(serve_caller(Arc::clone(&thread), stream))),
+            Err(_no_descriptor) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_caller(thread: Arc<GatewayThread>, stream: TcpStream) {
+    // A socket that can't be tuned still serves.
+    drop(stream.set_nodelay(true));
+    drop(SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_SILENCE_LIMIT)));
+    let limits = thread.shared.snapshot.load().routes.limits;
+    let stop = thread.shared.stop.clone();
+    let service = service_fn(move |request| {
+        let thread = Arc::clone(&thread);
+        async move { Ok::<_, Infallible>(answer(thread, request).await) }
+    });
+    let head_bytes = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle.duration())
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // The caller sees how its connection ended.
+        ended = connection.as_mut() => drop(ended),
+        () = stop.reached(StopPhase::Draining) => {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -0,0 +1,286 @@
+//! Runs an admitted request: chooses targets, tries again where that is safe, and answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::TargetId;
+use amaranthgw_fleet::gateway::{
+    ChoiceAsk, EventName, GatewaySnapshot, RouteKind, TargetChoice, WindowBudget,
+};
+use amaranthgw_platform::answer::caller_headers;
+use amaranthgw_platform::request::{OnwardTerms, onward_headers};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use tokio::time::{Instant, timeout_at};
+
+use super::attempt::{AttemptFailure, OpenAttempt, open_attempt};
+use super::body::{AnswerBody, whole_body};
+use super::refusal::CallRefusal;
+use super::serve::AdmittedCall;
+use super::shared::{GatewayThread, TriedTargets};
+use super::stream::stream_response;
+use crate::telemetry::{NodeEvent, count_attempt, count_ended};
+
+/// Sends of one request at most, counting those that targets turned away.
+const MAX_SENDS: u32 = 4;
+/// Longest wait for the next sign of life of a request that may run elsewhere, beyond the time
+/// for which a rank group stalls before it answers itself.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_650);
+/// Times its objective that a plain idempotent request waits at one target.
+const PATIENCE_OBJECTIVES: u32 = 3;
+
+/// A request on its way through targets.
+#[derive(Debug)]
+pub(super) struct CallRun {
+    pub(super) thread: Arc<GatewayThread>,
+    pub(super) call: AdmittedCall,
+    tried: TriedTargets,
+    sends: u32,
+    runs: u32,
+    may_have_run: bool,
+}
+
+/// What the next attempt needs.
+struct AttemptPlan {
+    target: TargetChoice,
+    budget: Option<Arc<WindowBudget>>,
+}
+
+/// Answers `call`.
+pub(super) async fn run_call(
+    thread: Arc<GatewayThread>,
+    call: AdmittedCall,
+) -> Response<AnswerBody> {
+    let mut run = CallRun {
+        thread,
+        call,
+        tried: TriedTargets::new(),
+        sends: 0,
+        runs: 0,
+        may_have_run: false,
+    };
+    match run.first_answer().await {
+        Ok(Begun::Stream(attempt)) => stream_response(run, *attempt),
+        Ok(Begun::Whole(response)) => response,
+        Err(refusal) => {
+            run.record_end(refusal.name(), refusal.status());
+            refusal.response()
+        }
+    }
+}
+
+/// How an answer begins.
+enum Begun {
+    /// Events that are passed on as they come.
+    Stream(Box<OpenAttempt>),
+    /// A whole answer.
+    Whole(Response<AnswerBody>),
+}
+
+impl CallRun {
+    async fn first_answer(&mut self) -> Result<Begun, CallRefusal> {
+        let mut failed = None;
+        loop {
+            let last_event = self.call.terms.last_event.clone();
+            let attempt = match self.next_attempt(last_event.as_ref()).await {
+                Ok(attempt) => attempt,
+                // A failure that a target answered is passed on rather than one of our own.
+                Err(refusal) => return failed.map(Begun::Whole).ok_or(refusal),
+            };
+            if attempt.head.is_event_stream && attempt.head.status == StatusCode::OK {
+                return Ok(Begun::Stream(Box::new(attempt)));
+            }
+            let Some(response) = self.whole_answer(attempt).await else {
+                continue;
+            };
+            let is_failure = response.status().is_server_error();
+            if !is_failure || !self.may_run_again() {
+                self.record_end("answered", response.status());
+                return Ok(Begun::Whole(response));
+            }
+            failed = Some(response);
+        }
+    }
+
+    /// Reads the whole answer of `attempt`; `None` where it broke.
+    async fn whole_answer(&mut self, attempt: OpenAttempt) -> Option<Response<AnswerBody>> {
+        let (status, headers) = (attempt.head.status, caller_headers(&attempt.headers));
+        let gauge = Arc::clone(attempt.gauge());
+        let target = attempt.target.record.target.clone();
+        let thread = Arc::clone(&self.thread);
+        let collected = timeout_at(self.call.give_up_at, attempt.collect(&thread)).await;
+        let Ok(Ok(body)) = collected else {
+            gauge.fail(Instant::now());
+            self.record_attempt(&target, "broken_answer");
+            return None;
+        };
+        gauge.succeed();
+        let mut response = Response::new(whole_body(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        Some(response)
+    }
+
+    /// Whether the request may run on one more target.
+    fn may_run_again(&self) -> bool {
+        self.call.route.may_repeat()
+            && self.runs < self.call.route.attempts
+            && self.sends < MAX_SENDS
+            && Instant::now() < self.call.give_up_at
+    }
+
+    /// Sends the request to one target after the other until an answer begins.
+    pub(super) async fn next_attempt(
+        &mut self,
+        last_event: Option<&EventName>,
+    ) -> Result<OpenAttempt, CallRefusal> {
+        loop {
+            let plan = self.plan()?;
+            let target = plan.target;
+            self.sends += 1;
+            self.tried.push(target.record.target.clone());
+            let request = self.request(&target, last_event);
+            let patience = self.patience();
+            let opened = open_attempt(&self.thread, &target, &request, patience).await;
+            count_attempt(match &opened {
+                Ok(_) => "answered",
+                Err(failure) => failure.name(),
+            });
+            let failure = match opened {
+                Ok(attempt) => {
+                    self.runs += 1;
+                    self.may_have_run = true;
+                    self.record_attempt(&target.record.target, "answered");
+                    return Ok(attempt);
+                }
+                Err(failure) => failure,
+            };
+            self.record_attempt(&target.record.target, failure.name());
+            if !failure.is_not_run() {
+                self.runs += 1;
+                self.may_have_run = true;
+                if !self.may_run_again() {
+                    return Err(self.unknown());
+                }
+            }
+            if let (AttemptFailure::Unsent(_), Some(_)) = (&failure, &plan.budget) {
+                // Nothing arrived, so the next send is no repeat.
+                self.sends -= 1;
+                if self.tried.len() > usize::try_from(MAX_SENDS).unwrap_or(usize::MAX) {
+                    return Err(self.unknown());
+                }
+            }
+        }
+    }
+
+    /// The answer where no target gave one.
+    fn unknown(&self) -> CallRefusal {
+        let is_over = Instant::now() >= self.call.give_up_at;
+        match (self.may_have_run, is_over) {
+            (true, true) => CallRefusal::TimedOut,
+            (true, false) => CallRefusal::OutcomeUnknown,
+            (false, true) => CallRefusal::TooLate,
+            (false, false) => CallRefusal::NoCapacity,
+        }
+    }
+
+    /// Chooses the next target, or says why there is none.
+    fn plan(&self) -> Result<AttemptPlan, CallRefusal> {
+        let now = Instant::now();
+        if now >= self.call.give_up_at || self.sends >= MAX_SENDS {
+            return Err(self.unknown());
+        }
+        let snapshot = self.thread.shared.snapshot.load();
+        let budget = snapshot.budgets.get(&self.call.service).cloned();
+        let target = self.choose(&snapshot, now).ok_or_else(|| self.unknown())?;
+        match &budget {
+            Some(budget) if self.sends == 0 => budget.record_request(now),
+            Some(budget) if !budget.try_repeat(now) => return Err(self.unknown()),
+            _ => {}
+        }
+        Ok(AttemptPlan { target, budget })
+    }
+
+    fn choose(&self, snapshot: &GatewaySnapshot, now: Instant) -> Option<TargetChoice> {
+        let targets = snapshot.targets.get(&self.call.service)?;
+        let service = snapshot.routes.services.get(&self.call.service);
+        let ask = ChoiceAsk {
+            tried: &self.tried,
+            domain: &self.thread.shared.domain,
+            cold_limit: service.map_or(1, |service| snapshot.cold_limit(service.cold_rate)),
+            now,
+        };
+        self.thread.shared.policy.choose(targets, &ask).cloned()
+    }
+
+    /// When this attempt is given up.
+    fn patience(&self) -> Instant {
+        let now = Instant::now();
+        let route = &self.call.route;
+        let limit = match route.kind {
+            RouteKind::Streaming if route.may_repeat() => SILENCE_LIMIT,
+            RouteKind::Idempotent if self.runs + 1 < route.attempts => {
+                route.objective.duration() * PATIENCE_OBJECTIVES
+            }
+            _ => return self.call.give_up_at,
+        };
+        self.call.give_up_at.min(now + limit)
+    }
+
+    fn request(&self, target: &TargetChoice, last_event: Option<&EventName>) -> Request<Full<Bytes>> {
+        let left = self.call.give_up_at.saturating_duration_since(Instant::now());
+        let headers = onward_headers(
+            &self.call.parts.headers,
+            &OnwardTerms {
+                target: &target.record.target,
+                left,
+                workspace: self.call.workspace.as_ref(),
+                last_event,
+            },
+        );
+        let mut request = Request::new(Full::new(self.call.body.clone()));
+        *request.method_mut() = self.call.parts.method.clone();
+        // Only path and query go on: the caller may have sent an absolute form.
+        let path = self.call.parts.uri.path_and_query().cloned();
+        *request.uri_mut() = path.map_or_else(http::Uri::default, http::Uri::from);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Longest silence of a stream before it goes on elsewhere.
+    pub(super) fn silence_until(&self, now: Instant) -> Instant {
+        self.call.give_up_at.min(now + SILENCE_LIMIT)
+    }
+
+    /// Whether a stream may go on at another target.
+    pub(super) fn may_resume(&self) -> bool {
+        self.may_run_again()
+    }
+
+    /// Records the end of an attempt.
+    pub(super) fn record_attempt(&self, target: &TargetId, outcome: &'static str) {
+        self.thread.log.record(NodeEvent::CallAttempted {
+            request: self.call.name(),
+            target: target.clone(),
+            send: self.sends,
+            outcome,
+            age_ms: self.call.age_ms(),
+        });
+    }
+
+    /// Records the end of the request.
+    pub(super) fn record_end(&self, outcome: &'static str, status: StatusCode) {
+        count_ended(self.call.route.kind.name(), outcome, self.call.arrived_at.elapsed());
+        self.thread.log.record(NodeEvent::CallEnded {
+            request: self.call.name(),
+            route: self.call.route.route.clone(),
+            workspace: self.call.workspace.clone(),
+            outcome,
+            status: status.as_u16(),
+            sends: self.sends,
+            age_ms: self.call.age_ms(),
+            version: self.thread.shared.snapshot.load().routes.version,
+        });
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/shared.rs
@@ -0,0 +1,77 @@
+//! What the threads of a gateway share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use amaranthgw_core::{DomainId, TargetId};
+use amaranthgw_fleet::gateway::{ChoicePolicy, GatewaySnapshot};
+use amaranthgw_net::ConnectionPool;
+use arc_swap::ArcSwap;
+
+use crate::runtime::{StopPhase, StopSignal};
+use crate::telemetry::EventLog;
+
+/// State that the control thread publishes and traffic threads read.
+#[derive(Debug)]
+pub(super) struct GatewayShared {
+    /// Routes, targets and budgets in force.
+    pub(super) snapshot: ArcSwap<GatewaySnapshot>,
+    /// Chooses targets.
+    pub(super) policy: Box<dyn ChoicePolicy>,
+    /// Failure domain of the process.
+    pub(super) domain: DomainId,
+    /// Requests being answered.
+    pub(super) in_flight: AtomicU32,
+    /// Phase of the process.
+    pub(super) stop: StopSignal,
+}
+
+impl GatewayShared {
+    /// Whether the balancer should send new connections, or why not.
+    pub(super) fn readiness(&self) -> Result<(), &'static str> {
+        if self.stop.phase() > StopPhase::Serving {
+            return Err("stopping");
+        }
+        if self.snapshot.load().is_ready {
+            Ok(())
+        } else {
+            Err("configuration or targets not known yet")
+        }
+    }
+}
+
+/// What one traffic thread works with.
+#[derive(Debug)]
+pub(super) struct GatewayThread {
+    /// What the threads share.
+    pub(super) shared: Arc<GatewayShared>,
+    /// Idle connections to targets.
+    pub(super) pool: ConnectionPool,
+    /// Where the thread writes its events.
+    pub(super) log: EventLog,
+}
+
+/// Counts one request in flight until it is dropped.
+#[derive(Debug)]
+pub(super) struct CallGuard {
+    shared: Arc<GatewayShared>,
+}
+
+impl CallGuard {
+    /// Counts a request.
+    pub(super) fn new(shared: &Arc<GatewayShared>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared: Arc::clone(shared),
+        }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Targets that a request was sent to.
+pub(super) type TriedTargets = Vec<TargetId>;
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod embedded;
 pub mod entry;
+pub mod gateway;
 pub mod link;
 pub mod operator;
 pub mod peer;
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -1,8 +1,8 @@
 //! The numbered events; `docs/EVENTS.md` is their catalogue.
 
 use amaranthgw_core::{
-    AttemptNumber, ChangeNumber, DomainId, RequestId, ServiceId, SlotCount, StartMark, TargetId,
-    VmId, WorkspaceId,
+    AttemptNumber, ChangeNumber, ConfigVersion, DomainId, RequestId, RouteId, ServiceId, SlotCount,
+    StartMark, TargetId, VmId, WorkspaceId,
 };
 use compact_str::CompactString;
 
@@ -204,4 +204,97 @@
         /// Why.
         reason: &'static str,
     }
+    /// A newer configuration of the operators is in force at a gateway.
+    3001 Info RoutesAdopted "configuration in force" {
+        /// Version now in force.
+        version: ConfigVersion,
+        /// Version in force before.
+        previous: ConfigVersion,
+        /// Routes of the configuration.
+        routes: u64,
+        /// Rows that could not be read and were left out.
+        unusable_rows: u32,
+        /// Where it came from.
+        source: &'static str,
+    }
+    /// The set of failure domains that operators took out changed.
+    3002 Info DomainsOut "failure domains out" {
+        /// The failure domains, separated by commas.
+        domains: CompactString,
+        /// Where the set came from.
+        source: &'static str,
+    }
+    /// What a gateway believes about a target changed.
+    3003 Info TargetShifted "target changed" {
+        /// The target.
+        target: TargetId,
+        /// What it is taken for from now on.
+        state: &'static str,
+        /// Address, where the target is new.
+        address: CompactString,
+    }
+    /// Entries of the registry could not be read; they name no target.
+    3004 Warning EntriesUnusable "registry entries unusable" {
+        /// Number of entries.
+        entries: u32,
+        /// Why the last one could not be read.
+        reason: CompactString,
+    }
+    /// The process counts as ready for new connections, or no longer.
+    3005 Info ReadinessShifted "readiness changed" {
+        /// Whether it is ready.
+        ready: bool,
+    }
+    /// The settings file changed.
+    3006 Info SettingsReloaded "settings read again" {
+        /// What became of the change.
+        outcome: CompactString,
+    }
+    /// A request was refused before it was sent anywhere.
+    3101 Info CallRefused "call refused" {
+        /// The request.
+        request: CompactString,
+        /// Its route, where it has one.
+        route: CompactString,
+        /// Why.
+        reason: &'static str,
+        /// Status of the answer.
+        status: u16,
+        /// Version of the configuration that decided.
+        version: ConfigVersion,
+        /// Time since it arrived, in milliseconds.
+        age_ms: u64,
+    }
+    /// A request was sent to a target, with what became of it.
+    3102 Info CallAttempted "call attempted" {
+        /// The request.
+        request: CompactString,
+        /// The target.
+        target: TargetId,
+        /// Number of the send, from 1.
+        send: u32,
+        /// What became of it.
+        outcome: &'static str,
+        /// Time since the request arrived, in milliseconds.
+        age_ms: u64,
+    }
+    /// A request ended.
+    3103 Info CallEnded "call ended" {
+        /// The request.
+        request: CompactString,
+        /// Its route.
+        route: RouteId,
+        /// Workspace of the caller.
+        workspace: Option<WorkspaceId>,
+        /// How it ended.
+        outcome: &'static str,
+        /// Status of the answer.
+        status: u16,
+        /// Times it was sent.
+        sends: u32,
+        /// Time since it arrived, in milliseconds.
+        age_ms: u64,
+        /// Version of the configuration in force.
+        version: ConfigVersion,
+    }
 }
--- a/crates/amaranthgw/src/telemetry/log.rs
+++ b/crates/amaranthgw/src/telemetry/log.rs
@@ -7,6 +7,9 @@
 
 use super::{EventJournal, EventLevel, JournalEntry, NodeEvent};
 
+/// Lines that may wait for the reader of the log.
+const LOG_QUEUE_LINES: usize = 1024;
+
 /// Records events; each clone made by [`EventLog::with_own_journal`] keeps a journal of its own.
 #[derive(Clone, Debug)]
 pub struct EventLog {
@@ -25,6 +28,19 @@
         Self::with_logger(Logger::root(drain, o!()))
     }
 
+    /// Creates a log that writes JSON lines of at least `level` to standard output.
+    ///
+    /// Lines that find the queue full are dropped, and their number is written later.
+    #[must_use]
+    pub fn with_standard_output(level: EventLevel) -> Self {
+        let json = slog_json::Json::default(std::io::stdout()).ignore_res();
+        let filtered = slog::LevelFilter::new(json, slog_level(level)).ignore_res();
+        let queue = slog_async::Async::new(filtered)
+            .chan_size(LOG_QUEUE_LINES)
+            .overflow_strategy(slog_async::OverflowStrategy::DropAndReport);
+        Self::with_logger(Logger::root(queue.build().ignore_res(), o!()))
+    }
+
     /// Creates a log that writes to `logger`.
     #[must_use]
     pub fn with_logger(logger: Logger) -> Self {
--- a/crates/amaranthgw/src/telemetry/metrics.rs
+++ b/crates/amaranthgw/src/telemetry/metrics.rs
@@ -72,3 +72,19 @@
         gauge!("amaranthgw_target_limit", "target" => target).set(f64::from(self.limit.get()));
     }
 }
+
+/// Counts a request that a gateway ended, and the time it took.
+pub fn count_ended(kind: &'static str, outcome: &'static str, taken: Duration) {
+    counter!("amaranthgw_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
+    histogram!("amaranthgw_call_seconds", "kind" => kind).record(taken);
+}
+
+/// Counts a send of a request to a target by what became of it.
+pub fn count_attempt(outcome: &'static str) {
+    counter!("amaranthgw_attempts_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts a call of the key-value service by what became of it.
+pub fn count_store_call(call: &'static str, outcome: &'static str) {
+    counter!("amaranthgw_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -78,3 +78,13 @@
     AdapterId,
     64
 );
+text_id!(
+    /// A route of the operators' configuration.
+    RouteId,
+    64
+);
+text_id!(
+    /// The secret by which a caller shows its workspace.
+    CallerKey,
+    128
+);
--- a/crates/core/src/numbers.rs
+++ b/crates/core/src/numbers.rs
@@ -50,3 +50,11 @@
     /// A layer of a model, counted from 0.
     LayerId, u16
 );
+number_type!(
+    /// Version of the operators' configuration; versions rise in uneven steps.
+    ConfigVersion, u64
+);
+number_type!(
+    /// A lease of the key-value service; 0 stands for none.
+    LeaseId, u64
+);
--- /dev/null
+++ b/crates/fleet/src/gateway/budget.rs
@@ -0,0 +1,94 @@
+//! The part of a service's requests that may be sent once more, over a sliding window.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// What a service may send once more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WindowSettings {
+    /// Repeats that each request allows.
+    pub ratio: f64,
+    /// Repeats allowed beside these in each window.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Requests and repeats of one slice of time.
+#[derive(Clone, Copy, Debug)]
+struct WindowSlice {
+    started_at: Instant,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Slices of a window; each counts whole until its end leaves the window.
+const SLICES: u32 = 20;
+
+/// Requests and repeats of one service at this process; shared by its traffic threads.
+#[derive(Debug)]
+pub struct WindowBudget {
+    settings: WindowSettings,
+    slices: Mutex<VecDeque<WindowSlice>>,
+}
+
+impl WindowBudget {
+    /// Creates the budget of a service without traffic.
+    #[must_use]
+    pub fn new(settings: WindowSettings) -> Self {
+        Self {
+            settings,
+            slices: Mutex::default(),
+        }
+    }
+
+    /// Counts a request that is sent for the first time at `now`.
+    pub fn record_request(&self, now: Instant) {
+        self.with_slices(now, |slices| {
+            if let Some(last) = slices.back_mut() {
+                last.requests += 1;
+            }
+        });
+    }
+
+    /// Takes one repeat from the budget; `false` where none is left at `now`.
+    #[must_use]
+    pub fn try_repeat(&self, now: Instant) -> bool {
+        let settings = self.settings;
+        self.with_slices(now, |slices| {
+            let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
+            let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
+            let allowed = f64::from(requests) * settings.ratio + settings.slack;
+            let is_allowed = f64::from(repeats) + 1.0 <= allowed;
+            if let Some(last) = slices.back_mut().filter(|_| is_allowed) {
+                last.repeats += 1;
+            }
+            is_allowed
+        })
+    }
+
+    fn with_slices<T>(&self, now: Instant, act: impl FnOnce(&mut VecDeque<WindowSlice>) -> T) -> T {
+        let mut slices = self.slices.lock().unwrap_or_else(PoisonError::into_inner);
+        let slice_length = self.settings.window / SLICES;
+        let is_over = |slice: &WindowSlice| {
+            now.saturating_duration_since(slice.started_at) > self.settings.window + slice_length
+        };
+        while slices.front().is_some_and(is_over) {
+            slices.pop_front();
+        }
+        let is_current = |slice: &WindowSlice| {
+            now.saturating_duration_since(slice.started_at) < slice_length
+        };
+        if !slices.back().is_some_and(is_current) {
+            slices.push_back(WindowSlice {
+                started_at: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        act(&mut slices)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! Decisions of a gateway: routes, targets, choices, whole events, and the state behind them.
+
+mod budget;
+mod choice;
+mod events;
+mod routes;
+mod targets;
+mod world;
+
+pub use budget::{WindowBudget, WindowSettings};
+pub use choice::{ChoiceAsk, ChoicePolicy, LeastLoadedPolicy, RoundRobinPolicy};
+pub use events::{EventName, EventScanner};
+pub use routes::{
+    CallLimits, ExpertShape, KeyHolder, RouteKind, RouteMiss, RouteRow, RouteTable, ServiceRow,
+    SplitShare,
+};
+pub use targets::{FlightGuard, TargetChoice, TargetGauge, TargetRecord};
+pub use world::{FleetBounds, GatewaySnapshot, GatewayWorld, TargetRow, TargetShift};
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod entry;
 pub mod gate;
+pub mod gateway;
 pub mod limits;
 pub mod lists;
 pub mod membership;
--- a/crates/fleet/src/settings/mod.rs
+++ b/crates/fleet/src/settings/mod.rs
@@ -1,14 +1,18 @@
 //! Settings of the processes, and how JSON documents with comments are read and refused.
 
+mod agent;
 mod document;
 mod entry;
+mod gateway;
 mod parse;
 mod problem;
 mod rule;
 mod sidecar;
 
 pub(crate) use document::JsonDocument;
+pub use agent::AgentSettings;
 pub use entry::{EntrySettings, SlotSettings};
+pub use gateway::GatewaySettings;
 pub(crate) use parse::{field_problem, parse_document};
 pub use problem::{DocumentError, FieldPath, FieldProblem, PathPart, ProblemKind, TextPosition};
 pub use rule::{FieldRange, FieldRule};
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,14 @@
+//! Connections to other processes: dialling, keeping and reusing them.
+
+mod dial;
+mod error;
+mod kept;
+mod pool;
+
+pub use dial::{DialSettings, HttpConnection, dial};
+pub use error::NetError;
+pub use kept::{KeptClient, WholeReply};
+pub use pool::ConnectionPool;
+
+/// Result of a call to another process.
+pub type Result<T> = std::result::Result<T, NetError>;
