Agents keep the experts of a rank group level

Change: groups::levels (demand, planner, switch driver) and amaranthgw agent: reads its own rank, passes orders on, and leads its group while it holds the lease in the store, whose revision fences.

--- /dev/null
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -0,0 +1,90 @@
+//! The rank beside this process.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use amaranthgw_core::{GroupGeneration, MapVersion};
+use amaranthgw_groups::levels::{OrderReply, RankView};
+use amaranthgw_platform::rank::RankClient;
+use tokio::time::Instant;
+
+use super::link::{BESIDE_LIMIT, PassedOrder};
+use super::{AgentError, Result};
+use crate::telemetry::{EventLog, NodeEvent};
+
+/// Experts of the rank under one map.
+type KnownExperts = (GroupGeneration, MapVersion, Vec<Vec<u16>>);
+
+/// The rank beside this process, with what is known of it.
+#[derive(Debug)]
+pub(super) struct RankBeside {
+    client: RankClient,
+    experts: Mutex<Option<KnownExperts>>,
+    asked_at: Mutex<Option<Instant>>,
+    log: EventLog,
+}
+
+impl RankBeside {
+    /// Creates the client of the rank at `address`.
+    pub(super) fn new(address: SocketAddr, log: EventLog) -> Self {
+        Self {
+            client: RankClient::new(address),
+            experts: Mutex::default(),
+            asked_at: Mutex::default(),
+            log,
+        }
+    }
+
+    /// State of the rank with counts and experts.
+    pub(super) async fn read(&self) -> Result<RankView> {
+        let report = self.client.report(BESIDE_LIMIT).await?;
+        let mut view = report.ok_or(AgentError::NoGroup)?;
+        let counts = self.client.counts(view.generation, BESIDE_LIMIT).await?;
+        view.counts = counts.unwrap_or_default();
+        view.experts = self.experts(view.generation, view.map).await?;
+        Ok(view)
+    }
+
+    /// Experts of the rank under `map`; empty where it changes right now.
+    async fn experts(
+        &self,
+        generation: GroupGeneration,
+        map: MapVersion,
+    ) -> Result<Vec<Vec<u16>>> {
+        let known = self.experts.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some((_, _, experts)) = known.filter(|known| (known.0, known.1) == (generation, map))
+        {
+            return Ok(experts);
+        }
+        let (version, experts) = self.client.experts(BESIDE_LIMIT).await?;
+        if version != map {
+            return Ok(Vec::new());
+        }
+        let known = Some((generation, map, experts.clone()));
+        *self.experts.lock().unwrap_or_else(PoisonError::into_inner) = known;
+        Ok(experts)
+    }
+
+    /// Passes an order on to the rank.
+    pub(super) async fn pass_on(&self, passed: PassedOrder) -> OrderReply {
+        let PassedOrder { order, fence, generation } = passed;
+        let reply = self.client.order(&order, fence, generation, BESIDE_LIMIT).await;
+        self.log.record(NodeEvent::OrderPassed {
+            order: order.name(),
+            fence,
+            generation,
+            reply: reply.name(),
+        });
+        reply
+    }
+
+    /// Notes that a coordinator asked for the state of the rank.
+    pub(super) fn note_asked(&self) {
+        *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    /// When a coordinator last asked.
+    pub(super) fn asked_at(&self) -> Option<Instant> {
+        *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -0,0 +1,258 @@
+//! Leads one group: reads all ranks, plans placements and drives switches.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId};
+use amaranthgw_fleet::gateway::ExpertShape;
+use amaranthgw_groups::levels::{
+    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerLimits, RankView, SwitchDriver,
+    SwitchPhase, plan_change,
+};
+use amaranthgw_platform::store::PlatformStore;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use super::election::WonLease;
+use super::link::{PassedOrder, SharedLink};
+use super::roster::{RankRoster, read_shape};
+use crate::telemetry::{EventLog, NodeEvent};
+
+/// Pause between two looks at all ranks while no switch is under way.
+const CALM_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two looks while weights are copied or a switch settles.
+const BUSY_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two reads of the registry while ranks are missing.
+const SEARCH_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two reads of the registry while all ranks are there.
+const ROSTER_PAUSE: Duration = Duration::from_secs(5);
+/// Imbalance below which a set is left as it is.
+const LEVEL_IMBALANCE: f64 = 1.08;
+/// Part of the mean load that one more copied expert must take off the largest load.
+const COPY_GAIN: f64 = 0.012;
+/// Mean imbalance that a change must take off.
+const CHANGE_GAIN: f64 = 0.06;
+/// Experts that one rank copies for one change: each takes a seventh of a second, and topics shift
+/// every few seconds.
+const COPIES_PER_RANK: usize = 4;
+
+/// What comes back to the coordinator.
+enum LinkEvent {
+    /// A rank was seen through one of the links.
+    Seen(SharedLink, RankView),
+    /// An order was answered.
+    Replied(DueOrder, OrderReply),
+}
+
+/// A group's coordinator, for as long as it holds the lease.
+pub(super) struct GroupCoordinator {
+    store: Arc<PlatformStore>,
+    service: ServiceId,
+    roster: RankRoster,
+    driver: SwitchDriver,
+    shape: Option<ExpertShape>,
+    demand: Option<ExpertDemand>,
+    links: std::collections::HashMap<amaranthgw_core::RankId, SharedLink>,
+    placement: Option<(GroupGeneration, MapVersion, GroupPlacement)>,
+    until: watch::Receiver<Instant>,
+    group: amaranthgw_core::GroupId,
+    log: EventLog,
+    events: UnboundedSender<LinkEvent>,
+    inbox: UnboundedReceiver<LinkEvent>,
+}
+
+impl GroupCoordinator {
+    /// Creates the coordinator that holds `won` until the time that `until` tells.
+    pub(super) fn new(
+        won: &WonLease,
+        store: Arc<PlatformStore>,
+        service: ServiceId,
+        roster: RankRoster,
+        until: watch::Receiver<Instant>,
+        log: EventLog,
+    ) -> Self {
+        let (events, inbox) = unbounded_channel();
+        Self {
+            driver: SwitchDriver::new(won.rank, won.fence, Instant::now()),
+            store,
+            service,
+            roster,
+            shape: None,
+            demand: None,
+            links: std::collections::HashMap::new(),
+            placement: None,
+            until,
+            group: won.group.clone(),
+            log,
+            events,
+            inbox,
+        }
+    }
+
+    /// Leads until a later coordinator gave orders; the caller ends it where the lease is lost.
+    pub(super) async fn lead(mut self) {
+        let mut look_at = Instant::now();
+        let mut roster_at = Instant::now();
+        while !self.driver.is_deposed() {
+            let now = Instant::now();
+            if now >= roster_at {
+                roster_at = now + self.refresh().await;
+            }
+            if now >= look_at {
+                self.look();
+                look_at = now + self.pause();
+            }
+            tokio::select! {
+                Some(event) = self.inbox.recv() => self.take(event),
+                () = sleep_until(look_at) => {}
+            }
+            self.act();
+            look_at = look_at.min(Instant::now() + self.pause());
+        }
+    }
+
+    /// Reads registry and configuration; gives the pause until the next time.
+    async fn refresh(&mut self) -> Duration {
+        if self.shape.is_none()
+            && let Ok(shape) = read_shape(&self.store, &self.service).await
+        {
+            self.shape = shape;
+            self.demand = shape.map(|shape| ExpertDemand::new(shape.sets, shape.experts));
+        }
+        // A failed read leaves the ranks known so far.
+        drop(self.roster.refresh(&self.store).await);
+        if self.driver.is_complete(Instant::now()) {
+            ROSTER_PAUSE
+        } else {
+            SEARCH_PAUSE
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        match self.driver.phase() {
+            SwitchPhase::Idle => CALM_PAUSE,
+            _ => BUSY_PAUSE,
+        }
+    }
+
+    /// Asks every rank for its state.
+    fn look(&self) {
+        for link in self.roster.links() {
+            let (link, events) = (Arc::clone(link), self.events.clone());
+            tokio::spawn(async move {
+                // A rank that gives no answer is missing from the views.
+                if let Ok(view) = link.view().await {
+                    drop(events.send(LinkEvent::Seen(Arc::clone(&link), view)));
+                }
+            });
+        }
+    }
+
+    fn take(&mut self, event: LinkEvent) {
+        let now = Instant::now();
+        match event {
+            LinkEvent::Seen(link, view) if view.group == self.group => {
+                self.links.insert(view.rank, link);
+                self.driver.observe(view, now);
+            }
+            LinkEvent::Seen(..) => {}
+            LinkEvent::Replied(order, reply) => self.driver.reply(&order, reply, now),
+        }
+    }
+
+    fn act(&mut self) {
+        let now = Instant::now();
+        if *self.until.borrow() <= now {
+            return;
+        }
+        self.plan(now);
+        for due in self.driver.due_orders(now) {
+            self.send(due);
+        }
+        for note in self.driver.take_notes() {
+            self.log.record(NodeEvent::SwitchShifted {
+                group: self.group.clone(),
+                phase: note.phase,
+                version: note.version,
+                step: note.step,
+                cause: note.cause,
+            });
+        }
+    }
+
+    /// Begins a switch where one is worth its copies.
+    fn plan(&mut self, now: Instant) {
+        let Some(version) = self.driver.common_map(now) else {
+            return;
+        };
+        self.learn_placement(version);
+        let (Some(shape), Some(demand)) = (self.shape, self.demand.as_mut()) else {
+            return;
+        };
+        if !demand.observe(self.driver.views(), now) {
+            return;
+        }
+        let Some((_, _, placement)) = &self.placement else {
+            return;
+        };
+        let limits = PlannerLimits {
+            places: shape.places,
+            new_per_set: shape.spare,
+            new_per_rank: COPIES_PER_RANK,
+            level: LEVEL_IMBALANCE,
+            least_gain: COPY_GAIN,
+        };
+        let change = plan_change(placement, demand.recent(), demand.lasting(), &limits);
+        let Some(change) = change.filter(|it| it.before - it.after >= CHANGE_GAIN) else {
+            return;
+        };
+        self.log.record(NodeEvent::PlacementPlanned {
+            group: self.group.clone(),
+            version,
+            copies: u64::try_from(change.copies).unwrap_or(u64::MAX),
+            most_copies: u64::try_from(change.most_copies).unwrap_or(u64::MAX),
+            before_percent: percent(change.before),
+            after_percent: percent(change.after),
+        });
+        self.driver.start(change.placement, now);
+    }
+
+    /// Remembers the placement of the common map, which ranks seen from afar do not tell.
+    fn learn_placement(&mut self, version: MapVersion) {
+        let generation = self.driver.views().next().map(|view| view.generation);
+        let known = self.placement.as_ref();
+        let is_known = known.is_some_and(|known| Some(known.0) == generation && known.1 == version);
+        if is_known {
+            return;
+        }
+        let told = self.driver.common_placement();
+        let Some((generation, placement)) = generation.zip(told) else {
+            return;
+        };
+        self.placement = Some((generation, version, placement));
+    }
+
+    fn send(&self, due: DueOrder) {
+        let Some(link) = self.links.get(&due.rank).cloned() else {
+            return;
+        };
+        let events = self.events.clone();
+        let passed = PassedOrder {
+            order: due.order.clone(),
+            fence: due.fence,
+            generation: due.generation,
+        };
+        tokio::spawn(async move {
+            let reply = link.order(passed).await;
+            drop(events.send(LinkEvent::Replied(due, reply)));
+        });
+    }
+}
+
+fn percent(ratio: f64) -> u64 {
+    // Float to integer casts saturate.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+    let percent = (ratio.max(0.0) * 100.0).round() as u64;
+    percent
+}
--- /dev/null
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -0,0 +1,123 @@
+//! Ways to a rank: beside this process, through its agent, or straight from afar.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{FencingNumber, GroupGeneration};
+use amaranthgw_groups::levels::{OrderReply, RankOrder, RankView};
+use amaranthgw_net::{DialSettings, KeptClient};
+use amaranthgw_platform::rank::RankClient;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::beside::RankBeside;
+use super::{AgentError, Result};
+
+/// Path at which an agent tells the state of its rank.
+pub(super) const RANK_PATH: &str = "/rank";
+/// Path at which an agent takes an order for its rank.
+pub(super) const ORDER_PATH: &str = "/order";
+/// Longest wait for another agent: some times the way to it and its rank.
+const AGENT_LIMIT: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to an order that a rank may also leave unanswered.
+const ORDER_LIMIT: Duration = Duration::from_millis(150);
+/// Longest wait for a rank that is asked from afar.
+const FAR_LIMIT: Duration = Duration::from_millis(250);
+
+/// An order as one agent passes it to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct PassedOrder {
+    /// The order.
+    pub(super) order: RankOrder,
+    /// Number of the coordinator's lease.
+    pub(super) fence: FencingNumber,
+    /// Generation of the group in which it holds.
+    pub(super) generation: GroupGeneration,
+}
+
+/// A way to one rank.
+pub(super) trait RankLink: std::fmt::Debug + Send + Sync {
+    /// State of the rank.
+    fn view(&self) -> BoxFuture<'_, Result<RankView>>;
+
+    /// Gives the rank an order.
+    fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply>;
+}
+
+impl RankLink for RankBeside {
+    fn view(&self) -> BoxFuture<'_, Result<RankView>> {
+        Box::pin(self.read())
+    }
+
+    fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
+        Box::pin(self.pass_on(order))
+    }
+}
+
+/// A rank on another VM: through its agent, or straight while the agent does not answer.
+#[derive(Debug)]
+pub(super) struct FarRank {
+    agent: KeptClient,
+    rank: RankClient,
+}
+
+impl FarRank {
+    /// Creates the way to the rank at `rank`, whose agent listens at `agent`.
+    pub(super) fn new(agent: SocketAddr, rank: SocketAddr) -> Self {
+        Self {
+            agent: KeptClient::new(agent, DialSettings::new(AGENT_LIMIT)),
+            rank: RankClient::new(rank),
+        }
+    }
+
+    async fn view_by_agent(&self) -> Result<RankView> {
+        let called = self.agent.call(Method::GET, RANK_PATH, Bytes::new(), AGENT_LIMIT);
+        let reply = called.await?;
+        if reply.status != StatusCode::OK {
+            return Err(AgentError::RankUnavailable);
+        }
+        Ok(serde_json::from_slice(&reply.body)?)
+    }
+
+    async fn order_by_agent(&self, order: &PassedOrder) -> Result<OrderReply> {
+        let body = Bytes::from(serde_json::to_vec(order)?);
+        let called = self.agent.call(Method::POST, ORDER_PATH, body, ORDER_LIMIT * 2);
+        Ok(serde_json::from_slice(&called.await?.body)?)
+    }
+}
+
+impl RankLink for FarRank {
+    fn view(&self) -> BoxFuture<'_, Result<RankView>> {
+        Box::pin(async {
+            match self.view_by_agent().await {
+                Ok(view) => Ok(view),
+                // Counts are left out: from afar they make the whole group pause.
+                Err(_agent_down) => {
+                    let report = self.rank.report(FAR_LIMIT).await?;
+                    report.ok_or(AgentError::NoGroup)
+                }
+            }
+        })
+    }
+
+    fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
+        Box::pin(async move {
+            match self.order_by_agent(&order).await {
+                Ok(reply) => reply,
+                Err(_agent_down) => {
+                    let PassedOrder { order, fence, generation } = order;
+                    self.rank.order(&order, fence, generation, ORDER_LIMIT).await
+                }
+            }
+        })
+    }
+}
+
+/// Longest wait for the answer of the rank beside this process.
+pub(super) const BESIDE_LIMIT: Duration = ORDER_LIMIT;
+
+/// A shared way to a rank.
+pub(super) type SharedLink = Arc<dyn RankLink>;
--- /dev/null
+++ b/crates/amaranthgw/src/agent/process.rs
@@ -0,0 +1,124 @@
+//! Starts and stops an agent.
+
+use std::sync::Arc;
+
+use amaranthgw_fleet::settings::AgentSettings;
+use amaranthgw_platform::store::PlatformStore;
+use tokio::sync::watch;
+
+use super::beside::RankBeside;
+use super::coordinator::GroupCoordinator;
+use super::election::LeaseContest;
+use super::roster::RankRoster;
+use super::service::serve_coordinators;
+use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
+use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentProcess {
+    stop: StopSignal,
+    threads: ThreadGroup,
+}
+
+impl AgentProcess {
+    /// Starts the control thread of an agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`RuntimeError`](crate::runtime::RuntimeError) where an address is in use or a thread can't be started.
+    pub fn start(settings: &AgentSettings, log: &EventLog) -> Result<Self> {
+        let node = SharedListener::new(settings.node_listen)?;
+        let metrics = SharedListener::new(settings.metrics_listen)?;
+        let stop = StopSignal::new();
+        let (settings, log, stopped) = (settings.clone(), log.clone(), stop.clone());
+        let control = move || run_control(settings, node, metrics, log, stopped);
+        let mut threads = ThreadGroup::default();
+        threads.push(spawn_thread("control".to_owned(), control)?);
+        Ok(Self { stop, threads })
+    }
+
+    /// The signal that stops the process.
+    #[must_use]
+    pub fn stop_signal(&self) -> StopSignal {
+        self.stop.clone()
+    }
+
+    /// Waits until the process has stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RuntimeError::Panicked`](crate::runtime::RuntimeError::Panicked) where a thread panicked.
+    pub fn join(self) -> Result<()> {
+        self.threads.join()
+    }
+}
+
+async fn run_control(
+    settings: AgentSettings,
+    node: SharedListener,
+    metrics: SharedListener,
+    log: EventLog,
+    stop: StopSignal,
+) {
+    let rank = Arc::new(RankBeside::new(settings.rank, log.clone()));
+    let (Ok(coordinators), Ok(observers)) = (node.handle(), metrics.handle()) else {
+        return;
+    };
+    tokio::spawn(serve_coordinators(coordinators, Arc::clone(&rank)));
+    tokio::spawn(serve_observers(
+        observers,
+        MetricsHandle::new(),
+        Arc::new(|| Ok(())),
+    ));
+    log.record(NodeEvent::ProcessStarted {
+        role: "agent".into(),
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: compact_str::format_compact!("{}", settings.node_listen),
+    });
+    coordinate(&settings, rank, &log, &stop).await;
+    log.record(NodeEvent::ProcessStopping { in_flight: 0 });
+    log.record(NodeEvent::ProcessStopped { cut_off: 0 });
+    stop.advance(StopPhase::Ending);
+}
+
+/// Leads the group whenever this agent holds the lease, until the process stops.
+async fn coordinate(
+    settings: &AgentSettings,
+    rank: Arc<RankBeside>,
+    log: &EventLog,
+    stop: &StopSignal,
+) {
+    let store = Arc::new(PlatformStore::new(settings.store));
+    let contest = LeaseContest {
+        store: Arc::clone(&store),
+        rank: Arc::clone(&rank),
+        vm: settings.vm.clone(),
+        lasts: settings.lease,
+        log: log.clone(),
+    };
+    loop {
+        let won = tokio::select! {
+            won = contest.win() => won,
+            () = stop.reached(StopPhase::Noticing) => return,
+        };
+        let (until, held_until) = watch::channel(won.until);
+        let port = settings.node_listen.port();
+        let (service, beside) = (settings.service.clone(), Arc::clone(&rank));
+        let roster = RankRoster::new(service.clone(), settings.rank, port, beside);
+        // Renewals have a client of their own: they never wait behind another call.
+        let reads = Arc::new(PlatformStore::new(settings.store));
+        let leader =
+            GroupCoordinator::new(&won, reads, service, roster, held_until, log.clone());
+        tokio::select! {
+            () = leader.lead() => {}
+            () = contest.keep(&won, &until) => continue,
+            () = stop.reached(StopPhase::Noticing) => {
+                contest.give_up(won.lease).await;
+                return;
+            }
+        }
+        contest.give_up(won.lease).await;
+    }
+}
--- a/crates/amaranthgw/src/cli/mod.rs
+++ b/crates/amaranthgw/src/cli/mod.rs
@@ -53,6 +53,7 @@
         CliCommand::Entry { settings, verbose } => node::run_entry(&settings, verbose),
         CliCommand::Sidecar { settings, verbose } => node::run_sidecar(&settings, verbose),
         CliCommand::Gateway { settings } => node::run_gateway(&settings),
+        CliCommand::Agent { settings } => node::run_agent(&settings),
         CliCommand::Check { files } => check::run(&files),
         CliCommand::Apply { operator, lists } => commit::run_apply(&operator, &lists),
         CliCommand::Out {
--- a/crates/amaranthgw/src/cli/node.rs
+++ b/crates/amaranthgw/src/cli/node.rs
@@ -2,11 +2,12 @@
 
 use std::path::Path;
 
-use amaranthgw_fleet::settings::{EntrySettings, GatewaySettings, SidecarSettings};
+use amaranthgw_fleet::settings::{AgentSettings, EntrySettings, GatewaySettings, SidecarSettings};
 use eyre::WrapErr;
 use tokio::runtime::Builder;
 
 use super::{EXIT_DONE, EXIT_INVALID};
+use crate::agent::AgentProcess;
 use crate::entry::EntryProcess;
 use crate::gateway::GatewayProcess;
 use crate::runtime::{StopPhase, StopSignal, wait_for_termination};
@@ -56,6 +57,20 @@
     Ok(EXIT_DONE)
 }
 
+/// Runs an agent.
+pub(super) fn run_agent(path: &Path) -> eyre::Result<u8> {
+    let text = read(path)?;
+    let settings = match AgentSettings::parse(&text, &path.to_string_lossy()) {
+        Ok(settings) => settings,
+        Err(error) => return Ok(refuse(&error)),
+    };
+    let log = EventLog::with_standard_output(EventLevel::Info);
+    let process = AgentProcess::start(&settings, &log)?;
+    stop_on_signal(&process.stop_signal())?;
+    process.join()?;
+    Ok(EXIT_DONE)
+}
+
 /// Reads a file as text.
 pub(super) fn read(path: &Path) -> eyre::Result<String> {
     std::fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))
--- a/crates/amaranthgw/src/cli/options.rs
+++ b/crates/amaranthgw/src/cli/options.rs
@@ -112,6 +112,13 @@
         #[bpaf(env("AMARANTHGW_CONFIG"), argument("FILE"))]
         settings: PathBuf,
     },
+    /// Run an agent beside one rank of a rank group on the users' platform
+    #[bpaf(command)]
+    Agent {
+        /// Settings of the process
+        #[bpaf(env("AMARANTHGW_CONFIG"), argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Check settings and lists without changing anything
     #[bpaf(command)]
     Check {
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -1,5 +1,6 @@
 //! The processes of amaranthgw: entries, sidecars, operators' commands, the demo and measurements.
 
+pub mod agent;
 pub mod bench;
 pub mod cli;
 pub mod control;
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -1,8 +1,9 @@
 //! The numbered events; `docs/EVENTS.md` is their catalogue.
 
 use amaranthgw_core::{
-    AttemptNumber, ChangeNumber, ConfigVersion, DomainId, RequestId, RouteId, ServiceId, SlotCount,
-    StartMark, TargetId, VmId, WorkspaceId,
+    AttemptNumber, ChangeNumber, ConfigVersion, DomainId, FencingNumber, GroupGeneration, GroupId,
+    MapVersion, RankId, RequestId, RouteId, ServiceId, SlotCount, StartMark, StepNumber, TargetId,
+    VmId, WorkspaceId,
 };
 use compact_str::CompactString;
 
@@ -297,4 +298,68 @@
         /// Version of the configuration in force.
         version: ConfigVersion,
     }
+    /// An agent holds the lease of its group and leads it.
+    3201 Info LeaseWon "lease won" {
+        /// The group.
+        group: GroupId,
+        /// Rank beside the agent.
+        rank: RankId,
+        /// Number of the lease.
+        fence: FencingNumber,
+    }
+    /// An agent no longer leads its group.
+    3202 Warning LeaseLost "lease lost" {
+        /// The group.
+        group: GroupId,
+        /// Number of the lease.
+        fence: FencingNumber,
+        /// Why.
+        cause: &'static str,
+    }
+    /// An agent could not try for the lease.
+    3203 Warning LeaseFailed "lease not available" {
+        /// The group.
+        group: GroupId,
+        /// Why.
+        reason: CompactString,
+    }
+    /// A better placement was found.
+    3204 Info PlacementPlanned "placement planned" {
+        /// The group.
+        group: GroupId,
+        /// Map in use.
+        version: MapVersion,
+        /// Experts to copy.
+        copies: u64,
+        /// Most experts to copy at one rank.
+        most_copies: u64,
+        /// Largest load now, in percent of the mean.
+        before_percent: u64,
+        /// Largest load afterwards, in percent of the mean.
+        after_percent: u64,
+    }
+    /// The switch to another map went on to its next phase.
+    3205 Info SwitchShifted "map switch" {
+        /// The group.
+        group: GroupId,
+        /// Phase that begins.
+        phase: &'static str,
+        /// Map that it is about.
+        version: MapVersion,
+        /// Step that it is about.
+        step: StepNumber,
+        /// Why.
+        cause: &'static str,
+    }
+    /// An agent passed an order on to its rank.
+    3206 Info OrderPassed "order passed on" {
+        /// The order.
+        order: &'static str,
+        /// Fencing number that went with it.
+        fence: FencingNumber,
+        /// Generation of the group in which it holds.
+        generation: GroupGeneration,
+        /// What the rank replied.
+        reply: &'static str,
+    }
 }
--- /dev/null
+++ b/crates/groups/src/levels/planner.rs
@@ -0,0 +1,241 @@
+//! Changes of a placement that level the load of the ranks with few copied experts.
+
+use super::{GroupPlacement, SetPlacement};
+
+/// What a change keeps to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannerLimits {
+    /// Experts that a rank has room for, in each set.
+    pub places: usize,
+    /// New experts of one change at a rank, in each set.
+    pub new_per_set: usize,
+    /// New experts of one change at a rank, over all sets: they are copied one after the other.
+    pub new_per_rank: usize,
+    /// Imbalance at which a set counts as level.
+    pub level: f64,
+    /// Part of the mean load by which a copied expert must lower a set's largest load.
+    pub least_gain: f64,
+}
+
+/// A placement that replaces the one in use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementChange {
+    /// The new placement.
+    pub placement: GroupPlacement,
+    /// Copied experts over all ranks.
+    pub copies: usize,
+    /// Most copied experts of one rank.
+    pub most_copies: usize,
+    /// Imbalance before, mean over the sets.
+    pub before: f64,
+    /// Imbalance after, mean over the sets.
+    pub after: f64,
+}
+
+/// Experts of the most loaded rank that are looked at.
+const HOT_EXPERTS: usize = 6;
+/// Least loaded ranks that are looked at.
+const COLD_RANKS: usize = 6;
+/// Places of a rank that are looked at for a new expert, least wanted first.
+const VICTIMS: usize = 4;
+/// Most moves of one set in one change.
+const MOVES: usize = 32;
+/// Exponent of the pressure of a set: the largest load outweighs others, but relieving one of
+/// several equal ones still counts.
+const PRESSURE_EXPONENT: i32 = 12;
+
+/// One step of a change.
+#[derive(Clone, Copy, Debug)]
+struct ExpertMove {
+    expert: u16,
+    to: usize,
+    victim: Option<u16>,
+    /// Rank that gives the expert up, where it does.
+    from: Option<usize>,
+}
+
+/// A change of `placement` for `demand` that holds on to what `lasting` shows as wanted; `None`
+/// where nothing worth while is found.
+#[must_use]
+pub fn plan_change(
+    placement: &GroupPlacement,
+    demand: &[Vec<f64>],
+    lasting: &[Vec<f64>],
+    limits: &PlannerLimits,
+) -> Option<PlacementChange> {
+    let ranks = placement.sets.first()?.ranks.len();
+    let mut planned = placement.clone();
+    let mut new_by_rank = vec![0; ranks];
+    let mut order: Vec<usize> = (0..placement.sets.len().min(demand.len())).collect();
+    // Where copies are scarce, the least level set gets them first.
+    let imbalance = |set: &usize| placement.sets[*set].imbalance(&demand[*set]);
+    order.sort_by(|a, b| imbalance(b).total_cmp(&imbalance(a)));
+    for set in order {
+        let mut planner = SetPlanner {
+            original: &placement.sets[set],
+            set: &mut planned.sets[set],
+            demand: &demand[set],
+            lasting: &lasting[set],
+            limits,
+            new_by_rank: &mut new_by_rank,
+        };
+        planner.level();
+    }
+    let copies = new_by_rank.iter().sum();
+    let change = PlacementChange {
+        copies,
+        most_copies: new_by_rank.into_iter().max().unwrap_or_default(),
+        before: placement.imbalance(demand),
+        after: planned.imbalance(demand),
+        placement: planned,
+    };
+    (change.placement != *placement && change.after < change.before).then_some(change)
+}
+
+struct SetPlanner<'a> {
+    original: &'a SetPlacement,
+    set: &'a mut SetPlacement,
+    demand: &'a [f64],
+    lasting: &'a [f64],
+    limits: &'a PlannerLimits,
+    new_by_rank: &'a mut [usize],
+}
+
+impl SetPlanner<'_> {
+    fn level(&mut self) {
+        for _ in 0..MOVES {
+            let loads = self.set.loads(self.demand);
+            let mean = loads.iter().sum::<f64>() / float(loads.len());
+            let most = loads.iter().copied().fold(0.0, f64::max);
+            if mean <= 0.0 || most <= mean * self.limits.level {
+                return;
+            }
+            let holders = self.set.holders(self.demand.len());
+            let Some((step, after)) = self.best_move(&loads, &holders, mean) else {
+                return;
+            };
+            let before = pressure(&loads, mean);
+            // The pressure is near the largest relative load to the power of the exponent.
+            let root = |pressure: f64| pressure.powf(1.0 / f64::from(PRESSURE_EXPONENT));
+            if root(before) - root(after) < self.limits.least_gain {
+                return;
+            }
+            self.apply(step);
+        }
+    }
+
+    fn best_move(&self, loads: &[f64], holders: &[u16], mean: f64) -> Option<(ExpertMove, f64)> {
+        let mut by_load: Vec<usize> = (0..loads.len()).collect();
+        by_load.sort_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+        let hot = *by_load.last()?;
+        let share = |expert: u16| {
+            self.demand[usize::from(expert)] / f64::from(holders[usize::from(expert)].max(1))
+        };
+        let mut experts = self.set.ranks[hot].clone();
+        experts.sort_by(|a, b| share(*b).total_cmp(&share(*a)));
+        experts.truncate(HOT_EXPERTS);
+        let mut best: Option<(ExpertMove, f64)> = None;
+        let cold = by_load.iter().copied().take(COLD_RANKS);
+        for to in cold.filter(|rank| *rank != hot && self.may_copy_to(*rank)) {
+            for expert in &experts {
+                if self.set.ranks[to].contains(expert) {
+                    continue;
+                }
+                for victim in self.victims(to, holders) {
+                    for from in [None, Some(hot)] {
+                        let step = ExpertMove {
+                            expert: *expert,
+                            to,
+                            victim,
+                            from,
+                        };
+                        let after = self.pressure_after(step, loads, holders, mean);
+                        if best.is_none_or(|(_, least)| after < least) {
+                            best = Some((step, after));
+                        }
+                    }
+                }
+            }
+        }
+        best
+    }
+
+    fn may_copy_to(&self, rank: usize) -> bool {
+        let original = &self.original.ranks[rank];
+        let new = self.set.ranks[rank].iter().filter(|expert| !original.contains(expert));
+        new.count() < self.limits.new_per_set && self.new_by_rank[rank] < self.limits.new_per_rank
+    }
+
+    /// Experts that may leave a rank for a new one; none has to where a place is free.
+    fn victims(&self, rank: usize, holders: &[u16]) -> Vec<Option<u16>> {
+        let held = &self.set.ranks[rank];
+        if held.len() < self.limits.places {
+            return vec![None];
+        }
+        let wanted = |expert: u16| {
+            let expert = usize::from(expert);
+            let others = f64::from(holders[expert].max(2) - 1);
+            // What the other holders would have to take over, now and as topics come back.
+            (self.demand[expert] + self.lasting[expert]) / others
+        };
+        let mut replicated: Vec<u16> = held
+            .iter()
+            .copied()
+            .filter(|expert| holders[usize::from(*expert)] > 1)
+            .collect();
+        replicated.sort_by(|a, b| wanted(*a).total_cmp(&wanted(*b)));
+        replicated.into_iter().take(VICTIMS).map(Some).collect()
+    }
+
+    fn pressure_after(&self, step: ExpertMove, loads: &[f64], holders: &[u16], mean: f64) -> f64 {
+        let mut loads = loads.to_vec();
+        let count = f64::from(holders[usize::from(step.expert)]);
+        let demand = self.demand[usize::from(step.expert)];
+        let after = if step.from.is_some() { count } else { count + 1.0 };
+        let change = demand / after - demand / count;
+        self.shift_holders(&mut loads, step.expert, change);
+        loads[step.to] += demand / after;
+        if let Some(from) = step.from {
+            loads[from] -= demand / after;
+        }
+        if let Some(victim) = step.victim {
+            let count = f64::from(holders[usize::from(victim)]);
+            let demand = self.demand[usize::from(victim)];
+            let change = demand / (count - 1.0) - demand / count;
+            self.shift_holders(&mut loads, victim, change);
+            loads[step.to] -= demand / (count - 1.0);
+        }
+        pressure(&loads, mean)
+    }
+
+    fn shift_holders(&self, loads: &mut [f64], expert: u16, change: f64) {
+        for (load, experts) in loads.iter_mut().zip(&self.set.ranks) {
+            if experts.contains(&expert) {
+                *load += change;
+            }
+        }
+    }
+
+    fn apply(&mut self, step: ExpertMove) {
+        let was_there = self.original.ranks[step.to].contains(&step.expert);
+        self.new_by_rank[step.to] += usize::from(!was_there);
+        let experts = &mut self.set.ranks[step.to];
+        if let Some(victim) = step.victim {
+            experts.retain(|expert| *expert != victim);
+        }
+        experts.push(step.expert);
+        if let Some(from) = step.from {
+            self.set.ranks[from].retain(|expert| *expert != step.expert);
+        }
+    }
+}
+
+/// Loads relative to their mean, raised to a high power and summed up.
+fn pressure(loads: &[f64], mean: f64) -> f64 {
+    let relative = |load: &f64| (load / mean).max(0.0).powi(PRESSURE_EXPONENT);
+    loads.iter().map(relative).sum()
+}
+
+fn float(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -4,6 +4,7 @@
 //! argument and nothing is sent or received: what has to be done is returned as effects.
 
 pub mod agreement;
+pub mod levels;
 pub mod measure;
 pub mod orders;
 pub mod placement;
