--- a/crates/amaranthgw/src/cli/node.rs
+++ b/crates/amaranthgw/src/cli/node.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use amaranthgw_fleet::settings::{AgentSettings, EntrySettings, GatewaySettings, SidecarSettings};
+use compact_str::{CompactString, ToCompactString};
 use eyre::WrapErr;
 use tokio::runtime::Builder;
 
@@ -10,9 +11,9 @@
 use crate::agent::AgentProcess;
 use crate::entry::EntryProcess;
 use crate::gateway::GatewayProcess;
-use crate::runtime::{StopPhase, StopSignal, wait_for_termination};
+use crate::runtime::{SettingsSink, StopPhase, StopSignal, supervise, wait_for_termination};
 use crate::sidecar::SidecarProcess;
-use crate::telemetry::{EventLevel, EventLog};
+use crate::telemetry::{EventLevel, EventLog, NodeEvent};
 
 /// Runs an entry.
 pub(super) fn run_entry(path: &Path, verbose: bool) -> eyre::Result<u8> {
@@ -45,32 +46,69 @@
 
 /// Runs a gateway.
 pub(super) fn run_gateway(path: &Path) -> eyre::Result<u8> {
-    let text = read(path)?;
-    let settings = match GatewaySettings::parse(&text, &path.to_string_lossy()) {
+    let name = path.to_string_lossy().into_owned();
+    let settings = match GatewaySettings::parse(&read(path)?, &name) {
         Ok(settings) => settings,
         Err(error) => return Ok(refuse(&error)),
     };
     let log = EventLog::with_standard_output(EventLevel::Info);
     let process = GatewayProcess::start(&settings, &log)?;
-    stop_on_signal(&process.stop_signal())?;
+    let reload = |text: std::result::Result<String, CompactString>| {
+        let read = text.and_then(|text| {
+            let parsed = GatewaySettings::parse(&text, &name);
+            parsed.map_err(|error| error.to_compact_string())
+        });
+        let outcome = match read {
+            Ok(settings) => {
+                process.reload(&settings);
+                CompactString::const_new("bounds in force")
+            }
+            Err(reason) => reason,
+        };
+        log.record(NodeEvent::SettingsReloaded { outcome });
+    };
+    supervise_until_stop(&process.stop_signal(), path, &reload)?;
     process.join()?;
     Ok(EXIT_DONE)
 }
 
 /// Runs an agent.
 pub(super) fn run_agent(path: &Path) -> eyre::Result<u8> {
-    let text = read(path)?;
-    let settings = match AgentSettings::parse(&text, &path.to_string_lossy()) {
+    let name = path.to_string_lossy().into_owned();
+    let settings = match AgentSettings::parse(&read(path)?, &name) {
         Ok(settings) => settings,
         Err(error) => return Ok(refuse(&error)),
     };
     let log = EventLog::with_standard_output(EventLevel::Info);
     let process = AgentProcess::start(&settings, &log)?;
-    stop_on_signal(&process.stop_signal())?;
+    let reload = |text: std::result::Result<String, CompactString>| {
+        let read = text.and_then(|text| {
+            let parsed = AgentSettings::parse(&text, &name);
+            parsed.map_err(|error| error.to_compact_string())
+        });
+        let outcome = match read {
+            Ok(reread) if reread == settings => CompactString::const_new("unchanged"),
+            Ok(_changed) => CompactString::const_new("in force at the next start"),
+            Err(reason) => reason,
+        };
+        log.record(NodeEvent::SettingsReloaded { outcome });
+    };
+    supervise_until_stop(&process.stop_signal(), path, &reload)?;
     process.join()?;
     Ok(EXIT_DONE)
 }
 
+fn supervise_until_stop(
+    stop: &StopSignal,
+    path: &Path,
+    reload: SettingsSink<'_>,
+) -> eyre::Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(supervise(stop, path, reload))?;
+    stop.advance(StopPhase::Noticing);
+    Ok(())
+}
+
 /// Reads a file as text.
 pub(super) fn read(path: &Path) -> eyre::Result<String> {
     std::fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))
--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use amaranthgw_core::DomainId;
-use amaranthgw_fleet::gateway::{GatewayWorld, TargetRecord, TargetShift};
+use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, TargetRecord, TargetShift};
 use compact_str::{CompactString, ToCompactString};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
@@ -24,6 +24,8 @@
     Evacuated(BTreeSet<DomainId>, &'static str),
     /// The whole registry.
     Registry(Vec<TargetRecord>),
+    /// Figures that all gateways keep together.
+    Bounds(FleetBounds),
     /// The registry could not be read.
     RegistryFailed,
 }
@@ -65,6 +67,7 @@
             ControlMessage::Config(config, source) => state.adopt_config(&config, source),
             ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(domains, source),
             ControlMessage::Registry(records) => state.adopt_registry(records),
+            ControlMessage::Bounds(bounds) => state.world.adopt_bounds(bounds),
             ControlMessage::RegistryFailed => state.world.registry_failed(),
         }
         state.publish();
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -5,12 +5,13 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use amaranthgw_fleet::gateway::{GatewayWorld, LeastLoadedPolicy};
+use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, LeastLoadedPolicy};
 use amaranthgw_fleet::settings::GatewaySettings;
 use amaranthgw_net::ConnectionPool;
 use amaranthgw_platform::store::PlatformStore;
 use arc_swap::ArcSwap;
-use ractor::Actor;
+use ractor::{Actor, ActorRef};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{ControlMessage, ControlState, GatewayControl};
@@ -34,13 +35,15 @@
     address: SocketAddr,
     ready_address: SocketAddr,
     stop: StopSignal,
+    bounds: watch::Sender<FleetBounds>,
     threads: ThreadGroup,
 }
 
-/// The listeners that the control thread serves.
-struct ControlListeners {
+/// What the control thread is given.
+struct ControlInputs {
     ready: SharedListener,
     metrics: SharedListener,
+    bounds: watch::Receiver<FleetBounds>,
 }
 
 impl GatewayProcess {
@@ -51,7 +54,9 @@
     /// Returns a [`RuntimeError`](crate::runtime::RuntimeError) where an address is in use or a thread can't be started.
     pub fn start(settings: &GatewaySettings, log: &EventLog) -> Result<Self> {
         let listener = Arc::new(SharedListener::new(settings.caller_listen)?);
-        let listeners = ControlListeners {
+        let (bounds, new_bounds) = watch::channel(settings.bounds());
+        let inputs = ControlInputs {
+            bounds: new_bounds,
             ready: SharedListener::new(settings.ready_listen)?,
             metrics: SharedListener::new(settings.metrics_listen)?,
         };
@@ -63,7 +68,7 @@
             in_flight: AtomicU32::new(0),
             stop: stop.clone(),
         });
-        let (address, ready_address) = (listener.address(), listeners.ready.address());
+        let (address, ready_address) = (listener.address(), inputs.ready.address());
         let mut threads = ThreadGroup::default();
         for index in 0..settings.traffic_threads {
             let (shared, listener) = (Arc::clone(&shared), Arc::clone(&listener));
@@ -79,12 +84,13 @@
             threads.push(spawn_thread(format!("traffic-{index}"), serve)?);
         }
         let (settings, log) = (settings.clone(), log.clone());
-        let control = move || run_control(settings, shared, listeners, log);
+        let control = move || run_control(settings, shared, inputs, log);
         threads.push(spawn_thread("control".to_owned(), control)?);
         Ok(Self {
             address,
             ready_address,
             stop,
+            bounds,
             threads,
         })
     }
@@ -107,6 +113,11 @@
         self.stop.clone()
     }
 
+    /// Puts the bounds of `settings` in force; the rest takes a new start.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        self.bounds.send_replace(settings.bounds());
+    }
+
     /// Waits until the process has stopped.
     ///
     /// # Errors
@@ -120,7 +131,7 @@
 async fn run_control(
     settings: GatewaySettings,
     shared: Arc<GatewayShared>,
-    listeners: ControlListeners,
+    inputs: ControlInputs,
     log: EventLog,
 ) {
     let state = ControlState {
@@ -142,8 +153,9 @@
     // Its own client: the two feeds never wait for each other's connection.
     let store = Arc::new(PlatformStore::new(settings.store));
     tokio::spawn(follow_registry(store, control.clone(), log.clone()));
+    tokio::spawn(follow_bounds(inputs.bounds, control.clone()));
     let handle = MetricsHandle::new();
-    for listener in [&listeners.ready, &listeners.metrics] {
+    for listener in [&inputs.ready, &inputs.metrics] {
         let Ok(listener) = listener.handle() else {
             return;
         };
@@ -160,6 +172,15 @@
     run_stop(&settings, &shared, &log).await;
 }
 
+/// Passes new bounds on to the control thread's actor.
+async fn follow_bounds(mut bounds: watch::Receiver<FleetBounds>, control: ActorRef<ControlMessage>) {
+    while bounds.changed().await.is_ok() {
+        let bounds = *bounds.borrow_and_update();
+        // A stopping process needs no new bounds.
+        drop(control.cast(ControlMessage::Bounds(bounds)));
+    }
+}
+
 /// Waits for the stop of the process and leads it through its phases.
 async fn run_stop(settings: &GatewaySettings, shared: &GatewayShared, log: &EventLog) {
     let stop = &shared.stop;
--- a/crates/amaranthgw/src/runtime/mod.rs
+++ b/crates/amaranthgw/src/runtime/mod.rs
@@ -3,11 +3,13 @@
 mod error;
 mod listen;
 mod stop;
+mod supervise;
 mod threads;
 
 pub use error::RuntimeError;
 pub use listen::SharedListener;
 pub use stop::{StopPhase, StopSignal, wait_for_termination};
+pub use supervise::{SettingsSink, supervise};
 pub use threads::{ThreadGroup, spawn_thread};
 
 /// Result of starting or joining a process.
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -97,6 +97,15 @@
         }
     }
 
+    /// Puts the figures that all gateways keep together in force.
+    pub fn adopt_bounds(&mut self, bounds: FleetBounds) {
+        if self.bounds != bounds {
+            self.bounds = bounds;
+            self.budgets.clear();
+            self.is_changed = true;
+        }
+    }
+
     /// Puts `routes` in force unless a version as new is; says whether it did.
     pub fn adopt_routes(&mut self, routes: Arc<RouteTable>) -> bool {
         if routes.version <= self.routes.version {
