--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -51,8 +51,9 @@
         count_store_call("list_ranks", if listed.is_ok() { "ok" } else { "failed" });
         let records = listed?;
         // Entries that no target wrote name no rank.
-        let records = records.items.iter().filter_map(|item| decode_entry(item).ok());
-        let ranks: Vec<SocketAddr> = records
+        let entries = records.items.iter().filter_map(|item| decode_entry(item).ok());
+        let ranks: Vec<SocketAddr> = entries
+            .map(|entry| entry.record)
             .filter(|record| record.service == self.service)
             .map(|record| record.address)
             .collect();
--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -106,6 +106,9 @@
         AnswerStanding::NotRun => {
             // The refusal is short; reading it keeps the connection.
             drop(timeout_at(give_up_at, attempt.collect(thread)).await);
+            if head.status == StatusCode::MISDIRECTED_REQUEST {
+                target.gauge.miss(now);
+            }
             Err(AttemptFailure::NotRun(head.status))
         }
         AnswerStanding::Foreign => {
--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use amaranthgw_core::DomainId;
-use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, TargetRecord, TargetShift};
+use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, RegistryEntry, TargetShift};
 use compact_str::{CompactString, ToCompactString};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
@@ -23,7 +23,7 @@
     /// The failure domains that are out, and where the set came from.
     Evacuated(BTreeSet<DomainId>, &'static str),
     /// The whole registry.
-    Registry(Vec<TargetRecord>),
+    Registry(Vec<RegistryEntry>),
     /// Figures that all gateways keep together.
     Bounds(FleetBounds),
     /// The registry could not be read.
@@ -99,7 +99,7 @@
         }
     }
 
-    fn adopt_registry(&mut self, records: Vec<TargetRecord>) {
+    fn adopt_registry(&mut self, records: Vec<RegistryEntry>) {
         for shift in self.world.adopt_registry(records, Instant::now()) {
             let (target, state, address) = match shift {
                 TargetShift::Seen(record) => {
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{DomainId, StoreRevision};
-use amaranthgw_fleet::gateway::{RouteTable, TargetRecord};
+use amaranthgw_fleet::gateway::{RouteTable, RegistryEntry};
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::registry::decode_entry;
 use amaranthgw_platform::store::{
@@ -199,7 +199,7 @@
 }
 
 /// Records of all entries that targets wrote, the number of others, and why the last is unusable.
-fn decode_entries(items: &[StoreItem]) -> (Vec<TargetRecord>, u32, CompactString) {
+fn decode_entries(items: &[StoreItem]) -> (Vec<RegistryEntry>, u32, CompactString) {
     let (mut unusable, mut reason) = (0, CompactString::default());
     let mut records = Vec::with_capacity(items.len());
     for item in items {
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -86,7 +86,9 @@
         targets: &'a [TargetChoice],
         ask: &ChoiceAsk<'_>,
     ) -> Option<&'a TargetChoice> {
-        let untried = |target: &&TargetChoice| !ask.tried.contains(&target.record.target);
+        let untried = |target: &&TargetChoice| {
+            !ask.tried.contains(&target.record.target) && !target.gauge.is_absent(ask.now)
+        };
         let sound = |target: &&TargetChoice| !target.gauge.is_ejected(ask.now);
         let preferred = targets.iter().filter(untried).filter(sound);
         // Where every target is paused, the pauses say nothing about a single one.
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -14,5 +14,5 @@
     CallLimits, ExpertShape, KeyHolder, RouteKind, RouteMiss, RouteRow, RouteTable, ServiceRow,
     SplitShare,
 };
-pub use targets::{FlightGuard, TargetChoice, TargetGauge, TargetRecord};
+pub use targets::{FlightGuard, RegistryEntry, TargetChoice, TargetGauge, TargetRecord};
 pub use world::{FleetBounds, GatewaySnapshot, GatewayWorld, TargetRow, TargetShift};
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use amaranthgw_core::{DomainId, MilliSpan, RequestRate, ServiceId, SlotCount, TargetId};
+use amaranthgw_core::{DomainId, MilliSpan, RequestRate, ServiceId, SlotCount, StoreRevision, TargetId};
 use tokio::time::Instant;
 
 /// A target's own entry in the platform's registry.
@@ -27,6 +27,15 @@
     pub cold_left: MilliSpan,
 }
 
+/// An entry of the registry with the time order of its last write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegistryEntry {
+    /// What the entry says.
+    pub record: TargetRecord,
+    /// Revision of its last write.
+    pub written: StoreRevision,
+}
+
 /// What the traffic threads of this process know of one target.
 #[derive(Debug)]
 pub struct TargetGauge {
@@ -36,6 +45,7 @@
     reported_at_ms: AtomicU64,
     failures: AtomicU32,
     ejected_until_ms: AtomicU64,
+    absent_until_ms: AtomicU64,
     cold_window_ms: AtomicU64,
     cold_sent: AtomicU32,
 }
@@ -45,6 +55,9 @@
 /// Longest pause of a target that failed: a target that recovers must be back within the time
 /// after which a restarted one is.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// Pause of a target whose address another one answers at: its entry lapses within about three
+/// heartbeats.
+const ABSENCE: Duration = Duration::from_secs(4);
 /// Age at which half of a reported load still counts; a plain request lasts some ten milliseconds,
 /// a stream a second or two.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
@@ -62,6 +75,7 @@
             reported_at_ms: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             ejected_until_ms: AtomicU64::new(0),
+            absent_until_ms: AtomicU64::new(0),
             cold_window_ms: AtomicU64::new(0),
             cold_sent: AtomicU32::new(0),
         }
@@ -115,6 +129,18 @@
         pause
     }
 
+    /// Notes that another target answers at its address.
+    pub fn miss(&self, now: Instant) {
+        let until = self.millis(now + ABSENCE);
+        self.absent_until_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// Whether another target answered at its address lately.
+    #[must_use]
+    pub fn is_absent(&self, now: Instant) -> bool {
+        self.absent_until_ms.load(Ordering::Relaxed) > self.millis(now)
+    }
+
     /// Whether the target is paused at `now`.
     #[must_use]
     pub fn is_ejected(&self, now: Instant) -> bool {
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -1,13 +1,14 @@
 //! What the control thread of a gateway owns, and what it publishes to traffic threads.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthgw_core::{DomainId, EntityTable, RequestRate, ServiceId, TargetId, VmId};
 use tokio::time::Instant;
 
-use super::{RouteTable, TargetChoice, TargetGauge, TargetRecord, WindowBudget, WindowSettings};
+use super::{RegistryEntry, RouteTable, TargetChoice, TargetGauge, TargetRecord, WindowBudget, WindowSettings};
 
 /// Figures that the platform sets for all processes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -130,27 +131,43 @@
     }
 
     /// Takes the whole registry as read at `now`.
-    pub fn adopt_registry(&mut self, records: Vec<TargetRecord>, now: Instant) -> Vec<TargetShift> {
+    pub fn adopt_registry(
+        &mut self,
+        entries: Vec<RegistryEntry>,
+        now: Instant,
+    ) -> Vec<TargetShift> {
         if std::mem::take(&mut self.is_registry_failing) {
             self.outage_ended_at = Some(now);
         }
         self.is_registry_known = true;
         let mut shifts = Vec::new();
-        let listed: BTreeSet<_> = records.iter().map(|record| record.target.clone()).collect();
-        for record in records {
-            self.adopt_record(record, now, &mut shifts);
+        let holders = newest_by_address(entries);
+        for record in holders.values() {
+            self.adopt_record(record.clone(), now, &mut shifts);
         }
+        self.drop_missing(&holders, now, &mut shifts);
+        shifts
+    }
+
+    /// Drops targets that the registry no longer lists, or whose address another one has.
+    fn drop_missing(
+        &mut self,
+        holders: &HashMap<SocketAddr, TargetRecord>,
+        now: Instant,
+        shifts: &mut Vec<TargetShift>,
+    ) {
         // Entries that lapsed in an outage come back soon after it; until then they are kept.
         let kept_until = self
             .outage_ended_at
             .map_or(now, |ended| ended + self.bounds.return_time);
         let mut gone = Vec::new();
         for (target, row) in self.targets.iter_mut() {
-            if listed.contains(target) {
+            let holder = holders.get(&row.record.address);
+            if holder.is_some_and(|holder| holder.target == *target) {
                 continue;
             }
             let until = *row.missing_until.get_or_insert(kept_until);
-            if until <= now {
+            if holder.is_some() || until <= now {
                 gone.push(target.clone());
             }
         }
@@ -159,7 +176,6 @@
             self.is_changed = true;
             shifts.push(TargetShift::Gone(target));
         }
-        shifts
     }
 
     fn adopt_record(
@@ -292,3 +308,11 @@
         limit.max(1)
     }
 }
+
+/// The record of each address. A target that crashed leaves its entry behind for some heartbeats,
+/// while the one that took its place has written since.
+fn newest_by_address(mut entries: Vec<RegistryEntry>) -> HashMap<SocketAddr, TargetRecord> {
+    entries.sort_by_key(|entry| entry.written);
+    let by_address = entries.into_iter().map(|entry| (entry.record.address, entry.record));
+    by_address.collect()
+}
