--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -160,9 +160,6 @@
             if !failure.is_not_run() {
                 self.runs += 1;
                 self.may_have_run = true;
-                if !self.may_run_again() {
-                    return Err(self.unknown());
-                }
             }
             if let (AttemptFailure::Unsent(_), Some(_)) = (&failure, &plan.budget) {
                 // Nothing arrived, so the next send is no repeat.
@@ -188,7 +185,8 @@
     /// Chooses the next target, or says why there is none.
     fn plan(&self) -> Result<AttemptPlan, CallRefusal> {
         let now = Instant::now();
-        if now >= self.call.give_up_at || self.sends >= MAX_SENDS {
+        let is_over = now >= self.call.give_up_at || self.sends >= MAX_SENDS;
+        if is_over || (self.may_have_run && !self.may_run_again()) {
             return Err(self.unknown());
         }
         let snapshot = self.thread.shared.snapshot.load();
