--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -1,5 +1,7 @@
 //! Leads one group: reads all ranks, plans placements and drives switches.
 
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,10 +12,12 @@
     SwitchPhase, plan_change,
 };
 use amaranthgw_platform::store::PlatformStore;
+use compact_str::ToCompactString;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+use super::AgentError;
 use super::election::WonLease;
 use super::link::{PassedOrder, SharedLink};
 use super::roster::{RankRoster, read_shape};
@@ -39,8 +43,10 @@
 
 /// What comes back to the coordinator.
 enum LinkEvent {
-    /// A rank was seen through one of the links.
-    Seen(SharedLink, RankView),
+    /// A rank was seen at its address through one of the links.
+    Seen(SocketAddr, SharedLink, RankView),
+    /// The rank at the address gave no answer.
+    Unseen(SocketAddr, AgentError),
     /// An order was answered.
     Replied(DueOrder, OrderReply),
 }
@@ -53,7 +59,8 @@
     driver: SwitchDriver,
     shape: Option<ExpertShape>,
     demand: Option<ExpertDemand>,
-    links: std::collections::HashMap<amaranthgw_core::RankId, SharedLink>,
+    links: HashMap<amaranthgw_core::RankId, SharedLink>,
+    unseen: HashSet<SocketAddr>,
     placement: Option<(GroupGeneration, MapVersion, GroupPlacement)>,
     until: watch::Receiver<Instant>,
     group: amaranthgw_core::GroupId,
@@ -80,7 +87,8 @@
             roster,
             shape: None,
             demand: None,
-            links: std::collections::HashMap::new(),
+            links: HashMap::new(),
+            unseen: HashSet::new(),
             placement: None,
             until,
             group: won.group.clone(),
@@ -138,13 +146,15 @@
 
     /// Asks every rank for its state.
     fn look(&self) {
-        for link in self.roster.links() {
-            let (link, events) = (Arc::clone(link), self.events.clone());
+        for (rank, link) in self.roster.links() {
+            let (rank, link, events) = (*rank, Arc::clone(link), self.events.clone());
             tokio::spawn(async move {
-                // A rank that gives no answer is missing from the views.
-                if let Ok(view) = link.view().await {
-                    drop(events.send(LinkEvent::Seen(Arc::clone(&link), view)));
-                }
+                let event = match link.view().await {
+                    Ok(view) => LinkEvent::Seen(rank, Arc::clone(&link), view),
+                    Err(error) => LinkEvent::Unseen(rank, error),
+                };
+                // A coordinator that was deposed needs no more views.
+                drop(events.send(event));
             });
         }
     }
@@ -152,15 +162,33 @@
     fn take(&mut self, event: LinkEvent) {
         let now = Instant::now();
         match event {
-            LinkEvent::Seen(link, view) if view.group == self.group => {
+            LinkEvent::Seen(address, link, view) if view.group == self.group => {
+                self.note_seen(address, None);
                 self.links.insert(view.rank, link);
                 self.driver.observe(view, now);
             }
             LinkEvent::Seen(..) => {}
+            LinkEvent::Unseen(address, error) => self.note_seen(address, Some(&error)),
             LinkEvent::Replied(order, reply) => self.driver.reply(&order, reply, now),
         }
     }
 
+    /// Records that a rank fell silent or answers again.
+    fn note_seen(&mut self, rank: SocketAddr, error: Option<&AgentError>) {
+        let is_change = match error {
+            Some(_) => self.unseen.insert(rank),
+            None => self.unseen.remove(&rank),
+        };
+        if is_change {
+            self.log.record(NodeEvent::RankShifted {
+                group: self.group.clone(),
+                address: rank.to_compact_string(),
+                state: if error.is_some() { "silent" } else { "seen" },
+                reason: error.map(ToCompactString::to_compact_string).unwrap_or_default(),
+            });
+        }
+    }
+
     fn act(&mut self) {
         let now = Instant::now();
         if *self.until.borrow() <= now {
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -66,9 +66,9 @@
         Ok(())
     }
 
-    /// The ways to the ranks.
-    pub(super) fn links(&self) -> impl Iterator<Item = &SharedLink> {
-        self.links.values()
+    /// The ways to the ranks, with the address of each.
+    pub(super) fn links(&self) -> impl Iterator<Item = (&SocketAddr, &SharedLink)> {
+        self.links.iter()
     }
 }
 
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -362,4 +362,15 @@
         /// What the rank replied.
         reply: &'static str,
     }
+    /// A rank fell silent towards its coordinator, or answers again.
+    3207 Warning RankShifted "rank reachability changed" {
+        /// The group.
+        group: GroupId,
+        /// Address of the rank.
+        address: CompactString,
+        /// Whether it answers.
+        state: &'static str,
+        /// Why it counts as silent.
+        reason: CompactString,
+    }
 }
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -63,6 +63,12 @@
 
 /// Gateways that are taken to share a bound before any peer was seen.
 const ASSUMED_GATEWAYS: u32 = 8;
+/// Part of the shared retry slack that is given out: a gateway that starts anew does not know what
+/// it spent before within the window.
+const SLACK_PART: f64 = 0.5;
+/// Part of the shared retry ratio that is given out: the window of a request and that of its repeat
+/// differ by as long as it waits.
+const RATIO_PART: f64 = 0.85;
 /// Part of the rate that cold targets bear which all gateways together use: callers' bound is half
 /// as much again, and a sliding second can hold two of a gateway's windows.
 const COLD_RATE_PART: f64 = 0.75;
@@ -274,8 +280,8 @@
     /// This process's part of the retry budget that all gateways share.
     fn budget_settings(&self, gateways: u32) -> WindowSettings {
         WindowSettings {
-            ratio: self.bounds.retry_ratio,
-            slack: self.bounds.retry_slack / f64::from(gateways.max(1)),
+            ratio: self.bounds.retry_ratio * RATIO_PART,
+            slack: self.bounds.retry_slack * SLACK_PART / f64::from(gateways.max(1)),
             window: self.bounds.retry_window,
         }
     }
