A fenced coordinator goes on leading while the store is away

Cause: in an outage of the store the lease lapsed and experts stayed unlevel for its length; reads of the registry also held the coordinator up for as long as the store took. Change: where ranks refuse lower fencing numbers, only an ended lease or a refused order ends the leadership; registry and configuration are read beside the loop.

--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId};
-use amaranthgw_fleet::gateway::ExpertShape;
+use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::levels::{
     DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerLimits, RankView, SwitchDriver,
     SwitchPhase, plan_change,
@@ -15,12 +15,12 @@
 use compact_str::ToCompactString;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::AgentError;
 use super::election::WonLease;
 use super::link::{PassedOrder, SharedLink};
-use super::roster::{RankRoster, read_shape};
+use super::roster::{RankRoster, list_ranks, read_shape};
 use crate::telemetry::{EventLog, NodeEvent};
 
 /// Pause between two looks at all ranks while no switch is under way.
@@ -47,6 +47,8 @@
     Seen(SocketAddr, SharedLink, RankView),
     /// The rank at the address gave no answer.
     Unseen(SocketAddr, AgentError),
+    /// What registry and configuration say, as far as they could be read.
+    Listed(Option<Vec<TargetRecord>>, Option<ExpertShape>),
     /// An order was answered.
     Replied(DueOrder, OrderReply),
 }
@@ -62,7 +64,8 @@
     links: HashMap<amaranthgw_core::RankId, SharedLink>,
     unseen: HashSet<SocketAddr>,
     placement: Option<(GroupGeneration, MapVersion, GroupPlacement)>,
-    until: watch::Receiver<Instant>,
+    /// End of the lease, where orders after it would not be refused by the ranks.
+    until: Option<watch::Receiver<Instant>>,
     group: amaranthgw_core::GroupId,
     log: EventLog,
     events: UnboundedSender<LinkEvent>,
@@ -76,7 +79,7 @@
         store: Arc<PlatformStore>,
         service: ServiceId,
         roster: RankRoster,
-        until: watch::Receiver<Instant>,
+        until: Option<watch::Receiver<Instant>>,
         log: EventLog,
     ) -> Self {
         let (events, inbox) = unbounded_channel();
@@ -101,12 +104,9 @@
     /// Leads until a later coordinator gave orders; the caller ends it where the lease is lost.
     pub(super) async fn lead(mut self) {
         let mut look_at = Instant::now();
-        let mut roster_at = Instant::now();
+        self.refresh(Duration::ZERO);
         while !self.driver.is_deposed() {
             let now = Instant::now();
-            if now >= roster_at {
-                roster_at = now + self.refresh().await;
-            }
             if now >= look_at {
                 self.look();
                 look_at = now + self.pause();
@@ -120,21 +120,33 @@
         }
     }
 
-    /// Reads registry and configuration; gives the pause until the next time.
-    async fn refresh(&mut self) -> Duration {
-        if self.shape.is_none()
-            && let Ok(shape) = read_shape(&self.store, &self.service).await
-        {
-            self.shape = shape;
-            self.demand = shape.map(|shape| ExpertDemand::new(shape.sets, shape.experts));
+    /// Reads the registry, and the sizes of the group unless known, after `pause`.
+    fn refresh(&self, pause: Duration) {
+        let (store, events) = (Arc::clone(&self.store), self.events.clone());
+        let service = self.shape.is_none().then(|| self.service.clone());
+        tokio::spawn(async move {
+            sleep(pause).await;
+            let shape = match service {
+                Some(service) => read_shape(&store, &service).await.unwrap_or_default(),
+                None => None,
+            };
+            let ranks = list_ranks(&store).await.ok();
+            // A coordinator that was deposed needs no more news.
+            drop(events.send(LinkEvent::Listed(ranks, shape)));
+        });
+    }
+
+    /// Takes what was read; a failed read leaves what is known so far.
+    fn take_listing(&mut self, ranks: Option<Vec<TargetRecord>>, shape: Option<ExpertShape>) {
+        if let Some(shape) = shape {
+            self.shape = Some(shape);
+            self.demand = Some(ExpertDemand::new(shape.sets, shape.experts));
         }
-        // A failed read leaves the ranks known so far.
-        drop(self.roster.refresh(&self.store).await);
-        if self.driver.is_complete(Instant::now()) {
-            ROSTER_PAUSE
-        } else {
-            SEARCH_PAUSE
+        if let Some(ranks) = ranks {
+            self.roster.adopt(&ranks);
         }
+        let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
+        self.refresh(if is_complete { ROSTER_PAUSE } else { SEARCH_PAUSE });
     }
 
     fn pause(&self) -> Duration {
@@ -169,6 +181,7 @@
             }
             LinkEvent::Seen(..) => {}
             LinkEvent::Unseen(address, error) => self.note_seen(address, Some(&error)),
+            LinkEvent::Listed(ranks, shape) => self.take_listing(ranks, shape),
             LinkEvent::Replied(order, reply) => self.driver.reply(&order, reply, now),
         }
     }
@@ -191,7 +204,7 @@
 
     fn act(&mut self) {
         let now = Instant::now();
-        if *self.until.borrow() <= now {
+        if self.until.as_ref().is_some_and(|until| *until.borrow() <= now) {
             return;
         }
         self.plan(now);
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -35,6 +35,9 @@
     pub(super) vm: VmId,
     /// Length of a lease.
     pub(super) lasts: MilliSpan,
+    /// Whether ranks refuse the orders of an earlier holder, so that a lease that can't be renewed
+    /// need not end the leadership.
+    pub(super) is_fenced: bool,
     /// Where decisions are recorded.
     pub(super) log: EventLog,
 }
@@ -125,7 +128,7 @@
         let cause = loop {
             sleep(self.lasts.duration() / RENEWALS).await;
             let asked_at = Instant::now();
-            if asked_at >= *until.borrow() {
+            if !self.is_fenced && asked_at >= *until.borrow() {
                 break "not_renewed";
             }
             let renewed = self.store.renew(won.lease, self.lasts.duration() / 2).await;
--- a/crates/amaranthgw/src/agent/process.rs
+++ b/crates/amaranthgw/src/agent/process.rs
@@ -96,6 +96,7 @@
         rank: Arc::clone(&rank),
         vm: settings.vm.clone(),
         lasts: settings.lease,
+        is_fenced: settings.fenced_orders,
         log: log.clone(),
     };
     loop {
@@ -104,6 +105,7 @@
             () = stop.reached(StopPhase::Noticing) => return,
         };
         let (until, held_until) = watch::channel(won.until);
+        let held_until = (!settings.fenced_orders).then_some(held_until);
         let port = settings.node_listen.port();
         let (service, beside) = (settings.service.clone(), Arc::clone(&rank));
         let roster = RankRoster::new(service.clone(), settings.rank, port, beside);
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::ServiceId;
-use amaranthgw_fleet::gateway::ExpertShape;
+use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_platform::Result;
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::registry::decode_entry;
@@ -45,15 +45,10 @@
         }
     }
 
-    /// Reads which ranks there are.
-    pub(super) async fn refresh(&mut self, store: &PlatformStore) -> Result<()> {
-        let listed = store.list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, CALL_LIMIT).await;
-        count_store_call("list_ranks", if listed.is_ok() { "ok" } else { "failed" });
-        let records = listed?;
-        // Entries that no target wrote name no rank.
-        let entries = records.items.iter().filter_map(|item| decode_entry(item).ok());
-        let ranks: Vec<SocketAddr> = entries
-            .map(|entry| entry.record)
+    /// Takes the registered targets.
+    pub(super) fn adopt(&mut self, records: &[TargetRecord]) {
+        let ranks: Vec<SocketAddr> = records
+            .iter()
             .filter(|record| record.service == self.service)
             .map(|record| record.address)
             .collect();
@@ -63,7 +58,6 @@
             let make = || Arc::new(FarRank::new(agent, rank)) as SharedLink;
             self.links.entry(rank).or_insert_with(make);
         }
-        Ok(())
     }
 
     /// The ways to the ranks, with the address of each.
@@ -72,6 +66,15 @@
     }
 }
 
+/// The registered targets; entries that no target wrote name none.
+pub(super) async fn list_ranks(store: &PlatformStore) -> Result<Vec<TargetRecord>> {
+    let listed = store.list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, CALL_LIMIT).await;
+    count_store_call("list_ranks", if listed.is_ok() { "ok" } else { "failed" });
+    let entries = listed?.items;
+    let decoded = entries.iter().filter_map(|item| decode_entry(item).ok());
+    Ok(decoded.map(|entry| entry.record).collect())
+}
+
 /// Sizes of the groups of `service`, by the operators' configuration.
 pub(super) async fn read_shape(
     store: &PlatformStore,
--- a/crates/fleet/src/settings/agent.rs
+++ b/crates/fleet/src/settings/agent.rs
@@ -28,6 +28,9 @@
     pub store: SocketAddr,
     /// Time from the signal to stop to the end by force, 0 to 1 h.
     pub grace: MilliSpan,
+    /// Whether ranks refuse orders with a lower fencing number than one they have seen; then a
+    /// coordinator that can't reach the key-value service goes on leading.
+    pub fenced_orders: bool,
     /// How long a coordinator's lease lasts, 1 s to 1 min; 1 s unless given.
     #[serde(default = "default_lease")]
     pub lease: MilliSpan,
@@ -47,6 +50,7 @@
         FieldRule::new("metrics_listen", FieldRange::Listen),
         FieldRule::new("store", FieldRange::Address),
         FieldRule::new("grace", GRACE_RANGE),
+        FieldRule::new("fenced_orders", FieldRange::Flag),
         FieldRule::new("lease", LEASE_RANGE).with_default("1s"),
     ];
 
