Fewer store calls and fewer copied experts

Change: watch waits 2.5 s, registry read each 1.1 s, pauses after failures double up to 0.5 s; a change of placement must take 0.15 off the mean imbalance, a copy 0.02.

--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -34,9 +34,9 @@
 /// Imbalance below which a set is left as it is.
 const LEVEL_IMBALANCE: f64 = 1.08;
 /// Part of the mean load that one more copied expert must take off the largest load.
-const COPY_GAIN: f64 = 0.012;
+const COPY_GAIN: f64 = 0.02;
 /// Mean imbalance that a change must take off.
-const CHANGE_GAIN: f64 = 0.06;
+const CHANGE_GAIN: f64 = 0.15;
 /// Experts that one rank copies for one change: each takes a seventh of a second, and topics shift
 /// every few seconds.
 const COPIES_PER_RANK: usize = 4;
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -23,12 +23,14 @@
 /// Longest wait for an answer of the store beyond the time that a watch may wait.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// Longest time that a watch waits: a connection that fell silent is noticed within it.
-const WATCH_WAIT: Duration = Duration::from_millis(1_200);
-/// Pause after a failed call.
-const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause after the first failed call; doubles with each further one.
+const FIRST_FAILURE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call: what changed in an outage is known soon after it.
+const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two reads of the registry: a leaving target is known well within the time that
-/// it goes on serving.
-const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
+/// it goes on serving, which is 2 s and more.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(1_100);
 
 /// A configuration and how it was read.
 #[derive(Debug)]
@@ -52,12 +54,12 @@
         control,
         log,
         evacuated: BTreeSet::new(),
-        is_failing: false,
+        failures: 0,
     };
     loop {
         let Err(error) = feed.follow().await;
         feed.note_failure(&error);
-        sleep(FAILURE_PAUSE).await;
+        sleep(failure_pause(feed.failures)).await;
     }
 }
 
@@ -66,7 +68,7 @@
     control: ActorRef<ControlMessage>,
     log: EventLog,
     evacuated: BTreeSet<DomainId>,
-    is_failing: bool,
+    failures: u32,
 }
 
 impl OperatorFeed {
@@ -149,8 +151,11 @@
 
     fn note_failure(&mut self, error: &PlatformError) {
         // A watch whose history is gone starts anew without an outage.
-        if matches!(error, PlatformError::Compacted) || std::mem::replace(&mut self.is_failing, true)
-        {
+        if matches!(error, PlatformError::Compacted) {
+            return;
+        }
+        self.failures += 1;
+        if self.failures > 1 {
             return;
         }
         let reason = error.to_compact_string();
@@ -158,7 +163,7 @@
     }
 
     fn note_success(&mut self) {
-        if std::mem::take(&mut self.is_failing) {
+        if std::mem::take(&mut self.failures) > 0 {
             self.log.record(NodeEvent::StoreRecovered {});
         }
     }
@@ -170,7 +175,7 @@
     control: ActorRef<ControlMessage>,
     log: EventLog,
 ) {
-    let mut unusable_before = 0;
+    let (mut unusable_before, mut failures) = (0, 0);
     loop {
         let listed = store
             .list(REGISTRY_PREFIX, ReadFreshness::Linearizable, CALL_LIMIT)
@@ -186,18 +191,26 @@
                     });
                 }
                 unusable_before = unusable;
+                failures = 0;
                 drop(control.cast(ControlMessage::Registry(records)));
                 REGISTRY_PAUSE
             }
             Err(_reported_by_the_operator_feed) => {
                 drop(control.cast(ControlMessage::RegistryFailed));
-                FAILURE_PAUSE
+                failures += 1;
+                failure_pause(failures)
             }
         };
         sleep(pause).await;
     }
 }
 
+/// Pause after a number of failed calls in a row.
+fn failure_pause(failures: u32) -> Duration {
+    let doubled = FIRST_FAILURE_PAUSE.saturating_mul(1 << failures.min(8));
+    doubled.min(LONGEST_FAILURE_PAUSE)
+}
+
 /// Records of all entries that targets wrote, the number of others, and why the last is unusable.
 fn decode_entries(items: &[StoreItem]) -> (Vec<RegistryEntry>, u32, CompactString) {
     let (mut unusable, mut reason) = (0, CompactString::default());
