Requests wait for capacity and for the first answers of the store

Change: up to 1 s (streams) or 0.25 s (plain) for a target that takes it; 0.15 s after a start; targets that turned a request away rest 0.15 s; streams of a wholly silent service wait instead of moving.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -108,6 +108,8 @@
             drop(timeout_at(give_up_at, attempt.collect(thread)).await);
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 target.gauge.miss(now);
+            } else {
+                target.gauge.refuse(now);
             }
             Err(AttemptFailure::NotRun(head.status))
         }
--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -119,8 +119,9 @@
 
     fn publish(&mut self) {
         if self.world.is_changed {
-            let snapshot = Arc::new(self.world.snapshot());
+            let snapshot = Arc::new(self.world.snapshot(Instant::now()));
             self.shared.snapshot.store(snapshot);
+            self.shared.published.notify_waiters();
         }
         let ready = self.shared.readiness().is_ok();
         if ready != self.was_ready {
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -11,7 +11,7 @@
 use amaranthgw_platform::store::PlatformStore;
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{ControlMessage, ControlState, GatewayControl};
@@ -63,6 +63,7 @@
         let stop = StopSignal::new();
         let shared = Arc::new(GatewayShared {
             snapshot: ArcSwap::default(),
+            published: Notify::new(),
             policy: Box::new(LeastLoadedPolicy),
             domain: settings.domain.clone(),
             in_flight: AtomicU32::new(0),
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::attempt::{AttemptFailure, OpenAttempt, open_attempt};
 use super::body::{AnswerBody, whole_body};
@@ -24,12 +24,24 @@
 
 /// Sends of one request at most, counting those that targets turned away.
 const MAX_SENDS: u32 = 4;
+/// Sends at most that never reached a target and do not count as sends.
+const MAX_MISSES: u32 = 6;
 /// Longest wait for the next sign of life of a request that may run elsewhere, beyond the time
 /// for which a rank group stalls before it answers itself.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_650);
 /// Times its objective that a plain idempotent request waits at one target.
 const PATIENCE_OBJECTIVES: u32 = 3;
 
+/// Longest time that a stream waits for a target that takes it: a rank group forms within 0.6 s.
+const STREAM_CAPACITY_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest time that a plain request waits for a target that takes it.
+const PLAIN_CAPACITY_WAIT: Duration = Duration::from_millis(250);
+/// Pause between two looks for such a target.
+const CAPACITY_LOOK_PAUSE: Duration = Duration::from_millis(25);
+/// Silence of all targets of a service at which a silent stream waits on: its whole group stalls,
+/// and another rank of it would answer no sooner.
+const STALL_SILENCE: Duration = Duration::from_millis(500);
+
 /// A request on its way through targets.
 #[derive(Debug)]
 pub(super) struct CallRun {
@@ -39,12 +51,8 @@
     sends: u32,
     runs: u32,
     may_have_run: bool,
-}
-
-/// What the next attempt needs.
-struct AttemptPlan {
-    target: TargetChoice,
-    budget: Option<Arc<WindowBudget>>,
+    waited: Duration,
+    misses: u32,
 }
 
 /// Answers `call`.
@@ -59,6 +67,8 @@
         sends: 0,
         runs: 0,
         may_have_run: false,
+        waited: Duration::ZERO,
+        misses: 0,
     };
     match run.first_answer().await {
         Ok(Begun::Stream(attempt)) => stream_response(run, *attempt),
@@ -136,10 +146,12 @@
         last_event: Option<&EventName>,
     ) -> Result<OpenAttempt, CallRefusal> {
         loop {
-            let plan = self.plan()?;
-            let target = plan.target;
+            let target = match self.plan() {
+                Ok(target) => target,
+                Err(CallRefusal::NoCapacity) if self.wait_for_capacity().await => continue,
+                Err(refusal) => return Err(refusal),
+            };
             self.sends += 1;
-            self.tried.push(target.record.target.clone());
             let request = self.request(&target, last_event);
             let patience = self.patience();
             let opened = open_attempt(&self.thread, &target, &request, patience).await;
@@ -151,6 +163,8 @@
                 Ok(attempt) => {
                     self.runs += 1;
                     self.may_have_run = true;
+                    self.tried.push(target.record.target.clone());
+                    self.note_progress();
                     self.record_attempt(&target.record.target, "answered");
                     return Ok(attempt);
                 }
@@ -160,17 +174,51 @@
             if !failure.is_not_run() {
                 self.runs += 1;
                 self.may_have_run = true;
+                self.tried.push(target.record.target.clone());
+                if matches!(failure, AttemptFailure::TimedOut) && self.is_service_stalled() {
+                    return Err(self.unknown());
+                }
             }
-            if let (AttemptFailure::Unsent(_), Some(_)) = (&failure, &plan.budget) {
+            if matches!(failure, AttemptFailure::Unsent(_)) && self.misses < MAX_MISSES {
                 // Nothing arrived, so the next send is no repeat.
+                self.misses += 1;
                 self.sends -= 1;
-                if self.tried.len() > usize::try_from(MAX_SENDS).unwrap_or(usize::MAX) {
-                    return Err(self.unknown());
-                }
             }
         }
     }
 
+    /// Waits a moment for a target that takes the request; `false` where it waited long enough.
+    async fn wait_for_capacity(&mut self) -> bool {
+        let limit = match self.call.route.kind {
+            RouteKind::Streaming => STREAM_CAPACITY_WAIT,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => PLAIN_CAPACITY_WAIT,
+        };
+        if self.sends >= MAX_SENDS || self.waited >= limit {
+            return false;
+        }
+        self.waited += CAPACITY_LOOK_PAUSE;
+        sleep(CAPACITY_LOOK_PAUSE).await;
+        true
+    }
+
+    /// Notes that a target of the service sent something.
+    pub(super) fn note_progress(&self) {
+        if let Some(budget) = self.budget() {
+            budget.note_progress(Instant::now());
+        }
+    }
+
+    /// Whether all targets of the service are silent.
+    pub(super) fn is_service_stalled(&self) -> bool {
+        let silent_for = self.budget().map(|budget| budget.silent_for(Instant::now()));
+        silent_for.is_some_and(|silent_for| silent_for >= STALL_SILENCE)
+    }
+
+    fn budget(&self) -> Option<Arc<WindowBudget>> {
+        let snapshot = self.thread.shared.snapshot.load();
+        snapshot.budgets.get(&self.call.service).cloned()
+    }
+
     /// The answer where no target gave one.
     fn unknown(&self) -> CallRefusal {
         let is_over = Instant::now() >= self.call.give_up_at;
@@ -183,7 +231,7 @@
     }
 
     /// Chooses the next target, or says why there is none.
-    fn plan(&self) -> Result<AttemptPlan, CallRefusal> {
+    fn plan(&self) -> Result<TargetChoice, CallRefusal> {
         let now = Instant::now();
         let is_over = now >= self.call.give_up_at || self.sends >= MAX_SENDS;
         if is_over || (self.may_have_run && !self.may_run_again()) {
@@ -197,7 +245,7 @@
             Some(budget) if !budget.try_repeat(now) => return Err(self.unknown()),
             _ => {}
         }
-        Ok(AttemptPlan { target, budget })
+        Ok(target)
     }
 
     fn choose(&self, snapshot: &GatewaySnapshot, now: Instant) -> Option<TargetChoice> {
--- a/crates/amaranthgw/src/gateway/serve.rs
+++ b/crates/amaranthgw/src/gateway/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{CallerKey, ServiceId, WorkspaceId};
-use amaranthgw_fleet::gateway::{RouteRow, RouteTable};
+use amaranthgw_fleet::gateway::{GatewaySnapshot, RouteRow, RouteTable};
 use amaranthgw_platform::request::{CallTerms, decode_terms};
 use bytes::Bytes;
 use http::request::Parts;
@@ -20,6 +20,9 @@
 use crate::runtime::StopPhase;
 use crate::telemetry::{NodeEvent, count_ended};
 
+/// Longest wait of a request for the first answers of the store: each takes some milliseconds.
+const START_WAIT: Duration = Duration::from_millis(150);
+
 /// A request that may be sent.
 #[derive(Debug)]
 pub(super) struct AdmittedCall {
@@ -94,7 +97,7 @@
     arrived_at: Instant,
 ) -> Result<AdmittedCall, CallRefusal> {
     let guard = CallGuard::new(&thread.shared);
-    let snapshot = thread.shared.snapshot.load_full();
+    let snapshot = known_snapshot(thread).await;
     let routes = &snapshot.routes;
     let route = find_route(routes, &parts).map_err(CallRefusal::Miss)?;
     let workspace = find_workspace(routes, &route, terms.key.as_ref())?;
@@ -122,6 +125,21 @@
     })
 }
 
+/// The snapshot in force; right after a start, waits for the first answers of the store.
+async fn known_snapshot(thread: &GatewayThread) -> Arc<GatewaySnapshot> {
+    let wait_until = Instant::now() + START_WAIT;
+    loop {
+        let published = thread.shared.published.notified();
+        let snapshot = thread.shared.snapshot.load_full();
+        if snapshot.is_ready {
+            return snapshot;
+        }
+        if timeout_at(wait_until, published).await.is_err() {
+            return snapshot;
+        }
+    }
+}
+
 fn find_route(
     routes: &RouteTable,
     parts: &Parts,
--- a/crates/amaranthgw/src/gateway/shared.rs
+++ b/crates/amaranthgw/src/gateway/shared.rs
@@ -7,6 +7,7 @@
 use amaranthgw_fleet::gateway::{ChoicePolicy, GatewaySnapshot};
 use amaranthgw_net::ConnectionPool;
 use arc_swap::ArcSwap;
+use tokio::sync::Notify;
 
 use crate::runtime::{StopPhase, StopSignal};
 use crate::telemetry::EventLog;
@@ -16,6 +17,8 @@
 pub(super) struct GatewayShared {
     /// Routes, targets and budgets in force.
     pub(super) snapshot: ArcSwap<GatewaySnapshot>,
+    /// Wakes requests that wait for a newer snapshot.
+    pub(super) published: Notify,
     /// Chooses targets.
     pub(super) policy: Box<dyn ChoicePolicy>,
     /// Failure domain of the process.
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -1,5 +1,7 @@
 //! Passes a stream of events on, and goes on at another target where the route allows it.
 
+use std::time::Duration;
+
 use amaranthgw_fleet::gateway::EventScanner;
 use amaranthgw_platform::answer::caller_headers;
 use bytes::Bytes;
@@ -13,6 +15,9 @@
 use super::body::{AnswerBody, BodyBreak};
 use super::run::CallRun;
 
+/// Pause between two looks at a service whose targets are all silent.
+const STALL_PAUSE: Duration = Duration::from_millis(100);
+
 /// A stream on its way to the caller; dropped where the caller leaves.
 struct EventPump {
     run: CallRun,
@@ -82,13 +87,19 @@
         let Some(attempt) = self.attempt.as_mut() else {
             return PumpStep::Broken("no_target");
         };
-        let silent_at = self.run.silence_until(Instant::now());
+        let mut silent_at = self.run.silence_until(Instant::now());
         loop {
             let Ok(frame) = timeout_at(silent_at, attempt.body.frame()).await else {
+                let now = Instant::now();
+                if now < self.run.call.give_up_at && self.run.is_service_stalled() {
+                    silent_at = self.run.call.give_up_at.min(now + STALL_PAUSE);
+                    continue;
+                }
                 return PumpStep::Broken("silent");
             };
             match frame {
                 Some(Ok(frame)) => {
+                    self.run.note_progress();
                     let events = self.scanner.push(frame.data_ref().map_or(&[], |data| data));
                     if !events.is_empty() {
                         return PumpStep::Events(events);
--- a/crates/fleet/src/gateway/budget.rs
+++ b/crates/fleet/src/gateway/budget.rs
@@ -1,6 +1,7 @@
 //! The part of a service's requests that may be sent once more, over a sliding window.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -33,18 +34,39 @@
 pub struct WindowBudget {
     settings: WindowSettings,
     slices: Mutex<VecDeque<WindowSlice>>,
+    started_at: Instant,
+    progress_ms: AtomicU64,
 }
 
 impl WindowBudget {
-    /// Creates the budget of a service without traffic.
+    /// Creates the budget of a service without traffic by `now`.
     #[must_use]
-    pub fn new(settings: WindowSettings) -> Self {
+    pub fn new(settings: WindowSettings, now: Instant) -> Self {
         Self {
             settings,
             slices: Mutex::default(),
+            started_at: now,
+            progress_ms: AtomicU64::new(0),
         }
     }
 
+    /// Notes that a target of the service sent something at `now`.
+    pub fn note_progress(&self, now: Instant) {
+        self.progress_ms.store(self.millis(now), Ordering::Relaxed);
+    }
+
+    /// How long no target of the service has sent anything to this process at `now`.
+    #[must_use]
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        let last = self.progress_ms.load(Ordering::Relaxed);
+        Duration::from_millis(self.millis(now).saturating_sub(last))
+    }
+
+    fn millis(&self, at: Instant) -> u64 {
+        let since = at.saturating_duration_since(self.started_at).as_millis();
+        u64::try_from(since).unwrap_or(u64::MAX)
+    }
+
     /// Counts a request that is sent for the first time at `now`.
     pub fn record_request(&self, now: Instant) {
         self.with_slices(now, |slices| {
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -87,7 +87,9 @@
         ask: &ChoiceAsk<'_>,
     ) -> Option<&'a TargetChoice> {
         let untried = |target: &&TargetChoice| {
-            !ask.tried.contains(&target.record.target) && !target.gauge.is_absent(ask.now)
+            !ask.tried.contains(&target.record.target)
+                && !target.gauge.is_absent(ask.now)
+                && !target.gauge.is_refusing(ask.now)
         };
         let sound = |target: &&TargetChoice| !target.gauge.is_ejected(ask.now);
         let preferred = targets.iter().filter(untried).filter(sound);
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -46,6 +46,7 @@
     failures: AtomicU32,
     ejected_until_ms: AtomicU64,
     absent_until_ms: AtomicU64,
+    refusing_until_ms: AtomicU64,
     cold_window_ms: AtomicU64,
     cold_sent: AtomicU32,
 }
@@ -58,6 +59,8 @@
 /// Pause of a target whose address another one answers at: its entry lapses within about three
 /// heartbeats.
 const ABSENCE: Duration = Duration::from_secs(4);
+/// Pause of a target that turned a request away: it is full, or its rank group forms anew.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
 /// Age at which half of a reported load still counts; a plain request lasts some ten milliseconds,
 /// a stream a second or two.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
@@ -76,6 +79,7 @@
             failures: AtomicU32::new(0),
             ejected_until_ms: AtomicU64::new(0),
             absent_until_ms: AtomicU64::new(0),
+            refusing_until_ms: AtomicU64::new(0),
             cold_window_ms: AtomicU64::new(0),
             cold_sent: AtomicU32::new(0),
         }
@@ -141,6 +145,18 @@
         self.absent_until_ms.load(Ordering::Relaxed) > self.millis(now)
     }
 
+    /// Notes that the target turned a request away.
+    pub fn refuse(&self, now: Instant) {
+        let until = self.millis(now + REFUSAL_PAUSE);
+        self.refusing_until_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// Whether the target turned a request away lately.
+    #[must_use]
+    pub fn is_refusing(&self, now: Instant) -> bool {
+        self.refusing_until_ms.load(Ordering::Relaxed) > self.millis(now)
+    }
+
     /// Whether the target is paused at `now`.
     #[must_use]
     pub fn is_ejected(&self, now: Instant) -> bool {
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -239,7 +239,7 @@
     }
 
     /// What traffic threads read from now on.
-    pub fn snapshot(&mut self) -> GatewaySnapshot {
+    pub fn snapshot(&mut self, now: Instant) -> GatewaySnapshot {
         self.is_changed = false;
         let gateways = self.gateway_count();
         if gateways != self.budget_peers {
@@ -266,7 +266,7 @@
             let settings = self.budget_settings(gateways);
             self.budgets
                 .entry(service)
-                .or_insert_with(|| Arc::new(WindowBudget::new(settings)));
+                .or_insert_with(|| Arc::new(WindowBudget::new(settings, now)));
         }
         GatewaySnapshot {
             routes: Arc::clone(&self.routes),
