Orders are repeated after 40 ms; steps are named further ahead while ranks leave orders unanswered

Change: 40 ms for an order at the own rank, 100 ms through an agent; five steps ahead instead of two for 6 s after an unanswered order.

--- a/crates/amaranthgw/src/agent/beside.rs
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -8,7 +8,7 @@
 use amaranthgw_platform::rank::RankClient;
 use tokio::time::Instant;
 
-use super::link::{BESIDE_LIMIT, PassedOrder};
+use super::link::{BESIDE_LIMIT, ORDER_LIMIT, PassedOrder};
 use super::{AgentError, Result};
 use crate::telemetry::{EventLog, NodeEvent};
 
@@ -68,7 +68,7 @@
     /// Passes an order on to the rank.
     pub(super) async fn pass_on(&self, passed: PassedOrder) -> OrderReply {
         let PassedOrder { order, fence, generation } = passed;
-        let reply = self.client.order(&order, fence, generation, BESIDE_LIMIT).await;
+        let reply = self.client.order(&order, fence, generation, ORDER_LIMIT).await;
         self.log.record(NodeEvent::OrderPassed {
             order: order.name(),
             fence,
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -22,8 +22,11 @@
 pub(super) const ORDER_PATH: &str = "/order";
 /// Longest wait for another agent: some times the way to it and its rank.
 const AGENT_LIMIT: Duration = Duration::from_millis(250);
-/// Longest wait for the answer to an order that a rank may also leave unanswered.
-const ORDER_LIMIT: Duration = Duration::from_millis(150);
+/// Longest wait of an agent for its rank's answer to an order, which a rank may also leave
+/// unanswered: some ten times the usual wait.
+pub(super) const ORDER_LIMIT: Duration = Duration::from_millis(40);
+/// Longest wait for an agent that passes an order on.
+const PASSED_ORDER_LIMIT: Duration = Duration::from_millis(100);
 /// Longest wait for a rank that is asked from afar.
 const FAR_LIMIT: Duration = Duration::from_millis(250);
 
@@ -84,7 +87,7 @@
 
     async fn order_by_agent(&self, order: &PassedOrder) -> Result<OrderReply> {
         let body = Bytes::from(serde_json::to_vec(order)?);
-        let called = self.agent.call(Method::POST, ORDER_PATH, body, ORDER_LIMIT * 2);
+        let called = self.agent.call(Method::POST, ORDER_PATH, body, PASSED_ORDER_LIMIT);
         Ok(serde_json::from_slice(&called.await?.body)?)
     }
 }
@@ -109,15 +112,15 @@
                 Ok(reply) => reply,
                 Err(_agent_down) => {
                     let PassedOrder { order, fence, generation } = order;
-                    self.rank.order(&order, fence, generation, ORDER_LIMIT).await
+                    self.rank.order(&order, fence, generation, PASSED_ORDER_LIMIT).await
                 }
             }
         })
     }
 }
 
-/// Longest wait for the answer of the rank beside this process.
-pub(super) const BESIDE_LIMIT: Duration = ORDER_LIMIT;
+/// Longest wait for the state of the rank beside this process.
+pub(super) const BESIDE_LIMIT: Duration = Duration::from_millis(150);
 
 /// A shared way to a rank.
 pub(super) type SharedLink = Arc<dyn RankLink>;
--- a/crates/groups/src/levels/driver.rs
+++ b/crates/groups/src/levels/driver.rs
@@ -16,6 +16,10 @@
 /// Steps between the last one that began and the one at which the map changes: orders take some
 /// milliseconds, a step some tens.
 const LEAD_STEPS: u64 = 2;
+/// The same while ranks leave orders unanswered, so that repeats arrive before the step.
+const CAREFUL_LEAD_STEPS: u64 = 5;
+/// Time for which ranks count as leaving orders unanswered after they did.
+const CAREFUL_TIME: Duration = Duration::from_secs(6);
 /// Fencing numbers that one lease has room for.
 const FENCES_PER_LEASE: u64 = 4_096;
 /// Age at which a view no longer says enough of a rank to begin a switch.
@@ -142,6 +146,7 @@
     last_version: MapVersion,
     ranks: BTreeMap<RankId, RankRow>,
     odd_since: Option<Instant>,
+    unanswered_at: Option<Instant>,
     is_deposed: bool,
     notes: Vec<DriverNote>,
 }
@@ -160,6 +165,7 @@
             last_version: MapVersion::default(),
             ranks: BTreeMap::new(),
             odd_since: None,
+            unanswered_at: None,
             is_deposed: false,
             notes: Vec::new(),
         }
@@ -363,6 +369,9 @@
             OrderReply::Conflict => self.conflict(order, now),
             OrderReply::Unanswered | OrderReply::Fenced => {}
         }
+        if reply == OrderReply::Unanswered {
+            self.unanswered_at = Some(now);
+        }
         self.advance(now);
     }
 
@@ -400,11 +409,21 @@
         }
         let began = self.ranks.values().map(|row| row.view.step).max();
         let step = began.unwrap_or_default().max(armed.step);
-        let step = StepNumber::new(step.get() + LEAD_STEPS);
+        let step = StepNumber::new(step.get() + self.lead_steps(now));
         let armed = ArmedMap { step, ..armed };
         self.enter(SwitchPhase::Holding { armed, holder }, now, "hold_late");
     }
 
+    /// Steps from the last one that began to the one at which the map changes.
+    fn lead_steps(&self, now: Instant) -> u64 {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < CAREFUL_TIME;
+        if self.unanswered_at.is_some_and(is_recent) {
+            CAREFUL_LEAD_STEPS
+        } else {
+            LEAD_STEPS
+        }
+    }
+
     /// Disarms all ranks under a higher fencing number.
     fn clear(&mut self, held: BTreeMap<RankId, StepNumber>, now: Instant, cause: &'static str) {
         self.fence = self.fence.next();
@@ -464,7 +483,7 @@
         let is_prepared = |row: &RankRow| row.view.prepared == Some(version);
         if self.ranks.values().all(is_prepared) && self.is_complete(now) {
             let began = self.ranks.values().map(|row| row.view.step).max();
-            let step = StepNumber::new(began.unwrap_or_default().get() + LEAD_STEPS);
+            let step = StepNumber::new(began.unwrap_or_default().get() + self.lead_steps(now));
             let armed = ArmedMap { version, step };
             let holder = self.own_rank;
             self.enter(SwitchPhase::Holding { armed, holder }, now, "prepared");
