--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -8,7 +8,8 @@
 use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::levels::{
-    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerLimits, RankView, SwitchDriver,
+    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerInput, PlannerLimits, RankView,
+    SwitchDriver,
     SwitchPhase, plan_change,
 };
 use amaranthgw_platform::store::PlatformStore;
@@ -244,7 +245,18 @@
             level: LEVEL_IMBALANCE,
             least_gain: COPY_GAIN,
         };
-        let change = plan_change(placement, demand.recent(), demand.lasting(), &limits);
+        let pace: Vec<f64> = self
+            .driver
+            .views()
+            .map(|view| f64::from(view.pace_milli) / 1_000.0)
+            .collect();
+        let input = PlannerInput {
+            placement,
+            demand: demand.recent(),
+            lasting: demand.lasting(),
+            pace: &pace,
+        };
+        let change = plan_change(input, &limits);
         let Some(change) = change.filter(|it| it.before - it.after >= CHANGE_GAIN) else {
             return;
         };
--- a/crates/groups/src/levels/mod.rs
+++ b/crates/groups/src/levels/mod.rs
@@ -12,5 +12,5 @@
 pub use demand::ExpertDemand;
 pub use driver::{DriverNote, DueOrder, SwitchDriver, SwitchPhase};
 pub use placement::{GroupPlacement, SetPlacement};
-pub use planner::{PlacementChange, PlannerLimits, plan_change};
+pub use planner::{PlacementChange, PlannerInput, PlannerLimits, plan_change};
 pub use rank::{ArmedMap, OrderReply, RankOrder, RankView};
--- a/crates/groups/src/levels/placement.rs
+++ b/crates/groups/src/levels/placement.rs
@@ -34,12 +34,15 @@
         self.ranks.iter().map(load).collect()
     }
 
-    /// Load of the most loaded rank relative to the mean; 1 where there is no load.
+    /// Time of the slowest rank relative to the mean load, where `pace` says how slow each rank
+    /// works; 1 where there is no load.
     #[must_use]
-    pub fn imbalance(&self, demand: &[f64]) -> f64 {
+    pub fn imbalance(&self, demand: &[f64], pace: &[f64]) -> f64 {
         let loads = self.loads(demand);
         let sum: f64 = loads.iter().sum();
-        let most = loads.iter().copied().fold(0.0, f64::max);
+        let pace = pace.iter().copied().chain(std::iter::repeat(1.0));
+        let times = loads.iter().zip(pace).map(|(load, pace)| load * pace);
+        let most = times.fold(0.0, f64::max);
         let ranks = f64::from(u32::try_from(loads.len()).unwrap_or(u32::MAX));
         if sum > 0.0 { most * ranks / sum } else { 1.0 }
     }
@@ -77,9 +80,9 @@
 
     /// Mean imbalance over the sets.
     #[must_use]
-    pub fn imbalance(&self, demand: &[Vec<f64>]) -> f64 {
+    pub fn imbalance(&self, demand: &[Vec<f64>], pace: &[f64]) -> f64 {
         let sets = f64::from(u32::try_from(self.sets.len().max(1)).unwrap_or(u32::MAX));
         let pairs = self.sets.iter().zip(demand);
-        pairs.map(|(set, demand)| set.imbalance(demand)).sum::<f64>() / sets
+        pairs.map(|(set, demand)| set.imbalance(demand, pace)).sum::<f64>() / sets
     }
 }
--- a/crates/groups/src/levels/planner.rs
+++ b/crates/groups/src/levels/planner.rs
@@ -54,21 +54,35 @@
     from: Option<usize>,
 }
 
-/// A change of `placement` for `demand` that holds on to what `lasting` shows as wanted; `None`
-/// where nothing worth while is found.
+/// What a change is planned for.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerInput<'a> {
+    /// Placement in use.
+    pub placement: &'a GroupPlacement,
+    /// Load of each expert, by set.
+    pub demand: &'a [Vec<f64>],
+    /// Load of each expert over a longer time, by set: what may be wanted again.
+    pub lasting: &'a [Vec<f64>],
+    /// How slow each rank works; 1 is the usual pace.
+    pub pace: &'a [f64],
+}
+
+/// A change of the placement that levels the time that ranks take; `None` where nothing worth
+/// while is found.
 #[must_use]
-pub fn plan_change(
-    placement: &GroupPlacement,
-    demand: &[Vec<f64>],
-    lasting: &[Vec<f64>],
-    limits: &PlannerLimits,
-) -> Option<PlacementChange> {
+pub fn plan_change(input: PlannerInput<'_>, limits: &PlannerLimits) -> Option<PlacementChange> {
+    let PlannerInput {
+        placement,
+        demand,
+        lasting,
+        pace,
+    } = input;
     let ranks = placement.sets.first()?.ranks.len();
     let mut planned = placement.clone();
     let mut new_by_rank = vec![0; ranks];
     let mut order: Vec<usize> = (0..placement.sets.len().min(demand.len())).collect();
     // Where copies are scarce, the least level set gets them first.
-    let imbalance = |set: &usize| placement.sets[*set].imbalance(&demand[*set]);
+    let imbalance = |set: &usize| placement.sets[*set].imbalance(&demand[*set], pace);
     order.sort_by(|a, b| imbalance(b).total_cmp(&imbalance(a)));
     for set in order {
         let mut planner = SetPlanner {
@@ -76,6 +90,7 @@
             set: &mut planned.sets[set],
             demand: &demand[set],
             lasting: &lasting[set],
+            pace,
             limits,
             new_by_rank: &mut new_by_rank,
         };
@@ -85,8 +100,8 @@
     let change = PlacementChange {
         copies,
         most_copies: new_by_rank.into_iter().max().unwrap_or_default(),
-        before: placement.imbalance(demand),
-        after: planned.imbalance(demand),
+        before: placement.imbalance(demand, pace),
+        after: planned.imbalance(demand, pace),
         placement: planned,
     };
     (change.placement != *placement && change.after < change.before).then_some(change)
@@ -97,6 +112,7 @@
     set: &'a mut SetPlacement,
     demand: &'a [f64],
     lasting: &'a [f64],
+    pace: &'a [f64],
     limits: &'a PlannerLimits,
     new_by_rank: &'a mut [usize],
 }
@@ -106,7 +122,8 @@
         for _ in 0..MOVES {
             let loads = self.set.loads(self.demand);
             let mean = loads.iter().sum::<f64>() / float(loads.len());
-            let most = loads.iter().copied().fold(0.0, f64::max);
+            let times = self.times(&loads);
+            let most = times.iter().copied().fold(0.0, f64::max);
             if mean <= 0.0 || most <= mean * self.limits.level {
                 return;
             }
@@ -114,7 +131,7 @@
             let Some((step, after)) = self.best_move(&loads, &holders, mean) else {
                 return;
             };
-            let before = pressure(&loads, mean);
+            let before = pressure(&times, mean);
             // The pressure is near the largest relative load to the power of the exponent.
             let root = |pressure: f64| pressure.powf(1.0 / f64::from(PRESSURE_EXPONENT));
             if root(before) - root(after) < self.limits.least_gain {
@@ -125,8 +142,9 @@
     }
 
     fn best_move(&self, loads: &[f64], holders: &[u16], mean: f64) -> Option<(ExpertMove, f64)> {
+        let times = self.times(loads);
         let mut by_load: Vec<usize> = (0..loads.len()).collect();
-        by_load.sort_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+        by_load.sort_by(|a, b| times[*a].total_cmp(&times[*b]));
         let hot = *by_load.last()?;
         let share = |expert: u16| {
             self.demand[usize::from(expert)] / f64::from(holders[usize::from(expert)].max(1))
@@ -205,7 +223,13 @@
             self.shift_holders(&mut loads, victim, change);
             loads[step.to] -= demand / (count - 1.0);
         }
-        pressure(&loads, mean)
+        pressure(&self.times(&loads), mean)
+    }
+
+    /// Time that each rank takes for its load.
+    fn times(&self, loads: &[f64]) -> Vec<f64> {
+        let pace = self.pace.iter().copied().chain(std::iter::repeat(1.0));
+        loads.iter().zip(pace).map(|(load, pace)| load * pace).collect()
     }
 
     fn shift_holders(&self, loads: &mut [f64], expert: u16, change: f64) {
--- a/crates/groups/src/levels/rank.rs
+++ b/crates/groups/src/levels/rank.rs
@@ -38,6 +38,8 @@
     pub armed: Option<ArmedMap>,
     /// Step that the rank does not begin.
     pub held: Option<StepNumber>,
+    /// How slow the rank works, in thousandths: 1,000 is the usual pace, 2,000 half as fast.
+    pub pace_milli: u32,
     /// How often each expert was chosen since the rank started, set after set; empty where not
     /// read.
     pub counts: Vec<u64>,
