A hold is cleared while the coordinator that set it is frozen with its rank

Change: another rank is held, straight from afar; the own rank is armed last, so one other rank not armed shows that it is not; agents know who asks and pass that on to the next coordinator. Conclusion: open where all others were armed: the silent rank may be armed or not.

--- a/crates/amaranthgw/src/agent/beside.rs
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -1,9 +1,9 @@
 //! The rank beside this process.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use amaranthgw_core::{GroupGeneration, MapVersion};
+use amaranthgw_core::{GroupGeneration, MapVersion, RankId};
 use amaranthgw_groups::levels::{OrderReply, RankView};
 use amaranthgw_platform::rank::RankClient;
 use tokio::time::Instant;
@@ -20,7 +20,7 @@
 pub(super) struct RankBeside {
     client: RankClient,
     experts: Mutex<Option<KnownExperts>>,
-    asked_at: Mutex<Option<Instant>>,
+    asked: Mutex<Option<(Instant, Option<RankId>)>>,
     log: EventLog,
 }
 
@@ -30,7 +30,7 @@
         Self {
             client: RankClient::new(address),
             experts: Mutex::default(),
-            asked_at: Mutex::default(),
+            asked: Mutex::default(),
             log,
         }
     }
@@ -78,13 +78,22 @@
         reply
     }
 
-    /// Notes that a coordinator asked for the state of the rank.
-    pub(super) fn note_asked(&self) {
-        *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    /// Notes that the coordinator beside the rank `coordinator` asked for the state of the rank.
+    pub(super) fn note_asked(&self, coordinator: Option<RankId>) {
+        *self.asked() = Some((Instant::now(), coordinator));
     }
 
     /// When a coordinator last asked.
     pub(super) fn asked_at(&self) -> Option<Instant> {
-        *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner)
+        self.asked().map(|(at, _)| at)
+    }
+
+    /// Rank beside the coordinator that asked last.
+    pub(super) fn coordinator(&self) -> Option<RankId> {
+        self.asked().and_then(|(_, coordinator)| coordinator)
+    }
+
+    fn asked(&self) -> MutexGuard<'_, Option<(Instant, Option<RankId>)>> {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -8,8 +8,8 @@
 use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::levels::{
-    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerInput, PlannerLimits, RankView,
-    SwitchDriver,
+    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerInput, PlannerLimits,
+    RankOrder, RankView, SwitchDriver,
     SwitchPhase, plan_change,
 };
 use amaranthgw_platform::store::PlatformStore;
@@ -85,7 +85,8 @@
     ) -> Self {
         let (events, inbox) = unbounded_channel();
         Self {
-            driver: SwitchDriver::new(won.rank, won.fence, Instant::now()),
+            driver: SwitchDriver::new(won.rank, won.fence, Instant::now())
+                .with_previous(won.previous),
             store,
             service,
             roster,
@@ -297,7 +298,10 @@
             generation: due.generation,
         };
         tokio::spawn(async move {
-            let reply = link.order(passed).await;
+            let reply = match due.order {
+                RankOrder::Hold { .. } | RankOrder::Go { .. } => link.order_straight(passed).await,
+                _ => link.order(passed).await,
+            };
             drop(events.send(LinkEvent::Replied(due, reply)));
         });
     }
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -49,6 +49,8 @@
     pub(super) group: GroupId,
     /// Rank beside the holder.
     pub(super) rank: RankId,
+    /// Rank beside the coordinator that asked last.
+    pub(super) previous: Option<RankId>,
     /// Number that orders the holders.
     pub(super) fence: FencingNumber,
     /// The lease.
@@ -117,6 +119,7 @@
         Ok(Some(WonLease {
             group: group.clone(),
             rank,
+            previous: self.rank.coordinator(),
             fence,
             lease: granted.lease,
             until: asked_at + granted.lasts.duration(),
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, GroupGeneration};
+use amaranthgw_core::{FencingNumber, GroupGeneration, RankId};
 use amaranthgw_groups::levels::{OrderReply, RankOrder, RankView};
 use amaranthgw_net::{DialSettings, KeptClient};
 use amaranthgw_platform::rank::RankClient;
 use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
 use futures_util::future::BoxFuture;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -16,7 +17,7 @@
 use super::beside::RankBeside;
 use super::{AgentError, Result};
 
-/// Path at which an agent tells the state of its rank.
+/// Path at which an agent tells the state of its rank; the query is the rank of who asks.
 pub(super) const RANK_PATH: &str = "/rank";
 /// Path at which an agent takes an order for its rank.
 pub(super) const ORDER_PATH: &str = "/order";
@@ -48,6 +49,10 @@
 
     /// Gives the rank an order.
     fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply>;
+
+    /// Gives the rank an order without its agent, which may be held up with the VM that the order
+    /// comes through.
+    fn order_straight(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply>;
 }
 
 impl RankLink for RankBeside {
@@ -58,6 +63,10 @@
     fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
         Box::pin(self.pass_on(order))
     }
+
+    fn order_straight(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
+        self.order(order)
+    }
 }
 
 /// A rank on another VM: through its agent, or straight while the agent does not answer.
@@ -65,19 +74,22 @@
 pub(super) struct FarRank {
     agent: KeptClient,
     rank: RankClient,
+    view_path: CompactString,
 }
 
 impl FarRank {
-    /// Creates the way to the rank at `rank`, whose agent listens at `agent`.
-    pub(super) fn new(agent: SocketAddr, rank: SocketAddr) -> Self {
+    /// Creates the way from the coordinator beside the rank `from` to the rank at `rank`, whose
+    /// agent listens at `agent`.
+    pub(super) fn new(agent: SocketAddr, rank: SocketAddr, from: RankId) -> Self {
         Self {
+            view_path: format_compact!("{RANK_PATH}?{from}"),
             agent: KeptClient::new(agent, DialSettings::new(AGENT_LIMIT)),
             rank: RankClient::new(rank),
         }
     }
 
     async fn view_by_agent(&self) -> Result<RankView> {
-        let called = self.agent.call(Method::GET, RANK_PATH, Bytes::new(), AGENT_LIMIT);
+        let called = self.agent.call(Method::GET, &self.view_path, Bytes::new(), AGENT_LIMIT);
         let reply = called.await?;
         if reply.status != StatusCode::OK {
             return Err(AgentError::RankUnavailable);
@@ -110,13 +122,17 @@
         Box::pin(async move {
             match self.order_by_agent(&order).await {
                 Ok(reply) => reply,
-                Err(_agent_down) => {
-                    let PassedOrder { order, fence, generation } = order;
-                    self.rank.order(&order, fence, generation, PASSED_ORDER_LIMIT).await
-                }
+                Err(_agent_down) => self.order_straight(order).await,
             }
         })
     }
+
+    fn order_straight(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
+        Box::pin(async move {
+            let PassedOrder { order, fence, generation } = order;
+            self.rank.order(&order, fence, generation, PASSED_ORDER_LIMIT).await
+        })
+    }
 }
 
 /// Longest wait for the state of the rank beside this process.
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::ServiceId;
+use amaranthgw_core::{RankId, ServiceId};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_platform::Result;
 use amaranthgw_platform::config::decode_config;
@@ -25,15 +25,17 @@
     service: ServiceId,
     own: SocketAddr,
     agent_port: u16,
+    from: RankId,
     links: HashMap<SocketAddr, SharedLink>,
 }
 
 impl RankRoster {
-    /// Creates a roster that knows only the rank beside this process.
+    /// Creates the roster of the coordinator beside the rank `from`; it knows only the rank beside this process.
     pub(super) fn new(
         service: ServiceId,
         own: SocketAddr,
         agent_port: u16,
+        from: RankId,
         beside: Arc<RankBeside>,
     ) -> Self {
         let links = HashMap::from([(own, beside as SharedLink)]);
@@ -41,6 +43,7 @@
             service,
             own,
             agent_port,
+            from,
             links,
         }
     }
@@ -55,7 +58,7 @@
         self.links.retain(|rank, _| *rank == self.own || ranks.contains(rank));
         for rank in ranks {
             let agent = SocketAddr::new(rank.ip(), self.agent_port);
-            let make = || Arc::new(FarRank::new(agent, rank)) as SharedLink;
+            let make = || Arc::new(FarRank::new(agent, rank, self.from)) as SharedLink;
             self.links.entry(rank).or_insert_with(make);
         }
     }
--- a/crates/groups/src/levels/driver.rs
+++ b/crates/groups/src/levels/driver.rs
@@ -1,7 +1,8 @@
 //! Leads the ranks of a group from one map to the next without a step under two maps.
 //!
-//! All ranks prepare the map; one rank is held before a step; all ranks are armed for that step;
-//! only then is the held rank let go. Where not all can be armed, all are disarmed under a higher
+//! All ranks prepare the map; one rank is held before a step; all ranks are armed for that step,
+//! the coordinator's own last; only then is the held rank let go. So where a coordinator falls
+//! silent together with its rank, one other rank that is not armed shows that its own is not. Where not all can be armed, all are disarmed under a higher
 //! fencing number, so that an order that is carried out late is refused, and then the held rank is
 //! let go. What an earlier coordinator left behind is completed or cleared the same way.
 
@@ -139,6 +140,7 @@
 #[derive(Clone, Debug)]
 pub struct SwitchDriver {
     own_rank: RankId,
+    previous: Option<RankId>,
     fence: FencingNumber,
     phase: SwitchPhase,
     phase_since: Instant,
@@ -158,6 +160,7 @@
     pub fn new(own_rank: RankId, lease: FencingNumber, now: Instant) -> Self {
         Self {
             own_rank,
+            previous: None,
             fence: FencingNumber::new(lease.get().saturating_mul(FENCES_PER_LEASE)),
             phase: SwitchPhase::Idle,
             phase_since: now,
@@ -171,6 +174,13 @@
         }
     }
 
+    /// Sets the rank beside the coordinator that led before, which may be silent together with it.
+    #[must_use]
+    pub const fn with_previous(mut self, previous: Option<RankId>) -> Self {
+        self.previous = previous;
+        self
+    }
+
     /// What the driver is doing.
     #[must_use]
     pub const fn phase(&self) -> &SwitchPhase {
@@ -238,6 +248,21 @@
             })
     }
 
+    /// Whether only the rank beside the coordinator that led before is missing.
+    fn is_previous_missing(&self, now: Instant) -> bool {
+        let Some(first) = self.ranks.values().next() else {
+            return false;
+        };
+        let is_fresh = |row: &RankRow| {
+            row.view.is_open && now.saturating_duration_since(row.viewed_at) <= VIEW_LIMIT
+        };
+        let fresh = self.ranks.iter().filter(|(_, row)| is_fresh(row)).count();
+        let previous = self.previous.and_then(|rank| self.ranks.get(&rank));
+        self.previous.is_some_and(|rank| rank != self.own_rank)
+            && !previous.is_some_and(is_fresh)
+            && fresh + 1 == usize::from(first.view.size)
+    }
+
     /// The map that all ranks use with nothing armed or held; `None` where they differ.
     #[must_use]
     pub fn common_map(&self, now: Instant) -> Option<MapVersion> {
@@ -330,7 +355,10 @@
             SwitchPhase::Holding { armed, holder } => {
                 (rank == *holder).then_some(RankOrder::Hold { step: armed.step })
             }
-            SwitchPhase::Arming { armed, .. } => Some(RankOrder::Arm(*armed)),
+            SwitchPhase::Arming { armed, .. } => {
+                let may_arm = rank != self.own_rank || self.others_done();
+                may_arm.then_some(RankOrder::Arm(*armed))
+            }
             SwitchPhase::Releasing { armed, holder } => {
                 (rank == *holder).then_some(RankOrder::Go { step: armed.step })
             }
@@ -434,6 +462,18 @@
         self.ranks.values().all(|row| row.is_done)
     }
 
+    fn others_done(&self) -> bool {
+        let mut others = self.ranks.iter().filter(|(rank, _)| **rank != self.own_rank);
+        others.all(|(_, row)| row.is_done)
+    }
+
+    /// The rank that is held in a switch of this coordinator: one that others can reach where this
+    /// VM falls silent.
+    fn chosen_holder(&self) -> RankId {
+        let mut others = self.ranks.keys().filter(|rank| **rank != self.own_rank);
+        others.next().copied().unwrap_or(self.own_rank)
+    }
+
     fn is_done(&self, rank: RankId) -> bool {
         self.ranks.get(&rank).is_none_or(|row| row.is_done)
     }
@@ -485,7 +525,7 @@
             let began = self.ranks.values().map(|row| row.view.step).max();
             let step = StepNumber::new(began.unwrap_or_default().get() + self.lead_steps(now));
             let armed = ArmedMap { version, step };
-            let holder = self.own_rank;
+            let holder = self.chosen_holder();
             self.enter(SwitchPhase::Holding { armed, holder }, now, "prepared");
         } else if spent > PREPARE_LIMIT {
             self.enter(SwitchPhase::Idle, now, "prepare_slow");
@@ -522,6 +562,10 @@
     /// Completes or clears what an earlier coordinator, or an order carried out late, left.
     fn look_for_leftovers(&mut self, now: Instant) {
         let is_fresh = self.ranks.values().all(|row| row.viewed_at > self.phase_since);
+        if self.is_previous_missing(now) {
+            self.clear_without_previous(now);
+            return;
+        }
         if !self.is_complete(now) || !is_fresh {
             return;
         }
@@ -546,7 +590,7 @@
                     let version = armed.version;
                     self.enter(SwitchPhase::Settling { version }, now, "armed_before");
                 } else {
-                    let holder = self.own_rank;
+                    let holder = self.chosen_holder();
                     self.after_skew(now, |driver| {
                         let phase = SwitchPhase::Holding { armed, holder };
                         driver.enter(phase, now, "partly_armed");
@@ -556,6 +600,29 @@
         }
     }
 
+    /// Clears a hold of the coordinator that led before while its own rank is silent with it: that
+    /// rank is not armed unless all others are.
+    fn clear_without_previous(&mut self, now: Instant) {
+        let previous = self.previous;
+        let others = self.ranks.values().filter(|row| Some(row.view.rank) != previous);
+        let held: BTreeMap<RankId, StepNumber> = others
+            .clone()
+            .filter_map(|row| Some((row.view.rank, row.view.held?)))
+            .collect();
+        let is_seen = others.clone().all(|row| row.viewed_at > self.phase_since);
+        let are_all_armed = others.clone().all(|row| row.view.armed.is_some());
+        if held.is_empty() || !is_seen || are_all_armed {
+            self.odd_since = None;
+            return;
+        }
+        self.after_skew(now, |driver| {
+            if let Some(previous) = previous {
+                driver.ranks.remove(&previous);
+            }
+            driver.clear(held, now, "previous_silent");
+        });
+    }
+
     /// Acts once the ranks have looked odd for longer than views taken one after the other can.
     fn after_skew(&mut self, now: Instant, act: impl FnOnce(&mut Self)) {
         let since = *self.odd_since.get_or_insert(now);
