Gateways tell each other configuration and evacuations, and share bounds by their number

Cause: a gateway that the store turns away learned nothing until the store took it back, and shared bounds were divided by an assumed number of gateways.

--- a/crates/amaranthgw/src/agent/beside.rs
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -46,12 +46,12 @@
     }
 
     /// Experts of the rank under `map`; empty where it changes right now.
-    async fn experts(
-        &self,
-        generation: GroupGeneration,
-        map: MapVersion,
-    ) -> Result<Vec<Vec<u16>>> {
-        let known = self.experts.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    async fn experts(&self, generation: GroupGeneration, map: MapVersion) -> Result<Vec<Vec<u16>>> {
+        let known = self
+            .experts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         if let Some((_, _, experts)) = known.filter(|known| (known.0, known.1) == (generation, map))
         {
             return Ok(experts);
@@ -67,8 +67,15 @@
 
     /// Passes an order on to the rank.
     pub(super) async fn pass_on(&self, passed: PassedOrder) -> OrderReply {
-        let PassedOrder { order, fence, generation } = passed;
-        let reply = self.client.order(&order, fence, generation, ORDER_LIMIT).await;
+        let PassedOrder {
+            order,
+            fence,
+            generation,
+        } = passed;
+        let reply = self
+            .client
+            .order(&order, fence, generation, ORDER_LIMIT)
+            .await;
         self.log.record(NodeEvent::OrderPassed {
             order: order.name(),
             fence,
--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -8,9 +8,8 @@
 use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::levels::{
-    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerInput, PlannerLimits,
-    RankOrder, RankView, SwitchDriver,
-    SwitchPhase, plan_change,
+    DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerInput, PlannerLimits, RankOrder,
+    RankView, SwitchDriver, SwitchPhase, plan_change,
 };
 use amaranthgw_platform::store::PlatformStore;
 use compact_str::ToCompactString;
@@ -148,7 +147,11 @@
             self.roster.adopt(&ranks);
         }
         let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
-        self.refresh(if is_complete { ROSTER_PAUSE } else { SEARCH_PAUSE });
+        self.refresh(if is_complete {
+            ROSTER_PAUSE
+        } else {
+            SEARCH_PAUSE
+        });
     }
 
     fn pause(&self) -> Duration {
@@ -199,14 +202,20 @@
                 group: self.group.clone(),
                 address: rank.to_compact_string(),
                 state: if error.is_some() { "silent" } else { "seen" },
-                reason: error.map(ToCompactString::to_compact_string).unwrap_or_default(),
+                reason: error
+                    .map(ToCompactString::to_compact_string)
+                    .unwrap_or_default(),
             });
         }
     }
 
     fn act(&mut self) {
         let now = Instant::now();
-        if self.until.as_ref().is_some_and(|until| *until.borrow() <= now) {
+        if self
+            .until
+            .as_ref()
+            .is_some_and(|until| *until.borrow() <= now)
+        {
             return;
         }
         self.plan(now);
@@ -309,7 +318,11 @@
 
 fn percent(ratio: f64) -> u64 {
     // Float to integer casts saturate.
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "saturates"
+    )]
     let percent = (ratio.max(0.0) * 100.0).round() as u64;
     percent
 }
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -103,7 +103,10 @@
         count_store_call("grant_lease", if granted.is_ok() { "ok" } else { "failed" });
         let granted = granted?;
         let name = self.vm.as_str().as_bytes();
-        let created = self.store.create(&key, name, granted.lease, CALL_LIMIT).await;
+        let created = self
+            .store
+            .create(&key, name, granted.lease, CALL_LIMIT)
+            .await;
         count_store_call("write_lease", if created.is_ok() { "ok" } else { "failed" });
         let revision = match created {
             Ok(revision) => revision,
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -89,7 +89,9 @@
     }
 
     async fn view_by_agent(&self) -> Result<RankView> {
-        let called = self.agent.call(Method::GET, &self.view_path, Bytes::new(), AGENT_LIMIT);
+        let called = self
+            .agent
+            .call(Method::GET, &self.view_path, Bytes::new(), AGENT_LIMIT);
         let reply = called.await?;
         if reply.status != StatusCode::OK {
             return Err(AgentError::RankUnavailable);
@@ -99,7 +101,9 @@
 
     async fn order_by_agent(&self, order: &PassedOrder) -> Result<OrderReply> {
         let body = Bytes::from(serde_json::to_vec(order)?);
-        let called = self.agent.call(Method::POST, ORDER_PATH, body, PASSED_ORDER_LIMIT);
+        let called = self
+            .agent
+            .call(Method::POST, ORDER_PATH, body, PASSED_ORDER_LIMIT);
         Ok(serde_json::from_slice(&called.await?.body)?)
     }
 }
@@ -129,8 +133,14 @@
 
     fn order_straight(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
         Box::pin(async move {
-            let PassedOrder { order, fence, generation } = order;
-            self.rank.order(&order, fence, generation, PASSED_ORDER_LIMIT).await
+            let PassedOrder {
+                order,
+                fence,
+                generation,
+            } = order;
+            self.rank
+                .order(&order, fence, generation, PASSED_ORDER_LIMIT)
+                .await
         })
     }
 }
--- a/crates/amaranthgw/src/agent/process.rs
+++ b/crates/amaranthgw/src/agent/process.rs
@@ -111,8 +111,7 @@
         let roster = RankRoster::new(service.clone(), settings.rank, port, won.rank, beside);
         // Renewals have a client of their own: they never wait behind another call.
         let reads = Arc::new(PlatformStore::new(settings.store));
-        let leader =
-            GroupCoordinator::new(&won, reads, service, roster, held_until, log.clone());
+        let leader = GroupCoordinator::new(&won, reads, service, roster, held_until, log.clone());
         tokio::select! {
             () = leader.lead() => {}
             () = contest.keep(&won, &until) => continue,
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -55,7 +55,8 @@
             .filter(|record| record.service == self.service)
             .map(|record| record.address)
             .collect();
-        self.links.retain(|rank, _| *rank == self.own || ranks.contains(rank));
+        self.links
+            .retain(|rank, _| *rank == self.own || ranks.contains(rank));
         for rank in ranks {
             let agent = SocketAddr::new(rank.ip(), self.agent_port);
             let make = || Arc::new(FarRank::new(agent, rank, self.from)) as SharedLink;
@@ -71,7 +72,9 @@
 
 /// The registered targets; entries that no target wrote name none.
 pub(super) async fn list_ranks(store: &PlatformStore) -> Result<Vec<TargetRecord>> {
-    let listed = store.list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, CALL_LIMIT).await;
+    let listed = store
+        .list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, CALL_LIMIT)
+        .await;
     count_store_call("list_ranks", if listed.is_ok() { "ok" } else { "failed" });
     let entries = listed?.items;
     let decoded = entries.iter().filter_map(|item| decode_entry(item).ok());
@@ -89,5 +92,9 @@
         return Ok(None);
     };
     let decoded = decode_config(&item.value)?;
-    Ok(decoded.routes.services.get(service).and_then(|row| row.experts))
+    Ok(decoded
+        .routes
+        .services
+        .get(service)
+        .and_then(|row| row.experts))
 }
--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use amaranthgw_net::{DialSettings, HttpConnection, NetError, dial};
 use amaranthgw_platform::answer::{AnswerHead, AnswerStanding, decode_head};
 use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -17,7 +18,7 @@
 /// Longest wait for a connection to a target: some hundred times a handshake within a region.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Time after which unacknowledged bytes end a connection to a target.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// How long an idle connection is used where the target does not say how long it keeps it.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// Part of the time that a target keeps an idle connection after which it is no longer used,
@@ -45,6 +46,15 @@
         matches!(self, Self::Unsent(_) | Self::NotRun(_))
     }
 
+    /// What went wrong in detail; empty where the name says it all.
+    pub(super) fn detail(&self) -> CompactString {
+        match self {
+            Self::Unsent(error) | Self::Broken(error) => error.to_compact_string(),
+            Self::NotRun(status) => format_compact!("status {}", status.as_u16()),
+            Self::TimedOut | Self::Foreign => CompactString::default(),
+        }
+    }
+
     /// Name for logs and metrics.
     pub(super) const fn name(&self) -> &'static str {
         match self {
@@ -127,13 +137,12 @@
 ) -> Result<(HttpConnection, http::Response<Incoming>), AttemptFailure> {
     let address = target.record.address;
     loop {
-        let mut connection = match thread.pool.take(address) {
-            Some(connection) => connection,
-            None => {
-                let settings =
-                    DialSettings::new(CONNECT_LIMIT).with_silence_timeout(SILENCE_LIMIT);
-                dial(address, settings).await.map_err(AttemptFailure::Unsent)?
-            }
+        let mut connection = if let Some(kept) = thread.pool.take(address) {
+            kept
+        } else {
+            let settings = DialSettings::new(CONNECT_LIMIT).with_silence_timeout(SILENCE_LIMIT);
+            let dialled = dial(address, settings).await;
+            dialled.map_err(AttemptFailure::Unsent)?
         };
         let was_fresh = connection.is_fresh();
         match connection.send(request.clone()).await {
@@ -159,8 +168,14 @@
         if self.head.closes {
             return;
         }
-        let keep = self.head.keeps_open.unwrap_or(DEFAULT_KEEP).mul_f64(KEEP_PART);
-        thread.pool.put(self.target.record.address, self.connection, keep);
+        let keep = self
+            .head
+            .keeps_open
+            .unwrap_or(DEFAULT_KEEP)
+            .mul_f64(KEEP_PART);
+        thread
+            .pool
+            .put(self.target.record.address, self.connection, keep);
     }
 
     /// What this process sees of the target.
--- a/crates/amaranthgw/src/gateway/body.rs
+++ b/crates/amaranthgw/src/gateway/body.rs
@@ -39,5 +39,7 @@
 
 /// A body that is known as a whole.
 pub(super) fn whole_body(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -1,15 +1,15 @@
 //! The control thread of a gateway: owns the world and publishes what traffic threads read.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use amaranthgw_core::DomainId;
+use amaranthgw_core::{DomainId, TickSchedule, VmId};
 use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, RegistryEntry, TargetShift};
 use compact_str::{CompactString, ToCompactString};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
 
-use super::feeds::FollowedConfig;
+use super::feeds::{EvacuatedDomains, FollowedConfig};
+use super::peers::PeerDesk;
 use super::shared::GatewayShared;
 use crate::telemetry::{EventLog, NodeEvent};
 
@@ -21,7 +21,9 @@
     /// A configuration, and where it came from.
     Config(FollowedConfig, &'static str),
     /// The failure domains that are out, and where the set came from.
-    Evacuated(BTreeSet<DomainId>, &'static str),
+    Evacuated(EvacuatedDomains, &'static str),
+    /// A gateway that answered or asked.
+    Peer(VmId),
     /// The whole registry.
     Registry(Vec<RegistryEntry>),
     /// Figures that all gateways keep together.
@@ -39,6 +41,8 @@
 pub(super) struct ControlState {
     pub(super) world: GatewayWorld,
     pub(super) shared: Arc<GatewayShared>,
+    pub(super) desk: Arc<PeerDesk>,
+    pub(super) schedule: TickSchedule<GatewayWorld>,
     pub(super) log: EventLog,
     pub(super) was_ready: bool,
 }
@@ -51,9 +55,9 @@
     async fn pre_start(
         &self,
         _myself: ActorRef<ControlMessage>,
-        state: ControlState,
+        args: ControlState,
     ) -> Result<ControlState, ActorProcessingErr> {
-        Ok(state)
+        Ok(args)
     }
 
     async fn handle(
@@ -63,9 +67,10 @@
         state: &mut ControlState,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            ControlMessage::Tick => {}
+            ControlMessage::Tick => state.tick(),
             ControlMessage::Config(config, source) => state.adopt_config(&config, source),
-            ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(domains, source),
+            ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(&domains, source),
+            ControlMessage::Peer(vm) => state.world.see_peer(vm, Instant::now()),
             ControlMessage::Registry(records) => state.adopt_registry(records),
             ControlMessage::Bounds(bounds) => state.world.adopt_bounds(bounds),
             ControlMessage::RegistryFailed => state.world.registry_failed(),
@@ -88,12 +93,19 @@
             unusable_rows: config.unusable_rows,
             source,
         });
+        self.desk.keep_config(config);
     }
 
-    fn adopt_evacuated(&mut self, domains: BTreeSet<DomainId>, source: &'static str) {
-        let names: Vec<_> = domains.iter().map(DomainId::as_str).collect();
+    fn adopt_evacuated(&mut self, evacuated: &EvacuatedDomains, source: &'static str) {
+        let names: Vec<_> = evacuated.domains.iter().map(DomainId::as_str).collect();
         let names = CompactString::from(names.join(","));
-        if self.world.adopt_evacuated(domains) {
+        let is_changed = self
+            .world
+            .adopt_evacuated(evacuated.domains.clone(), evacuated.as_of);
+        if self.world.evacuated_as_of == evacuated.as_of {
+            self.desk.keep_evacuated(evacuated);
+        }
+        if is_changed {
             let domains = names;
             self.log.record(NodeEvent::DomainsOut { domains, source });
         }
@@ -117,6 +129,10 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.schedule.run(&mut self.world, Instant::now());
+    }
+
     fn publish(&mut self) {
         if self.world.is_changed {
             let snapshot = Arc::new(self.world.snapshot(Instant::now()));
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{DomainId, StoreRevision};
-use amaranthgw_fleet::gateway::{RouteTable, RegistryEntry};
+use amaranthgw_fleet::gateway::{RegistryEntry, RouteTable};
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::registry::decode_entry;
 use amaranthgw_platform::store::{
@@ -15,6 +15,7 @@
 use amaranthgw_platform::{PlatformError, Result};
 use compact_str::{CompactString, ToCompactString};
 use ractor::ActorRef;
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use super::control::ControlMessage;
@@ -43,6 +44,15 @@
     pub(super) unusable_rows: u32,
 }
 
+/// The failure domains that are out as of a revision of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct EvacuatedDomains {
+    /// Revision at which the set was read.
+    pub(super) as_of: StoreRevision,
+    /// The failure domains.
+    pub(super) domains: BTreeSet<DomainId>,
+}
+
 /// Reads what operators write, for as long as the process runs.
 pub(super) async fn follow_operators(
     store: Arc<PlatformStore>,
@@ -85,7 +95,7 @@
         for item in listed.items {
             self.apply(item);
         }
-        self.tell_evacuated();
+        self.tell_evacuated(listed.as_of);
         let mut after = listed.as_of;
         loop {
             after = self.watch(after).await?;
@@ -111,7 +121,7 @@
             }
         }
         if is_changed {
-            self.tell_evacuated();
+            self.tell_evacuated(as_of);
         }
         Ok(as_of)
     }
@@ -139,8 +149,11 @@
         }
     }
 
-    fn tell_evacuated(&self) {
-        let evacuated = self.evacuated.clone();
+    fn tell_evacuated(&self, as_of: StoreRevision) {
+        let evacuated = EvacuatedDomains {
+            as_of,
+            domains: self.evacuated.clone(),
+        };
         self.tell(ControlMessage::Evacuated(evacuated, "store"));
     }
 
--- a/crates/amaranthgw/src/gateway/mod.rs
+++ b/crates/amaranthgw/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod feeds;
 mod listener;
+mod peers;
 mod process;
 mod refusal;
 mod run;
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, LeastLoadedPolicy};
+use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, LeastLoadedPolicy, gateway_schedule};
 use amaranthgw_fleet::settings::GatewaySettings;
 use amaranthgw_net::ConnectionPool;
 use amaranthgw_platform::store::PlatformStore;
@@ -17,6 +17,7 @@
 use super::control::{ControlMessage, ControlState, GatewayControl};
 use super::feeds::{follow_operators, follow_registry};
 use super::listener::serve_callers;
+use super::peers::{PeerDesk, follow_peers, serve_peers};
 use super::shared::{GatewayShared, GatewayThread};
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_observers};
@@ -42,6 +43,7 @@
 /// What the control thread is given.
 struct ControlInputs {
     ready: SharedListener,
+    node: SharedListener,
     metrics: SharedListener,
     bounds: watch::Receiver<FleetBounds>,
 }
@@ -58,6 +60,7 @@
         let inputs = ControlInputs {
             bounds: new_bounds,
             ready: SharedListener::new(settings.ready_listen)?,
+            node: SharedListener::new(settings.node_listen)?,
             metrics: SharedListener::new(settings.metrics_listen)?,
         };
         let stop = StopSignal::new();
@@ -135,8 +138,13 @@
     inputs: ControlInputs,
     log: EventLog,
 ) {
+    let address = inputs.node.address();
+    let desk = PeerDesk::new(settings.vm.clone(), address, settings.seeds.clone());
+    let desk = Arc::new(desk);
     let state = ControlState {
         world: GatewayWorld::new(settings.domain.clone(), settings.bounds()),
+        schedule: gateway_schedule(),
+        desk: Arc::clone(&desk),
         shared: Arc::clone(&shared),
         log: log.clone(),
         was_ready: false,
@@ -154,6 +162,11 @@
     // Its own client: the two feeds never wait for each other's connection.
     let store = Arc::new(PlatformStore::new(settings.store));
     tokio::spawn(follow_registry(store, control.clone(), log.clone()));
+    let Ok(peers) = inputs.node.handle() else {
+        return;
+    };
+    tokio::spawn(serve_peers(peers, Arc::clone(&desk), control.clone()));
+    tokio::spawn(follow_peers(desk, control.clone()));
     tokio::spawn(follow_bounds(inputs.bounds, control.clone()));
     let handle = MetricsHandle::new();
     for listener in [&inputs.ready, &inputs.metrics] {
@@ -174,7 +187,10 @@
 }
 
 /// Passes new bounds on to the control thread's actor.
-async fn follow_bounds(mut bounds: watch::Receiver<FleetBounds>, control: ActorRef<ControlMessage>) {
+async fn follow_bounds(
+    mut bounds: watch::Receiver<FleetBounds>,
+    control: ActorRef<ControlMessage>,
+) {
     while bounds.changed().await.is_ok() {
         let bounds = *bounds.borrow_and_update();
         // A stopping process needs no new bounds.
--- a/crates/amaranthgw/src/gateway/refusal.rs
+++ b/crates/amaranthgw/src/gateway/refusal.rs
@@ -11,7 +11,7 @@
 
 /// Pause after which a caller comes back where the gateway has just started: it needs some answers
 /// of the key-value service.
-const KNOWLEDGE_PAUSE: Duration = Duration::from_millis(1_000);
+const KNOWLEDGE_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after which a caller comes back where targets are full or away: a rank group takes 0.6 s
 /// to form anew, and a heartbeat 1.2 s to tell of a target that took another's place.
 const CAPACITY_PAUSE: Duration = Duration::from_millis(1_500);
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -10,6 +10,7 @@
 use amaranthgw_platform::answer::caller_headers;
 use amaranthgw_platform::request::{OnwardTerms, onward_headers};
 use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -33,7 +34,7 @@
 const PATIENCE_OBJECTIVES: u32 = 3;
 
 /// Longest time that a stream waits for a target that takes it: a rank group forms within 0.6 s.
-const STREAM_CAPACITY_WAIT: Duration = Duration::from_millis(1_000);
+const STREAM_CAPACITY_WAIT: Duration = Duration::from_secs(1);
 /// Longest time that a plain request waits for a target that takes it.
 const PLAIN_CAPACITY_WAIT: Duration = Duration::from_millis(250);
 /// Pause between two looks for such a target.
@@ -122,7 +123,7 @@
         let collected = timeout_at(self.call.give_up_at, attempt.collect(&thread)).await;
         let Ok(Ok(body)) = collected else {
             gauge.fail(Instant::now());
-            self.record_attempt(&target, "broken_answer");
+            self.record_attempt(&target, "broken_answer", CompactString::default());
             return None;
         };
         gauge.succeed();
@@ -165,12 +166,13 @@
                     self.may_have_run = true;
                     self.tried.push(target.record.target.clone());
                     self.note_progress();
-                    self.record_attempt(&target.record.target, "answered");
+                    let status = format_compact!("status {}", attempt.head.status.as_u16());
+                    self.record_attempt(&target.record.target, "answered", status);
                     return Ok(attempt);
                 }
                 Err(failure) => failure,
             };
-            self.record_attempt(&target.record.target, failure.name());
+            self.record_attempt(&target.record.target, failure.name(), failure.detail());
             if !failure.is_not_run() {
                 self.runs += 1;
                 self.may_have_run = true;
@@ -210,7 +212,9 @@
 
     /// Whether all targets of the service are silent.
     pub(super) fn is_service_stalled(&self) -> bool {
-        let silent_for = self.budget().map(|budget| budget.silent_for(Instant::now()));
+        let silent_for = self
+            .budget()
+            .map(|budget| budget.silent_for(Instant::now()));
         silent_for.is_some_and(|silent_for| silent_for >= STALL_SILENCE)
     }
 
@@ -274,8 +278,15 @@
         self.call.give_up_at.min(now + limit)
     }
 
-    fn request(&self, target: &TargetChoice, last_event: Option<&EventName>) -> Request<Full<Bytes>> {
-        let left = self.call.give_up_at.saturating_duration_since(Instant::now());
+    fn request(
+        &self,
+        target: &TargetChoice,
+        last_event: Option<&EventName>,
+    ) -> Request<Full<Bytes>> {
+        let left = self
+            .call
+            .give_up_at
+            .saturating_duration_since(Instant::now());
         let headers = onward_headers(
             &self.call.parts.headers,
             &OnwardTerms {
@@ -305,19 +316,29 @@
     }
 
     /// Records the end of an attempt.
-    pub(super) fn record_attempt(&self, target: &TargetId, outcome: &'static str) {
+    pub(super) fn record_attempt(
+        &self,
+        target: &TargetId,
+        outcome: &'static str,
+        detail: CompactString,
+    ) {
         self.thread.log.record(NodeEvent::CallAttempted {
             request: self.call.name(),
             target: target.clone(),
             send: self.sends,
             outcome,
+            detail,
             age_ms: self.call.age_ms(),
         });
     }
 
     /// Records the end of the request.
     pub(super) fn record_end(&self, outcome: &'static str, status: StatusCode) {
-        count_ended(self.call.route.kind.name(), outcome, self.call.arrived_at.elapsed());
+        count_ended(
+            self.call.route.kind.name(),
+            outcome,
+            self.call.arrived_at.elapsed(),
+        );
         self.thread.log.record(NodeEvent::CallEnded {
             request: self.call.name(),
             route: self.call.route.route.clone(),
--- a/crates/amaranthgw/src/gateway/serve.rs
+++ b/crates/amaranthgw/src/gateway/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{CallerKey, ServiceId, WorkspaceId};
+use amaranthgw_core::{CallerKey, MilliSpan, ServiceId, WorkspaceId};
 use amaranthgw_fleet::gateway::{GatewaySnapshot, RouteRow, RouteTable};
 use amaranthgw_platform::request::{CallTerms, decode_terms};
 use bytes::Bytes;
@@ -43,7 +43,7 @@
     /// When it is given up.
     pub(super) give_up_at: Instant,
     /// Counts it while it is answered.
-    pub(super) guard: CallGuard,
+    pub(super) _guard: CallGuard,
 }
 
 impl AdmittedCall {
@@ -101,7 +101,7 @@
     let routes = &snapshot.routes;
     let route = find_route(routes, &parts).map_err(CallRefusal::Miss)?;
     let workspace = find_workspace(routes, &route, terms.key.as_ref())?;
-    let waits = terms.deadline.map_or(Duration::MAX, |deadline| deadline.duration());
+    let waits = terms.deadline.map_or(Duration::MAX, MilliSpan::duration);
     let give_up_at = arrived_at + waits.min(route.timeout.duration());
     let limit = usize::try_from(routes.limits.body.get()).unwrap_or(usize::MAX);
     let reading = timeout_at(give_up_at, Limited::new(body, limit).collect());
@@ -121,7 +121,7 @@
         workspace,
         arrived_at,
         give_up_at,
-        guard,
+        _guard: guard,
     })
 }
 
@@ -144,7 +144,10 @@
     routes: &RouteTable,
     parts: &Parts,
 ) -> Result<Arc<RouteRow>, amaranthgw_fleet::gateway::RouteMiss> {
-    let named = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let named = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
     let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
     routes.route(host, parts.uri.path()).cloned()
 }
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -125,7 +125,9 @@
         let now = Instant::now();
         if let Some(attempt) = self.attempt.take() {
             attempt.gauge().fail(now);
-            self.run.record_attempt(&attempt.target.record.target, cause);
+            let target = &attempt.target.record.target;
+            let last_event = self.scanner.last_event().cloned().unwrap_or_default();
+            self.run.record_attempt(target, cause, last_event);
         }
         self.scanner.restart();
         if now >= self.run.call.give_up_at {
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -276,6 +276,8 @@
         send: u32,
         /// What became of it.
         outcome: &'static str,
+        /// Status or error; of a stream that broke off, the last whole event.
+        detail: CompactString,
         /// Time since the request arrived, in milliseconds.
         age_ms: u64,
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,12 +14,12 @@
 mod table;
 
 pub use ids::{
-    AdapterId, CallerId, CallerKey, DomainId, GroupId, IdempotencyKey, ModelId, OperatorId, PlanId, RegionId,
-    RequestId, RouteId, ServiceId, TargetId, VmId, WorkspaceId,
+    AdapterId, CallerId, CallerKey, DomainId, GroupId, IdempotencyKey, ModelId, OperatorId, PlanId,
+    RegionId, RequestId, RouteId, ServiceId, TargetId, VmId, WorkspaceId,
 };
 pub use numbers::{
-    AttemptNumber, ChangeNumber, ChunkSequence, ConfigVersion, ExpertId, FencingNumber, GroupGeneration, LayerId,
-    LeaseId, MapVersion, RankId, StartMark, StepNumber, StoreRevision,
+    AttemptNumber, ChangeNumber, ChunkSequence, ConfigVersion, ExpertId, FencingNumber,
+    GroupGeneration, LayerId, LeaseId, MapVersion, RankId, StartMark, StepNumber, StoreRevision,
 };
 pub use parse::{ParseError, Result};
 pub use rates::{ByteRate, RequestRate, TokenRate};
--- a/crates/fleet/src/gateway/budget.rs
+++ b/crates/fleet/src/gateway/budget.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -26,14 +26,19 @@
     repeats: u32,
 }
 
+#[derive(Debug)]
+struct WindowState {
+    settings: WindowSettings,
+    slices: VecDeque<WindowSlice>,
+}
+
 /// Slices of a window; each counts whole until its end leaves the window.
 const SLICES: u32 = 20;
 
 /// Requests and repeats of one service at this process; shared by its traffic threads.
 #[derive(Debug)]
 pub struct WindowBudget {
-    settings: WindowSettings,
-    slices: Mutex<VecDeque<WindowSlice>>,
+    state: Mutex<WindowState>,
     started_at: Instant,
     progress_ms: AtomicU64,
 }
@@ -43,13 +48,24 @@
     #[must_use]
     pub fn new(settings: WindowSettings, now: Instant) -> Self {
         Self {
-            settings,
-            slices: Mutex::default(),
+            state: Mutex::new(WindowState {
+                settings,
+                slices: VecDeque::new(),
+            }),
             started_at: now,
             progress_ms: AtomicU64::new(0),
         }
     }
 
+    /// Puts other settings in force; what was counted stays.
+    pub fn adopt(&self, settings: WindowSettings) {
+        self.state().settings = settings;
+    }
+
+    fn state(&self) -> MutexGuard<'_, WindowState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that a target of the service sent something at `now`.
     pub fn note_progress(&self, now: Instant) {
         self.progress_ms.store(self.millis(now), Ordering::Relaxed);
@@ -69,48 +85,47 @@
 
     /// Counts a request that is sent for the first time at `now`.
     pub fn record_request(&self, now: Instant) {
-        self.with_slices(now, |slices| {
-            if let Some(last) = slices.back_mut() {
-                last.requests += 1;
-            }
-        });
+        if let Some(last) = self.state().advance(now) {
+            last.requests += 1;
+        }
     }
 
     /// Takes one repeat from the budget; `false` where none is left at `now`.
     #[must_use]
     pub fn try_repeat(&self, now: Instant) -> bool {
-        let settings = self.settings;
-        self.with_slices(now, |slices| {
-            let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
-            let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
-            let allowed = f64::from(requests) * settings.ratio + settings.slack;
-            let is_allowed = f64::from(repeats) + 1.0 <= allowed;
-            if let Some(last) = slices.back_mut().filter(|_| is_allowed) {
-                last.repeats += 1;
-            }
-            is_allowed
-        })
+        let mut state = self.state();
+        state.advance(now);
+        let requests: u32 = state.slices.iter().map(|slice| slice.requests).sum();
+        let repeats: u32 = state.slices.iter().map(|slice| slice.repeats).sum();
+        let allowed = f64::from(requests) * state.settings.ratio + state.settings.slack;
+        let is_allowed = f64::from(repeats) + 1.0 <= allowed;
+        if let Some(last) = state.slices.back_mut().filter(|_| is_allowed) {
+            last.repeats += 1;
+        }
+        is_allowed
     }
+}
 
-    fn with_slices<T>(&self, now: Instant, act: impl FnOnce(&mut VecDeque<WindowSlice>) -> T) -> T {
-        let mut slices = self.slices.lock().unwrap_or_else(PoisonError::into_inner);
+impl WindowState {
+    /// Drops slices that left the window and gives the current one.
+    fn advance(&mut self, now: Instant) -> Option<&mut WindowSlice> {
         let slice_length = self.settings.window / SLICES;
-        let is_over = |slice: &WindowSlice| {
-            now.saturating_duration_since(slice.started_at) > self.settings.window + slice_length
-        };
-        while slices.front().is_some_and(is_over) {
-            slices.pop_front();
+        let lasts = self.settings.window + slice_length;
+        let age = |slice: &WindowSlice| now.saturating_duration_since(slice.started_at);
+        while self.slices.front().is_some_and(|slice| age(slice) > lasts) {
+            self.slices.pop_front();
         }
-        let is_current = |slice: &WindowSlice| {
-            now.saturating_duration_since(slice.started_at) < slice_length
-        };
-        if !slices.back().is_some_and(is_current) {
-            slices.push_back(WindowSlice {
+        if self
+            .slices
+            .back()
+            .is_none_or(|slice| age(slice) >= slice_length)
+        {
+            self.slices.push_back(WindowSlice {
                 started_at: now,
                 requests: 0,
                 repeats: 0,
             });
         }
-        act(&mut slices)
+        self.slices.back_mut()
     }
 }
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -72,7 +72,10 @@
         let admits = |target: &&TargetChoice| {
             !target.is_cold(ask.now) || target.gauge.try_cold(ask.cold_limit, ask.now)
         };
-        loaded.into_iter().map(|(_load, target)| target).find(admits)
+        loaded
+            .into_iter()
+            .map(|(_load, target)| target)
+            .find(admits)
     }
 }
 
--- a/crates/fleet/src/gateway/events.rs
+++ b/crates/fleet/src/gateway/events.rs
@@ -88,7 +88,9 @@
 /// Value of the `id` field of an event.
 fn event_name(event: &[u8]) -> Option<EventName> {
     let lines = event.split(|byte| *byte == b'\n');
-    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    let value = lines
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .next_back()?;
     let text = std::str::from_utf8(value).ok()?;
     Some(EventName::from(text.trim()))
 }
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod events;
 mod routes;
+mod systems;
 mod targets;
 mod world;
 
@@ -14,5 +15,6 @@
     CallLimits, ExpertShape, KeyHolder, RouteKind, RouteMiss, RouteRow, RouteTable, ServiceRow,
     SplitShare,
 };
+pub use systems::gateway_schedule;
 pub use targets::{FlightGuard, RegistryEntry, TargetChoice, TargetGauge, TargetRecord};
 pub use world::{FleetBounds, GatewaySnapshot, GatewayWorld, TargetRow, TargetShift};
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use amaranthgw_core::{DomainId, MilliSpan, RequestRate, ServiceId, SlotCount, StoreRevision, TargetId};
+use amaranthgw_core::{
+    DomainId, MilliSpan, RequestRate, ServiceId, SlotCount, StoreRevision, TargetId,
+};
 use tokio::time::Instant;
 
 /// A target's own entry in the platform's registry.
@@ -104,13 +106,16 @@
     pub fn report(&self, all_in_flight: u32, now: Instant) {
         let others = all_in_flight.saturating_sub(self.in_flight());
         self.others_in_flight.store(others, Ordering::Relaxed);
-        self.reported_at_ms.store(self.millis(now), Ordering::Relaxed);
+        self.reported_at_ms
+            .store(self.millis(now), Ordering::Relaxed);
     }
 
     /// Requests in flight at the target, of this process and, as last reported, of others.
     #[must_use]
     pub fn estimated_in_flight(&self, now: Instant) -> f64 {
-        let age = self.millis(now).saturating_sub(self.reported_at_ms.load(Ordering::Relaxed));
+        let age = self
+            .millis(now)
+            .saturating_sub(self.reported_at_ms.load(Ordering::Relaxed));
         let half_lives = Duration::from_millis(age).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
         let others = f64::from(self.others_in_flight.load(Ordering::Relaxed));
         f64::from(self.in_flight()) + others * (-half_lives).exp2()
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -5,10 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{DomainId, EntityTable, RequestRate, ServiceId, TargetId, VmId};
+use amaranthgw_core::{
+    DomainId, EntityTable, RequestRate, ServiceId, StoreRevision, TargetId, VmId,
+};
 use tokio::time::Instant;
 
-use super::{RegistryEntry, RouteTable, TargetChoice, TargetGauge, TargetRecord, WindowBudget, WindowSettings};
+use super::{
+    RegistryEntry, RouteTable, TargetChoice, TargetGauge, TargetRecord, WindowBudget,
+    WindowSettings,
+};
 
 /// Figures that the platform sets for all processes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,6 +54,8 @@
     pub targets: EntityTable<TargetId, TargetRow>,
     /// Failure domains that operators took out.
     pub evacuated: BTreeSet<DomainId>,
+    /// Revision of the store at which that set was read.
+    pub evacuated_as_of: StoreRevision,
     /// Gateways seen lately, with the time at which each was seen.
     pub peers: EntityTable<VmId, Instant>,
     /// Whether the registry was read at least once.
@@ -94,6 +101,7 @@
             routes: Arc::default(),
             targets: EntityTable::new(),
             evacuated: BTreeSet::new(),
+            evacuated_as_of: StoreRevision::default(),
             peers: EntityTable::new(),
             is_registry_known: false,
             is_changed: true,
@@ -108,7 +116,6 @@
     pub fn adopt_bounds(&mut self, bounds: FleetBounds) {
         if self.bounds != bounds {
             self.bounds = bounds;
-            self.budgets.clear();
             self.is_changed = true;
         }
     }
@@ -123,8 +130,13 @@
         true
     }
 
-    /// Replaces the set of failure domains that are out; says whether it changed.
-    pub fn adopt_evacuated(&mut self, evacuated: BTreeSet<DomainId>) -> bool {
+    /// Replaces the set of failure domains that are out by that of the revision `as_of`, unless a
+    /// later one is known; says whether it changed.
+    pub fn adopt_evacuated(&mut self, evacuated: BTreeSet<DomainId>, as_of: StoreRevision) -> bool {
+        if as_of < self.evacuated_as_of {
+            return false;
+        }
+        self.evacuated_as_of = as_of;
         let is_new = self.evacuated != evacuated;
         self.evacuated = evacuated;
         self.is_changed |= is_new;
@@ -184,12 +196,7 @@
         }
     }
 
-    fn adopt_record(
-        &mut self,
-        record: TargetRecord,
-        now: Instant,
-        shifts: &mut Vec<TargetShift>,
-    ) {
+    fn adopt_record(&mut self, record: TargetRecord, now: Instant, shifts: &mut Vec<TargetShift>) {
         let cold_until = now + record.cold_left.duration();
         let Some(row) = self.targets.get_mut(&record.target) else {
             shifts.push(TargetShift::Seen(record.clone()));
@@ -229,7 +236,15 @@
         if self.peers.is_empty() {
             return ASSUMED_GATEWAYS;
         }
-        u32::try_from(self.peers.len()).unwrap_or(u32::MAX).saturating_add(1)
+        u32::try_from(self.peers.len())
+            .unwrap_or(u32::MAX)
+            .saturating_add(1)
+    }
+
+    /// Gateways among which the bounds that traffic threads read are shared.
+    #[must_use]
+    pub const fn shared_among(&self) -> u32 {
+        self.budget_peers
     }
 
     /// Whether requests can be routed.
@@ -242,9 +257,10 @@
     pub fn snapshot(&mut self, now: Instant) -> GatewaySnapshot {
         self.is_changed = false;
         let gateways = self.gateway_count();
-        if gateways != self.budget_peers {
-            self.budget_peers = gateways;
-            self.budgets.clear();
+        self.budget_peers = gateways;
+        let settings = self.budget_settings(gateways);
+        for budget in self.budgets.values() {
+            budget.adopt(settings);
         }
         let mut targets: HashMap<ServiceId, Vec<TargetChoice>> = HashMap::new();
         for row in self.targets.rows() {
@@ -263,7 +279,6 @@
         }
         let services: Vec<_> = self.routes.services.ids().cloned().collect();
         for service in services {
-            let settings = self.budget_settings(gateways);
             self.budgets
                 .entry(service)
                 .or_insert_with(|| Arc::new(WindowBudget::new(settings, now)));
@@ -309,7 +324,11 @@
         let rate = u32::try_from(rate.per_second()).unwrap_or(u32::MAX);
         let part = f64::from(rate) * COLD_RATE_PART / f64::from(self.gateways.max(1));
         // Float to integer casts saturate, and the value is not negative.
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "saturates"
+        )]
         let limit = part as u32;
         limit.max(1)
     }
@@ -319,6 +338,8 @@
 /// while the one that took its place has written since.
 fn newest_by_address(mut entries: Vec<RegistryEntry>) -> HashMap<SocketAddr, TargetRecord> {
     entries.sort_by_key(|entry| entry.written);
-    let by_address = entries.into_iter().map(|entry| (entry.record.address, entry.record));
+    let by_address = entries
+        .into_iter()
+        .map(|entry| (entry.record.address, entry.record));
     by_address.collect()
 }
--- a/crates/fleet/src/settings/gateway.rs
+++ b/crates/fleet/src/settings/gateway.rs
@@ -51,8 +51,7 @@
 }
 
 /// Window over which repeats are counted.
-const WINDOW_RANGE: FieldRange =
-    FieldRange::Span(MilliSpan::new(100), MilliSpan::new(3_600_000));
+const WINDOW_RANGE: FieldRange = FieldRange::Span(MilliSpan::new(100), MilliSpan::new(3_600_000));
 
 impl GatewaySettings {
     /// The fields with their allowed ranges and defaults.
--- a/crates/fleet/src/settings/mod.rs
+++ b/crates/fleet/src/settings/mod.rs
@@ -9,8 +9,8 @@
 mod rule;
 mod sidecar;
 
-pub(crate) use document::JsonDocument;
 pub use agent::AgentSettings;
+pub(crate) use document::JsonDocument;
 pub use entry::{EntrySettings, SlotSettings};
 pub use gateway::GatewaySettings;
 pub(crate) use parse::{field_problem, parse_document};
--- a/crates/groups/src/levels/driver.rs
+++ b/crates/groups/src/levels/driver.rs
@@ -212,7 +212,8 @@
         if is_new_generation {
             // A broken group starts anew with map 0 and nothing prepared, armed or held.
             let generation = view.generation;
-            self.ranks.retain(|_, row| row.view.generation >= generation);
+            self.ranks
+                .retain(|_, row| row.view.generation >= generation);
             self.enter(SwitchPhase::Idle, now, "new_generation");
         }
         let rank = view.rank;
@@ -306,7 +307,11 @@
             let prepared = row.view.prepared.unwrap_or_default();
             row.view.map.max(prepared)
         });
-        let version = known.max().unwrap_or_default().max(self.last_version).next();
+        let version = known
+            .max()
+            .unwrap_or_default()
+            .max(self.last_version)
+            .next();
         self.last_version = version;
         let phase = SwitchPhase::Preparing { version, placement };
         self.enter(phase, now, "planned");
@@ -463,7 +468,10 @@
     }
 
     fn others_done(&self) -> bool {
-        let mut others = self.ranks.iter().filter(|(rank, _)| **rank != self.own_rank);
+        let mut others = self
+            .ranks
+            .iter()
+            .filter(|(rank, _)| **rank != self.own_rank);
         others.all(|(_, row)| row.is_done)
     }
 
@@ -538,9 +546,12 @@
             self.enter(SwitchPhase::Idle, now, "switched");
             return;
         }
-        let is_fresh = self.ranks.values().all(|row| row.viewed_at > self.phase_since);
-        let is_partial = self.ranks.values().any(|row| row.view.armed.is_some())
-            && !self.is_armed_alike();
+        let is_fresh = self
+            .ranks
+            .values()
+            .all(|row| row.viewed_at > self.phase_since);
+        let is_partial =
+            self.ranks.values().any(|row| row.view.armed.is_some()) && !self.is_armed_alike();
         let is_lost = self
             .ranks
             .values()
@@ -561,7 +572,10 @@
 
     /// Completes or clears what an earlier coordinator, or an order carried out late, left.
     fn look_for_leftovers(&mut self, now: Instant) {
-        let is_fresh = self.ranks.values().all(|row| row.viewed_at > self.phase_since);
+        let is_fresh = self
+            .ranks
+            .values()
+            .all(|row| row.viewed_at > self.phase_since);
         if self.is_previous_missing(now) {
             self.clear_without_previous(now);
             return;
@@ -604,7 +618,10 @@
     /// rank is not armed unless all others are.
     fn clear_without_previous(&mut self, now: Instant) {
         let previous = self.previous;
-        let others = self.ranks.values().filter(|row| Some(row.view.rank) != previous);
+        let others = self
+            .ranks
+            .values()
+            .filter(|row| Some(row.view.rank) != previous);
         let held: BTreeMap<RankId, StepNumber> = others
             .clone()
             .filter_map(|row| Some((row.view.rank, row.view.held?)))
--- a/crates/groups/src/levels/placement.rs
+++ b/crates/groups/src/levels/placement.rs
@@ -83,6 +83,9 @@
     pub fn imbalance(&self, demand: &[Vec<f64>], pace: &[f64]) -> f64 {
         let sets = f64::from(u32::try_from(self.sets.len().max(1)).unwrap_or(u32::MAX));
         let pairs = self.sets.iter().zip(demand);
-        pairs.map(|(set, demand)| set.imbalance(demand, pace)).sum::<f64>() / sets
+        pairs
+            .map(|(set, demand)| set.imbalance(demand, pace))
+            .sum::<f64>()
+            / sets
     }
 }
--- a/crates/groups/src/levels/planner.rs
+++ b/crates/groups/src/levels/planner.rs
@@ -85,7 +85,7 @@
     let imbalance = |set: &usize| placement.sets[*set].imbalance(&demand[*set], pace);
     order.sort_by(|a, b| imbalance(b).total_cmp(&imbalance(a)));
     for set in order {
-        let mut planner = SetPlanner {
+        let mut levelling = SetPlanner {
             original: &placement.sets[set],
             set: &mut planned.sets[set],
             demand: &demand[set],
@@ -94,7 +94,7 @@
             limits,
             new_by_rank: &mut new_by_rank,
         };
-        planner.level();
+        levelling.level();
     }
     let copies = new_by_rank.iter().sum();
     let change = PlacementChange {
@@ -180,7 +180,9 @@
 
     fn may_copy_to(&self, rank: usize) -> bool {
         let original = &self.original.ranks[rank];
-        let new = self.set.ranks[rank].iter().filter(|expert| !original.contains(expert));
+        let new = self.set.ranks[rank]
+            .iter()
+            .filter(|expert| !original.contains(expert));
         new.count() < self.limits.new_per_set && self.new_by_rank[rank] < self.limits.new_per_rank
     }
 
@@ -209,7 +211,11 @@
         let mut loads = loads.to_vec();
         let count = f64::from(holders[usize::from(step.expert)]);
         let demand = self.demand[usize::from(step.expert)];
-        let after = if step.from.is_some() { count } else { count + 1.0 };
+        let after = if step.from.is_some() {
+            count
+        } else {
+            count + 1.0
+        };
         let change = demand / after - demand / count;
         self.shift_holders(&mut loads, step.expert, change);
         loads[step.to] += demand / after;
@@ -229,7 +235,11 @@
     /// Time that each rank takes for its load.
     fn times(&self, loads: &[f64]) -> Vec<f64> {
         let pace = self.pace.iter().copied().chain(std::iter::repeat(1.0));
-        loads.iter().zip(pace).map(|(load, pace)| load * pace).collect()
+        loads
+            .iter()
+            .zip(pace)
+            .map(|(load, pace)| load * pace)
+            .collect()
     }
 
     fn shift_holders(&self, loads: &mut [f64], expert: u16, change: f64) {
--- a/crates/net/src/kept.rs
+++ b/crates/net/src/kept.rs
@@ -105,7 +105,11 @@
     }
 
     fn take_kept(&self) -> Option<HttpConnection> {
-        let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let kept = self
+            .kept
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
         let now = Instant::now();
         kept.filter(|connection| connection.is_ready() && connection.idle_for(now) < MAX_IDLE)
     }
