--- a/crates/amaranthgw/src/agent/beside.rs
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use amaranthgw_core::{GroupGeneration, MapVersion, RankId};
-use amaranthgw_groups::levels::{OrderReply, RankView};
+use amaranthgw_core::{GroupGeneration, MapVersion};
+use amaranthgw_groups::levels::{LeadMark, OrderReply, RankView};
 use amaranthgw_platform::rank::RankClient;
 use tokio::time::Instant;
 
@@ -20,7 +20,7 @@
 pub(super) struct RankBeside {
     client: RankClient,
     experts: Mutex<Option<KnownExperts>>,
-    asked: Mutex<Option<(Instant, Option<RankId>)>>,
+    asked: Mutex<Option<(Instant, Option<LeadMark>)>>,
     log: EventLog,
 }
 
@@ -85,8 +85,8 @@
         reply
     }
 
-    /// Notes that the coordinator beside the rank `coordinator` asked for the state of the rank.
-    pub(super) fn note_asked(&self, coordinator: Option<RankId>) {
+    /// Notes that `coordinator` asked for the state of the rank.
+    pub(super) fn note_asked(&self, coordinator: Option<LeadMark>) {
         *self.asked() = Some((Instant::now(), coordinator));
     }
 
@@ -95,12 +95,12 @@
         self.asked().map(|(at, _)| at)
     }
 
-    /// Rank beside the coordinator that asked last.
-    pub(super) fn coordinator(&self) -> Option<RankId> {
+    /// The coordinator that asked last.
+    pub(super) fn coordinator(&self) -> Option<LeadMark> {
         self.asked().and_then(|(_, coordinator)| coordinator)
     }
 
-    fn asked(&self) -> MutexGuard<'_, Option<(Instant, Option<RankId>)>> {
+    fn asked(&self) -> MutexGuard<'_, Option<(Instant, Option<LeadMark>)>> {
         self.asked.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId};
+use amaranthgw_core::{GroupGeneration, MapVersion, ServiceId, StoreRevision};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::levels::{
     DueOrder, ExpertDemand, GroupPlacement, OrderReply, PlannerInput, PlannerLimits, RankOrder,
@@ -41,14 +41,23 @@
 /// every few seconds.
 const COPIES_PER_RANK: usize = 4;
 
+/// The state of a rank, with the time at which it was asked for.
+struct SeenRank {
+    view: RankView,
+    asked_at: Instant,
+}
+
 /// What comes back to the coordinator.
 enum LinkEvent {
     /// A rank was seen at its address through one of the links.
-    Seen(SocketAddr, SharedLink, RankView),
+    Seen(SocketAddr, SharedLink, SeenRank),
     /// The rank at the address gave no answer.
     Unseen(SocketAddr, AgentError),
     /// What registry and configuration say, as far as they could be read.
-    Listed(Option<Vec<TargetRecord>>, Option<ExpertShape>),
+    Listed(
+        Option<(Vec<TargetRecord>, StoreRevision)>,
+        Option<ExpertShape>,
+    ),
     /// An order was answered.
     Replied(DueOrder, OrderReply),
 }
@@ -63,6 +72,8 @@
     demand: Option<ExpertDemand>,
     links: HashMap<amaranthgw_core::RankId, SharedLink>,
     unseen: HashSet<SocketAddr>,
+    /// Revision of the store at which this agent certainly led.
+    known_at: StoreRevision,
     placement: Option<(GroupGeneration, MapVersion, GroupPlacement)>,
     /// End of the lease, where orders after it would not be refused by the ranks.
     until: Option<watch::Receiver<Instant>>,
@@ -93,6 +104,7 @@
             demand: None,
             links: HashMap::new(),
             unseen: HashSet::new(),
+            known_at: StoreRevision::new(won.fence.get()),
             placement: None,
             until,
             group: won.group.clone(),
@@ -138,12 +150,17 @@
     }
 
     /// Takes what was read; a failed read leaves what is known so far.
-    fn take_listing(&mut self, ranks: Option<Vec<TargetRecord>>, shape: Option<ExpertShape>) {
+    fn take_listing(
+        &mut self,
+        ranks: Option<(Vec<TargetRecord>, StoreRevision)>,
+        shape: Option<ExpertShape>,
+    ) {
         if let Some(shape) = shape {
             self.shape = Some(shape);
             self.demand = Some(ExpertDemand::new(shape.sets, shape.experts));
         }
-        if let Some(ranks) = ranks {
+        if let Some((ranks, as_of)) = ranks {
+            self.known_at = self.known_at.max(as_of);
             self.roster.adopt(&ranks);
         }
         let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
@@ -165,9 +182,12 @@
     fn look(&self) {
         for (rank, link) in self.roster.links() {
             let (rank, link, events) = (*rank, Arc::clone(link), self.events.clone());
+            let (asked_at, mark) = (Instant::now(), self.driver.mark(self.known_at));
             tokio::spawn(async move {
-                let event = match link.view().await {
-                    Ok(view) => LinkEvent::Seen(rank, Arc::clone(&link), view),
+                let event = match link.view(mark).await {
+                    Ok(view) => {
+                        LinkEvent::Seen(rank, Arc::clone(&link), SeenRank { view, asked_at })
+                    }
                     Err(error) => LinkEvent::Unseen(rank, error),
                 };
                 // A coordinator that was deposed needs no more views.
@@ -179,10 +199,10 @@
     fn take(&mut self, event: LinkEvent) {
         let now = Instant::now();
         match event {
-            LinkEvent::Seen(address, link, view) if view.group == self.group => {
+            LinkEvent::Seen(address, link, seen) if seen.view.group == self.group => {
                 self.note_seen(address, None);
-                self.links.insert(view.rank, link);
-                self.driver.observe(view, now);
+                self.links.insert(seen.view.rank, link);
+                self.driver.observe(seen.view, seen.asked_at, now);
             }
             LinkEvent::Seen(..) => {}
             LinkEvent::Unseen(address, error) => self.note_seen(address, Some(&error)),
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use amaranthgw_core::{FencingNumber, GroupId, LeaseId, MilliSpan, RankId, VmId};
+use amaranthgw_groups::levels::LeadMark;
 use amaranthgw_platform::PlatformError;
-use amaranthgw_platform::store::{PlatformStore, coordinator_key};
+use amaranthgw_platform::store::{PlatformStore, StoreChange, coordinator_key};
 use compact_str::ToCompactString;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -49,8 +50,8 @@
     pub(super) group: GroupId,
     /// Rank beside the holder.
     pub(super) rank: RankId,
-    /// Rank beside the coordinator that asked last.
-    pub(super) previous: Option<RankId>,
+    /// The coordinator that led right before, where none did between.
+    pub(super) previous: Option<LeadMark>,
     /// Number that orders the holders.
     pub(super) fence: FencingNumber,
     /// The lease.
@@ -114,6 +115,7 @@
             Err(error) => return Err(error),
         };
         let fence = FencingNumber::new(revision.get());
+        let previous = self.direct_predecessor(&key).await;
         self.log.record(NodeEvent::LeaseWon {
             group: group.clone(),
             rank,
@@ -122,13 +124,30 @@
         Ok(Some(WonLease {
             group: group.clone(),
             rank,
-            previous: self.rank.coordinator(),
+            previous,
             fence,
             lease: granted.lease,
             until: asked_at + granted.lasts.duration(),
         }))
     }
 
+    /// The coordinator that asked last, where the store shows that no other led after it.
+    async fn direct_predecessor(&self, key: &str) -> Option<LeadMark> {
+        let mark = self.rank.coordinator().filter(|_| self.is_fenced)?;
+        let after = mark.known_at;
+        let watched = self
+            .store
+            .watch(key, after, Duration::ZERO, CALL_LIMIT)
+            .await;
+        count_store_call("watch_lease", if watched.is_ok() { "ok" } else { "failed" });
+        // A history that is not known may hold another coordinator.
+        let (changes, _as_of) = watched.ok()?;
+        let written = changes
+            .iter()
+            .filter(|it| matches!(it, StoreChange::Written(_)));
+        (written.count() == 1).then_some(mark)
+    }
+
     /// Renews `lease` until it is lost, and tells until when it is held.
     pub(super) async fn keep(&self, won: &WonLease, until: &watch::Sender<Instant>) {
         let cause = loop {
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, GroupGeneration, RankId};
-use amaranthgw_groups::levels::{OrderReply, RankOrder, RankView};
+use amaranthgw_core::{FencingNumber, GroupGeneration};
+use amaranthgw_groups::levels::{LeadMark, OrderReply, RankOrder, RankView};
 use amaranthgw_net::{DialSettings, KeptClient};
 use amaranthgw_platform::rank::RankClient;
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
 use futures_util::future::BoxFuture;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -17,7 +16,7 @@
 use super::beside::RankBeside;
 use super::{AgentError, Result};
 
-/// Path at which an agent tells the state of its rank; the query is the rank of who asks.
+/// Path at which an agent tells the state of its rank; the query is the mark of who asks.
 pub(super) const RANK_PATH: &str = "/rank";
 /// Path at which an agent takes an order for its rank.
 pub(super) const ORDER_PATH: &str = "/order";
@@ -45,7 +44,9 @@
 /// A way to one rank.
 pub(super) trait RankLink: std::fmt::Debug + Send + Sync {
     /// State of the rank.
-    fn view(&self) -> BoxFuture<'_, Result<RankView>>;
+    ///
+    /// `mark` is what its agent should know of the coordinator that asks.
+    fn view(&self, mark: LeadMark) -> BoxFuture<'_, Result<RankView>>;
 
     /// Gives the rank an order.
     fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply>;
@@ -56,7 +57,7 @@
 }
 
 impl RankLink for RankBeside {
-    fn view(&self) -> BoxFuture<'_, Result<RankView>> {
+    fn view(&self, _mark: LeadMark) -> BoxFuture<'_, Result<RankView>> {
         Box::pin(self.read())
     }
 
@@ -74,24 +75,22 @@
 pub(super) struct FarRank {
     agent: KeptClient,
     rank: RankClient,
-    view_path: CompactString,
 }
 
 impl FarRank {
-    /// Creates the way from the coordinator beside the rank `from` to the rank at `rank`, whose
-    /// agent listens at `agent`.
-    pub(super) fn new(agent: SocketAddr, rank: SocketAddr, from: RankId) -> Self {
+    /// Creates the way to the rank at `rank`, whose agent listens at `agent`.
+    pub(super) fn new(agent: SocketAddr, rank: SocketAddr) -> Self {
         Self {
-            view_path: format_compact!("{RANK_PATH}?{from}"),
             agent: KeptClient::new(agent, DialSettings::new(AGENT_LIMIT)),
             rank: RankClient::new(rank),
         }
     }
 
-    async fn view_by_agent(&self) -> Result<RankView> {
+    async fn view_by_agent(&self, mark: LeadMark) -> Result<RankView> {
+        let path = format!("{RANK_PATH}?{mark}");
         let called = self
             .agent
-            .call(Method::GET, &self.view_path, Bytes::new(), AGENT_LIMIT);
+            .call(Method::GET, &path, Bytes::new(), AGENT_LIMIT);
         let reply = called.await?;
         if reply.status != StatusCode::OK {
             return Err(AgentError::RankUnavailable);
@@ -109,9 +108,9 @@
 }
 
 impl RankLink for FarRank {
-    fn view(&self) -> BoxFuture<'_, Result<RankView>> {
-        Box::pin(async {
-            match self.view_by_agent().await {
+    fn view(&self, mark: LeadMark) -> BoxFuture<'_, Result<RankView>> {
+        Box::pin(async move {
+            match self.view_by_agent(mark).await {
                 Ok(view) => Ok(view),
                 // Counts are left out: from afar they make the whole group pause.
                 Err(_agent_down) => {
--- a/crates/amaranthgw/src/agent/process.rs
+++ b/crates/amaranthgw/src/agent/process.rs
@@ -108,7 +108,7 @@
         let held_until = (!settings.fenced_orders).then_some(held_until);
         let port = settings.node_listen.port();
         let (service, beside) = (settings.service.clone(), Arc::clone(&rank));
-        let roster = RankRoster::new(service.clone(), settings.rank, port, won.rank, beside);
+        let roster = RankRoster::new(service.clone(), settings.rank, port, beside);
         // Renewals have a client of their own: they never wait behind another call.
         let reads = Arc::new(PlatformStore::new(settings.store));
         let leader = GroupCoordinator::new(&won, reads, service, roster, held_until, log.clone());
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{RankId, ServiceId};
+use amaranthgw_core::{ServiceId, StoreRevision};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_platform::Result;
 use amaranthgw_platform::config::decode_config;
@@ -25,17 +25,15 @@
     service: ServiceId,
     own: SocketAddr,
     agent_port: u16,
-    from: RankId,
     links: HashMap<SocketAddr, SharedLink>,
 }
 
 impl RankRoster {
-    /// Creates the roster of the coordinator beside the rank `from`; it knows only the rank beside this process.
+    /// Creates a roster that knows only the rank beside this process.
     pub(super) fn new(
         service: ServiceId,
         own: SocketAddr,
         agent_port: u16,
-        from: RankId,
         beside: Arc<RankBeside>,
     ) -> Self {
         let links = HashMap::from([(own, beside as SharedLink)]);
@@ -43,7 +41,6 @@
             service,
             own,
             agent_port,
-            from,
             links,
         }
     }
@@ -59,7 +56,7 @@
             .retain(|rank, _| *rank == self.own || ranks.contains(rank));
         for rank in ranks {
             let agent = SocketAddr::new(rank.ip(), self.agent_port);
-            let make = || Arc::new(FarRank::new(agent, rank, self.from)) as SharedLink;
+            let make = || Arc::new(FarRank::new(agent, rank)) as SharedLink;
             self.links.entry(rank).or_insert_with(make);
         }
     }
@@ -70,15 +67,21 @@
     }
 }
 
-/// The registered targets; entries that no target wrote name none.
-pub(super) async fn list_ranks(store: &PlatformStore) -> Result<Vec<TargetRecord>> {
+/// The registered targets, with the revision of the store; entries that no target wrote name none.
+pub(super) async fn list_ranks(
+    store: &PlatformStore,
+) -> Result<(Vec<TargetRecord>, StoreRevision)> {
     let listed = store
         .list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, CALL_LIMIT)
         .await;
     count_store_call("list_ranks", if listed.is_ok() { "ok" } else { "failed" });
-    let entries = listed?.items;
-    let decoded = entries.iter().filter_map(|item| decode_entry(item).ok());
-    Ok(decoded.map(|entry| entry.record).collect())
+    let listing = listed?;
+    let decoded = listing
+        .items
+        .iter()
+        .filter_map(|item| decode_entry(item).ok());
+    let records = decoded.map(|entry| entry.record).collect();
+    Ok((records, listing.as_of))
 }
 
 /// Sizes of the groups of `service`, by the operators' configuration.
--- a/crates/amaranthgw/src/agent/service.rs
+++ b/crates/amaranthgw/src/agent/service.rs
@@ -44,7 +44,7 @@
 async fn answer(rank: &RankBeside, request: Request<Incoming>) -> Response<Full<Bytes>> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, RANK_PATH) => {
-            let coordinator = request.uri().query().and_then(|rank| rank.parse().ok());
+            let coordinator = request.uri().query().and_then(|mark| mark.parse().ok());
             rank.note_asked(coordinator);
             match rank.read().await {
                 Ok(view) => json(&view),
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -35,6 +35,7 @@
 pub struct GatewayProcess {
     address: SocketAddr,
     ready_address: SocketAddr,
+    node_address: SocketAddr,
     stop: StopSignal,
     bounds: watch::Sender<FleetBounds>,
     threads: ThreadGroup,
@@ -72,6 +73,7 @@
             in_flight: AtomicU32::new(0),
             stop: stop.clone(),
         });
+        let node_address = inputs.node.address();
         let (address, ready_address) = (listener.address(), inputs.ready.address());
         let mut threads = ThreadGroup::default();
         for index in 0..settings.traffic_threads {
@@ -93,6 +95,7 @@
         Ok(Self {
             address,
             ready_address,
+            node_address,
             stop,
             bounds,
             threads,
@@ -111,6 +114,12 @@
         self.ready_address
     }
 
+    /// Address that other processes of the system reach the gateway at.
+    #[must_use]
+    pub const fn node_address(&self) -> SocketAddr {
+        self.node_address
+    }
+
     /// The signal that stops the process.
     #[must_use]
     pub fn stop_signal(&self) -> StopSignal {
--- /dev/null
+++ b/crates/amaranthgw/tests/it/gateway/env.rs
@@ -0,0 +1,185 @@
+//! A small site: the store, servers, and gateways within this process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use amaranthgw::gateway::GatewayProcess;
+use amaranthgw::telemetry::EventLog;
+use amaranthgw_fleet::settings::GatewaySettings;
+use amaranthgw_net::{DialSettings, dial};
+use amaranthgw_standins::site::{SiteStore, SiteTarget, TargetBehaviour};
+use amaranthgw_standins::{RunningStandin, Standin};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use crate::env::eventually;
+
+pub(super) const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub(super) const KEY: &str = "key-of-school";
+pub(super) const WORKSPACE: &str = "school";
+
+/// The store and the servers of a site.
+pub(super) struct TestSite {
+    pub(super) store: SiteStore,
+    pub(super) store_address: SocketAddr,
+    running: Vec<RunningStandin>,
+}
+
+impl TestSite {
+    pub(super) fn new() -> Self {
+        let store = SiteStore::new();
+        let started = store.start(ANY_PORT).expect("store starts");
+        Self {
+            store_address: started.address(),
+            store,
+            running: vec![started],
+        }
+    }
+
+    /// A site whose configuration routes `/desk/` to the service `desk` and `/draft/` to `draft`.
+    pub(super) fn with_routes() -> Self {
+        let site = Self::new();
+        site.store.put("op/config", &config(7, "desk"));
+        site
+    }
+
+    /// Starts a server and registers it.
+    pub(super) fn add_target(
+        &mut self,
+        id: &str,
+        service: &str,
+        behaviour: TargetBehaviour,
+    ) -> SiteTarget {
+        let target = SiteTarget::new(id, behaviour);
+        let started = target.start(ANY_PORT).expect("server starts");
+        let entry = target.entry(service, started.address(), "domain-a");
+        self.store.put(&format!("servers/{id}"), &entry);
+        self.running.push(started);
+        target
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub(super) async fn start_gateway(&self) -> GatewayProcess {
+        let gateway = self.start_unready(&[]);
+        let ready = || async { is_ready(gateway.ready_address()).await.then_some(()) };
+        eventually("readiness", ready).await;
+        gateway
+    }
+
+    pub(super) fn start_unready(&self, seeds: &[SocketAddr]) -> GatewayProcess {
+        let settings = json!({
+            "vm": "gateway-1",
+            "domain": "domain-a",
+            "caller_listen": ANY_PORT,
+            "ready_listen": ANY_PORT,
+            "node_listen": ANY_PORT,
+            "metrics_listen": ANY_PORT,
+            "store": self.store_address,
+            "seeds": seeds,
+            "grace": "8s",
+            "retry_ratio": 0.2,
+            "retry_slack": 94,
+            "retry_window": "10s",
+        });
+        let settings = GatewaySettings::parse(&settings.to_string(), "test").expect("settings");
+        GatewayProcess::start(&settings, &EventLog::with_journal_only()).expect("gateway starts")
+    }
+}
+
+/// A configuration of `version` whose desk route goes to `desk`.
+pub(super) fn config(version: u64, desk: &str) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "hostname": "site.example", "prefix": prefix, "route_kind": kind,
+            "timeout_ms": 3000, "goal_ms": 100, "priority": 1, "service": service, "attempts": 2,
+            "public": false, "sticky": false, "resumable": true, "gap_aim_ms": 120,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("look", "/look/", "idempotent", desk),
+            route("pay", "/pay/", "non_idempotent", desk),
+            route("draft", "/draft/", "streaming", "draft"),
+            { "name": "broken", "prefix": 5 },
+        ],
+        "services": [{ "name": desk }, { "name": "draft" }],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 4096,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+        },
+        "tenants": [{ "name": WORKSPACE, "api_keys": [KEY], "priority": 1 }],
+    })
+}
+
+/// An answer that was read as far as it went.
+#[derive(Debug)]
+pub(super) struct TestAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) is_whole: bool,
+}
+
+impl TestAnswer {
+    pub(super) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A request to the site.
+pub(super) fn request(method: &str, path: &str, body: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "site.example")
+        .header("x-amaranthgw-request-id", "r-1")
+        .header("x-amaranthgw-deadline-ms", "2500")
+        .header("x-api-key", KEY)
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("request")
+}
+
+/// Sends `request` and reads the answer as far as it goes.
+pub(super) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> TestAnswer {
+    let response = open(address, request).await;
+    let (parts, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(_broken) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    TestAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: bytes.into(),
+        is_whole,
+    }
+}
+
+/// Sends `request` and gives the answer with its body unread.
+pub(super) async fn open(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let settings = DialSettings::new(Duration::from_secs(5));
+    let mut connection = dial(address, settings).await.expect("connects");
+    connection.send(request).await.expect("answers")
+}
+
+pub(super) async fn is_ready(address: SocketAddr) -> bool {
+    let request = Request::get("/readyz").header("host", "ready");
+    let request = request.body(Full::default()).expect("request");
+    open(address, request).await.status() == StatusCode::OK
+}
--- /dev/null
+++ b/crates/amaranthgw/tests/it/gateway/knowledge.rs
@@ -0,0 +1,146 @@
+//! What gateways know: configuration, failure domains that are out, targets, and peers.
+
+use std::time::Duration;
+
+use amaranthgw_standins::site::{StoreFault, TargetBehaviour};
+use http::StatusCode;
+use serde_json::json;
+
+use super::env::{TestSite, call, config, is_ready, request};
+use crate::env::eventually;
+
+/// Bound within which an accepted configuration is in force.
+const CONFIG_BOUND: Duration = Duration::from_secs(2);
+
+#[tokio::test]
+async fn follow_operators_config_in_force() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    site.add_target("i-2", "desk-2", TargetBehaviour::Answer(201));
+    let gateway = site.start_gateway().await;
+    site.store.put("op/config", &config(12, "desk-2"));
+    let moved = || async {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::CREATED).then_some(())
+    };
+    let in_force = tokio::time::timeout(CONFIG_BOUND, eventually("new route", moved));
+    in_force.await.expect("in force within its bound");
+    // An older version changes nothing any more.
+    site.store.put("op/config", &config(9, "desk"));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+    assert_eq!(answer.status, StatusCode::CREATED);
+}
+
+#[tokio::test]
+async fn follow_operators_compacted() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-2", "desk-2", TargetBehaviour::Answer(201));
+    let gateway = site.start_gateway().await;
+    site.store.put("op/config", &config(8, "desk"));
+    site.store.put("op/config", &config(12, "desk-2"));
+    site.store.compact();
+    let moved = || async {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::CREATED).then_some(())
+    };
+    eventually("new route", moved).await;
+}
+
+#[tokio::test]
+async fn follow_operators_evacuated() {
+    let mut site = TestSite::with_routes();
+    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let gateway = site.start_gateway().await;
+    site.store.put("op/evacuate/domain-a", &json!({}));
+    let emptied = || async {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::SERVICE_UNAVAILABLE).then_some(())
+    };
+    eventually("refusal", emptied).await;
+    let before = target.arrivals();
+    call(gateway.address(), request("GET", "/look/", "")).await;
+    assert_eq!(target.arrivals(), before);
+    site.store.remove("op/evacuate/domain-a");
+    let back = || async {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::OK).then_some(())
+    };
+    eventually("answer", back).await;
+}
+
+#[tokio::test]
+async fn follow_registry_foreign_entries() {
+    let mut site = TestSite::with_routes();
+    site.store.put_bytes("servers/noise", b"\xff\xfe");
+    site.store
+        .put("servers/odd", &json!({ "service": 5, "state": "ready" }));
+    site.store.put(
+        "servers/state",
+        &json!({
+            "service": "desk", "address": "127.0.0.1:9", "zone": "domain-a", "slots": 1,
+            "state": "sleeping",
+        }),
+    );
+    site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let gateway = site.start_gateway().await;
+    for _ in 0..5 {
+        let answer = call(gateway.address(), request("POST", "/pay/", "deposit")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn follow_registry_outage() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let gateway = site.start_gateway().await;
+    for fault in [StoreFault::Busy, StoreFault::Silent] {
+        site.store.set_fault(fault);
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let answer = call(gateway.address(), request("POST", "/pay/", "deposit")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(is_ready(gateway.ready_address()).await);
+    }
+}
+
+#[tokio::test]
+async fn follow_registry_draining() {
+    let mut site = TestSite::with_routes();
+    let leaving = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let gateway = site.start_gateway().await;
+    let mut entry = serde_json::from_slice::<serde_json::Value>(
+        &site.store.value("servers/i-1").expect("entry"),
+    )
+    .expect("json");
+    entry["state"] = "draining".into();
+    site.store.put("servers/i-1", &entry);
+    let emptied = || async {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::SERVICE_UNAVAILABLE).then_some(())
+    };
+    eventually("refusal", emptied).await;
+    let before = leaving.arrivals();
+    call(gateway.address(), request("GET", "/look/", "")).await;
+    assert_eq!(leaving.arrivals(), before);
+}
+
+#[tokio::test]
+async fn follow_peers_config_while_turned_away() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-2", "desk-2", TargetBehaviour::Answer(201));
+    let first = site.start_gateway().await;
+    // The second gateway's store knows the targets but not the newest configuration.
+    let mut stale = TestSite::with_routes();
+    stale.add_target("i-2", "desk-2", TargetBehaviour::Answer(201));
+    let second = stale.start_unready(&[first.node_address()]);
+    let ready = || async { is_ready(second.ready_address()).await.then_some(()) };
+    eventually("readiness", ready).await;
+    stale.store.set_fault(StoreFault::Busy);
+    site.store.put("op/config", &config(12, "desk-2"));
+    let moved = || async {
+        let answer = call(second.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::CREATED).then_some(())
+    };
+    eventually("route of the peer", moved).await;
+}
--- /dev/null
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -0,0 +1,7 @@
+//! Gateways between callers and the stand-ins of the users' platform.
+
+mod answers;
+mod env;
+mod knowledge;
+mod stops;
+mod streams;
--- /dev/null
+++ b/crates/amaranthgw/tests/it/gateway/streams.rs
@@ -0,0 +1,105 @@
+//! Streams: events as they come, resumed where they break, ended where the caller leaves.
+
+use std::time::Duration;
+
+use amaranthgw_standins::site::TargetBehaviour;
+use http::StatusCode;
+use http_body_util::BodyExt;
+
+use super::env::{TestSite, call, open, request};
+
+const GAP: Duration = Duration::from_millis(5);
+
+fn stream(events: u32, breaks_in: u32) -> TargetBehaviour {
+    TargetBehaviour::Stream {
+        events,
+        gap: GAP,
+        breaks_in,
+    }
+}
+
+fn event_ids(text: &str) -> Vec<u32> {
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().expect("number")).collect()
+}
+
+#[tokio::test]
+async fn stream_response_whole() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-1", "draft", stream(20, 0));
+    let gateway = site.start_gateway().await;
+    let answer = call(gateway.address(), request("POST", "/draft/", "enquiry")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.is_whole);
+    assert_eq!(event_ids(&answer.text()), (1..=20).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn stream_response_resumed() {
+    let mut site = TestSite::with_routes();
+    let broken = site.add_target("i-1", "draft", stream(20, 7));
+    let gateway = site.start_gateway().await;
+    let first = open(gateway.address(), request("POST", "/draft/", "enquiry")).await;
+    assert_eq!(first.status(), StatusCode::OK);
+    drop(first);
+    let sound = site.add_target("i-2", "draft", stream(20, 0));
+    let resumed = || async {
+        let answer = call(gateway.address(), request("POST", "/draft/", "enquiry")).await;
+        let is_resumed = answer.is_whole && !sound.runs().is_empty();
+        is_resumed.then_some(answer)
+    };
+    let answer = crate::env::eventually("resumed stream", resumed).await;
+    assert_eq!(event_ids(&answer.text()), (1..=20).collect::<Vec<_>>());
+    let continued = sound.runs();
+    let from = continued.iter().find_map(|run| run.header("last-event-id"));
+    assert!(from.is_none() || from == Some("6"), "{from:?}");
+    assert!(!broken.runs().is_empty());
+}
+
+#[tokio::test]
+async fn stream_response_breaks_visibly() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-1", "draft", stream(20, 7));
+    let gateway = site.start_gateway().await;
+    let answer = call(gateway.address(), request("POST", "/draft/", "enquiry")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(!answer.is_whole);
+    assert_eq!(event_ids(&answer.text()), (1..=6).collect::<Vec<_>>());
+    assert!(
+        !answer.text().contains("id: 7"),
+        "a part of an event went on"
+    );
+}
+
+#[tokio::test]
+async fn stream_response_from_last_event() {
+    let mut site = TestSite::with_routes();
+    let target = site.add_target("i-1", "draft", stream(9, 0));
+    let gateway = site.start_gateway().await;
+    let mut sent = request("POST", "/draft/", "enquiry");
+    sent.headers_mut().insert("last-event-id", 4.into());
+    let answer = call(gateway.address(), sent).await;
+    assert_eq!(event_ids(&answer.text()), (5..=9).collect::<Vec<_>>());
+    assert_eq!(target.runs()[0].header("last-event-id"), Some("4"));
+}
+
+#[tokio::test]
+async fn stream_response_events_as_they_come() {
+    let mut site = TestSite::with_routes();
+    let slow = TargetBehaviour::Stream {
+        events: 3,
+        gap: Duration::from_millis(300),
+        breaks_in: 0,
+    };
+    site.add_target("i-1", "draft", slow);
+    let gateway = site.start_gateway().await;
+    let started = std::time::Instant::now();
+    let mut response = open(gateway.address(), request("POST", "/draft/", "enquiry")).await;
+    let frame = response.body_mut().frame().await;
+    assert!(frame.is_some_and(|frame| frame.is_ok()));
+    assert!(
+        started.elapsed() < Duration::from_millis(800),
+        "{:?}",
+        started.elapsed()
+    );
+}
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod env;
 mod events;
 mod faults;
+mod gateway;
 mod leave;
 mod limits;
 mod promises;
--- /dev/null
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -0,0 +1,132 @@
+//! Which target an attempt goes to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{DomainId, RequestRate, TargetId};
+use amaranthgw_fleet::gateway::{
+    ChoiceAsk, ChoicePolicy, LeastLoadedPolicy, RoundRobinPolicy, TargetChoice, TargetGauge,
+};
+use tokio::time::Instant;
+
+use super::entry;
+
+fn choice(id: &str, now: Instant) -> TargetChoice {
+    TargetChoice {
+        record: entry(id, 1, 1).record,
+        gauge: Arc::new(TargetGauge::new(now)),
+        cold_until: now,
+        cold_rate: RequestRate::new(10),
+    }
+}
+
+fn choose<'a>(
+    policy: &dyn ChoicePolicy,
+    targets: &'a [TargetChoice],
+    tried: &[TargetId],
+    now: Instant,
+) -> Option<&'a str> {
+    let domain: DomainId = "domain-a".parse().expect("domain");
+    let ask = ChoiceAsk {
+        tried,
+        domain: &domain,
+        cold_limit: 2,
+        now,
+    };
+    policy
+        .choose(targets, &ask)
+        .map(|target| target.record.target.as_str())
+}
+
+#[test]
+fn choose_least_loaded() {
+    let now = Instant::now();
+    let targets = [choice("a", now), choice("b", now)];
+    let _busy: Vec<_> = (0..3)
+        .map(|_| TargetGauge::enter(&targets[0].gauge))
+        .collect();
+    for _ in 0..20 {
+        assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
+    }
+}
+
+#[test]
+fn choose_reported_load_fades() {
+    let now = Instant::now();
+    let targets = [choice("a", now), choice("b", now)];
+    targets[0].gauge.report(8, now);
+    let _one = TargetGauge::enter(&targets[1].gauge);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
+    let later = now + Duration::from_secs(10);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("a"));
+}
+
+#[test]
+fn choose_ejected_comes_back() {
+    let now = Instant::now();
+    let targets = [choice("a", now), choice("b", now)];
+    let pause = targets[0].gauge.fail(now);
+    let _busy: Vec<_> = (0..6)
+        .map(|_| TargetGauge::enter(&targets[1].gauge))
+        .collect();
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
+    assert_eq!(
+        choose(&LeastLoadedPolicy, &targets, &[], now + pause),
+        Some("a")
+    );
+}
+
+#[test]
+fn choose_all_ejected() {
+    let now = Instant::now();
+    let targets = [choice("a", now)];
+    targets[0].gauge.fail(now);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("a"));
+}
+
+#[test]
+fn choose_absent_never() {
+    let now = Instant::now();
+    let targets = [choice("a", now)];
+    targets[0].gauge.miss(now);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), None);
+}
+
+#[test]
+fn choose_refusing_rests() {
+    let now = Instant::now();
+    let targets = [choice("a", now)];
+    targets[0].gauge.refuse(now);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), None);
+    let later = now + Duration::from_millis(200);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("a"));
+}
+
+#[test]
+fn choose_cold_within_limit() {
+    let now = Instant::now();
+    let mut targets = [choice("a", now)];
+    targets[0].cold_until = now + Duration::from_secs(3);
+    let chosen = (0..10).filter(|_| choose(&LeastLoadedPolicy, &targets, &[], now).is_some());
+    assert_eq!(chosen.count(), 2);
+    let later = now + Duration::from_millis(1_001);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("a"));
+}
+
+#[test]
+fn choose_tried_left_out() {
+    let now = Instant::now();
+    let targets = [choice("a", now), choice("b", now)];
+    let tried = [targets[0].record.target.clone()];
+    for policy in [
+        &LeastLoadedPolicy as &dyn ChoicePolicy,
+        &RoundRobinPolicy::default(),
+    ] {
+        assert_eq!(
+            choose(policy, &targets, &tried, now),
+            Some("b"),
+            "{}",
+            policy.name()
+        );
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/it/gateway/events.rs
@@ -0,0 +1,44 @@
+//! Whole events of a stream.
+
+use amaranthgw_fleet::gateway::{EventName, EventScanner};
+use proptest::prelude::*;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+
+#[test]
+fn push_partial_event() {
+    let mut scanner = EventScanner::new(None);
+    assert_eq!(scanner.push(b"id: 1\ndata"), "");
+    assert!(scanner.has_partial());
+    assert_eq!(scanner.last_event(), None);
+    assert_eq!(scanner.push(b": a\n\nid: 2"), "id: 1\ndata: a\n\n");
+    assert_eq!(scanner.last_event().map(EventName::as_str), Some("1"));
+}
+
+#[test]
+fn restart_drops_partial_event() {
+    let mut scanner = EventScanner::new(Some("4".into()));
+    assert_eq!(scanner.push(b"id: 5\nda"), "");
+    scanner.restart();
+    assert!(!scanner.has_partial());
+    assert_eq!(scanner.last_event().map(EventName::as_str), Some("4"));
+    assert_eq!(scanner.push(b"id: 5\ndata: e\n\n"), "id: 5\ndata: e\n\n");
+}
+
+proptest! {
+    #[test]
+    fn push_any_cuts(cuts in prop::collection::vec(0..STREAM.len(), 0..8)) {
+        let mut cuts = cuts;
+        cuts.sort_unstable();
+        let mut scanner = EventScanner::new(None);
+        let (mut passed, mut from) = (Vec::new(), 0);
+        for cut in cuts.into_iter().chain([STREAM.len()]) {
+            passed.extend_from_slice(&scanner.push(&STREAM[from..cut]));
+            from = cut;
+        }
+        prop_assert_eq!(passed, STREAM);
+        prop_assert!(!scanner.has_partial());
+        prop_assert_eq!(scanner.events(), 3);
+        prop_assert_eq!(scanner.last_event().map(EventName::as_str), Some("3"));
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -0,0 +1,26 @@
+//! Decisions of a gateway.
+
+mod budget;
+mod choice;
+mod events;
+mod routes;
+mod world;
+
+use amaranthgw_core::{MilliSpan, SlotCount, StoreRevision};
+use amaranthgw_fleet::gateway::{RegistryEntry, TargetRecord};
+
+/// An entry of the target `id` at `port`, written at `written`.
+fn entry(id: &str, port: u16, written: u64) -> RegistryEntry {
+    RegistryEntry {
+        record: TargetRecord {
+            target: id.parse().expect("target"),
+            service: "desk".parse().expect("service"),
+            address: ([10, 0, 0, 1], port).into(),
+            domain: "domain-a".parse().expect("domain"),
+            slots: SlotCount::new(4),
+            is_draining: false,
+            cold_left: MilliSpan::new(0),
+        },
+        written: StoreRevision::new(written),
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/it/gateway/routes.rs
@@ -0,0 +1,97 @@
+//! Routes and keys.
+
+use amaranthgw_core::{ConfigVersion, MilliSpan};
+use amaranthgw_fleet::gateway::{
+    KeyHolder, RouteKind, RouteMiss, RouteRow, RouteTable, SplitShare,
+};
+use yare::parameterized;
+
+fn row(name: &str, prefix: &str) -> RouteRow {
+    RouteRow {
+        route: name.parse().expect("route"),
+        host: "site.example".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: MilliSpan::new(1_000),
+        objective: MilliSpan::new(100),
+        event_gap: MilliSpan::new(0),
+        attempts: 2,
+        priority: 1,
+        is_public: name == "public",
+        is_resumable: false,
+        split: vec![SplitShare {
+            service: "desk".parse().expect("service"),
+            weight: 1,
+        }],
+    }
+}
+
+fn table() -> RouteTable {
+    let mut table = RouteTable::new(ConfigVersion::new(3));
+    for (name, prefix) in [("short", "/a/"), ("long", "/a/b/"), ("public", "/open/")] {
+        table.add_route(row(name, prefix));
+    }
+    table.add_key(
+        "secret".parse().expect("key"),
+        KeyHolder {
+            workspace: "school".parse().expect("workspace"),
+            priority: None,
+        },
+    );
+    table
+}
+
+#[parameterized(
+    longest = { "site.example", "/a/b/c", Some("long") },
+    shorter = { "site.example", "/a/c", Some("short") },
+    port = { "site.example:8080", "/a/c", Some("short") },
+    upper_case = { "SITE.example", "/a/c", Some("short") },
+    no_slash = { "site.example", "/a", None },
+    other_host = { "other.example", "/a/", None },
+)]
+fn route_by_host_and_prefix(host: &str, path: &str, expected: Option<&str>) {
+    let table = table();
+    let found = table.route(host, path);
+    assert_eq!(found.ok().map(|route| route.route.as_str()), expected);
+}
+
+#[test]
+fn route_before_config() {
+    let missed = RouteTable::default().route("site.example", "/a/").err();
+    assert_eq!(missed, Some(RouteMiss::NoConfig));
+}
+
+#[parameterized(
+    known = { "/a/", Some("secret"), Ok(Some("school")) },
+    unknown = { "/a/", Some("guess"), Err(RouteMiss::UnknownKey) },
+    none = { "/a/", None, Err(RouteMiss::UnknownKey) },
+    public = { "/open/", None, Ok(None) },
+    public_with_key = { "/open/", Some("secret"), Ok(Some("school")) },
+)]
+fn holder_of_key(path: &str, key: Option<&str>, expected: Result<Option<&str>, RouteMiss>) {
+    let table = table();
+    let route = table.route("site.example", path).expect("route");
+    let key = key.map(|key| key.parse().expect("key"));
+    let holder = table.holder(route, key.as_ref());
+    let found = holder.map(|holder| holder.map(|holder| holder.workspace.as_str()));
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn service_of_by_weight() {
+    let mut route = row("split", "/s/");
+    let share = |service: &str, weight| SplitShare {
+        service: service.parse().expect("service"),
+        weight,
+    };
+    route.split = vec![share("nine", 90), share("ten", 10), share("none", 0)];
+    let service = |draw| {
+        route
+            .service_of(draw)
+            .map(|service| service.as_str().to_owned())
+    };
+    assert_eq!(service(0.0).as_deref(), Some("nine"));
+    assert_eq!(service(0.89).as_deref(), Some("nine"));
+    assert_eq!(service(0.91).as_deref(), Some("ten"));
+    assert_eq!(service(0.999).as_deref(), Some("ten"));
+}
--- /dev/null
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -0,0 +1,144 @@
+//! What a gateway believes about targets, configurations and failure domains.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{ConfigVersion, RequestRate, StoreRevision, TickSchedule};
+use amaranthgw_fleet::gateway::{
+    FleetBounds, GatewayWorld, RegistryEntry, RouteTable, TargetShift, gateway_schedule,
+};
+use tokio::time::Instant;
+
+use super::entry;
+
+const RETURN_TIME: Duration = Duration::from_millis(2_500);
+
+fn world() -> GatewayWorld {
+    let bounds = FleetBounds {
+        retry_ratio: 0.2,
+        retry_slack: 96.0,
+        retry_window: Duration::from_secs(10),
+        return_time: RETURN_TIME,
+    };
+    GatewayWorld::new("domain-a".parse().expect("domain"), bounds)
+}
+
+fn served(world: &mut GatewayWorld, now: Instant) -> Vec<String> {
+    let snapshot = world.snapshot(now);
+    let targets = snapshot.targets.values().flatten();
+    let mut names: Vec<_> = targets
+        .map(|target| target.record.target.to_string())
+        .collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn adopt_registry_missing_is_gone() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("a", 1, 1), entry("b", 2, 2)], now);
+    let shifts = world.adopt_registry(vec![entry("a", 1, 3)], now);
+    assert_eq!(shifts, [TargetShift::Gone("b".parse().expect("target"))]);
+    assert_eq!(served(&mut world, now), ["a"]);
+}
+
+#[test]
+fn adopt_registry_lapsed_in_outage() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("a", 1, 1), entry("b", 2, 2)], now);
+    world.registry_failed();
+    // The store is back and has lost the entries; one comes back, the other does not.
+    assert!(world.adopt_registry(Vec::new(), now).is_empty());
+    assert_eq!(served(&mut world, now), ["a", "b"]);
+    let soon = now + RETURN_TIME / 2;
+    world.adopt_registry(vec![entry("a", 1, 9)], soon);
+    assert_eq!(served(&mut world, soon), ["a", "b"]);
+    let later = now + RETURN_TIME;
+    world.adopt_registry(vec![entry("a", 1, 9)], later);
+    assert_eq!(served(&mut world, later), ["a"]);
+}
+
+#[test]
+fn adopt_registry_newest_at_address() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("dead", 1, 4)], now);
+    let entries: Vec<RegistryEntry> = vec![entry("live", 1, 7), entry("dead", 1, 4)];
+    world.adopt_registry(entries, now);
+    assert_eq!(served(&mut world, now), ["live"]);
+}
+
+#[test]
+fn adopt_registry_displaced_in_outage() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("dead", 1, 4)], now);
+    world.registry_failed();
+    world.adopt_registry(vec![entry("live", 1, 7)], now);
+    assert_eq!(served(&mut world, now), ["live"]);
+}
+
+#[test]
+fn adopt_registry_draining() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("a", 1, 1)], now);
+    let mut leaving = entry("a", 1, 2);
+    leaving.record.is_draining = true;
+    let shifts = world.adopt_registry(vec![leaving], now);
+    assert_eq!(
+        shifts,
+        [TargetShift::Draining("a".parse().expect("target"))]
+    );
+    assert!(served(&mut world, now).is_empty());
+}
+
+#[test]
+fn adopt_routes_never_back() {
+    let mut world = world();
+    let routes = |version| Arc::new(RouteTable::new(ConfigVersion::new(version)));
+    assert!(world.adopt_routes(routes(7)));
+    assert!(!world.adopt_routes(routes(7)));
+    assert!(!world.adopt_routes(routes(3)));
+    assert_eq!(world.routes.version, ConfigVersion::new(7));
+}
+
+#[test]
+fn adopt_evacuated_never_back() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("a", 1, 1)], now);
+    let out = BTreeSet::from(["domain-a".parse().expect("domain")]);
+    assert!(world.adopt_evacuated(out, StoreRevision::new(9)));
+    assert!(served(&mut world, now).is_empty());
+    assert!(!world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(8)));
+    assert!(served(&mut world, now).is_empty());
+    assert!(world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(10)));
+    assert_eq!(served(&mut world, now), ["a"]);
+}
+
+#[test]
+fn gateway_schedule_forgets_peers() {
+    let (mut world, now) = (world(), Instant::now());
+    let mut schedule: TickSchedule<GatewayWorld> = gateway_schedule();
+    for vm in ["g-1", "g-2", "g-3"] {
+        world.see_peer(vm.parse().expect("vm"), now);
+    }
+    schedule.run(&mut world, now);
+    assert_eq!(world.snapshot(now).gateways, 4);
+    let later = now + Duration::from_secs(6);
+    world.see_peer("g-1".parse().expect("vm"), later);
+    schedule.run(&mut world, later);
+    assert!(world.is_changed);
+    assert_eq!(world.snapshot(later).gateways, 2);
+}
+
+#[test]
+fn cold_limit_shared() {
+    let (mut world, now) = (world(), Instant::now());
+    for vm in ["g-1", "g-2", "g-3"] {
+        world.see_peer(vm.parse().expect("vm"), now);
+    }
+    let snapshot = world.snapshot(now);
+    // Two windows of each of four gateways fit into a sliding second of half as much again.
+    let limit = snapshot.cold_limit(RequestRate::new(28));
+    assert!(limit * 4 * 2 <= 28 * 3 / 2 + 5, "{limit}");
+    assert_eq!(snapshot.cold_limit(RequestRate::new(0)), 1);
+}
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod drain;
 mod gate;
+mod gateway;
 mod limits;
 mod lists;
 mod retries;
--- a/crates/groups/src/levels/driver.rs
+++ b/crates/groups/src/levels/driver.rs
@@ -9,10 +9,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, GroupGeneration, MapVersion, RankId, StepNumber};
+use amaranthgw_core::{
+    FencingNumber, GroupGeneration, MapVersion, RankId, StepNumber, StoreRevision,
+};
 use tokio::time::Instant;
 
-use super::{ArmedMap, GroupPlacement, OrderReply, RankOrder, RankView};
+use super::{ArmedMap, GroupPlacement, LeadMark, OrderReply, RankOrder, RankView};
 
 /// Steps between the last one that began and the one at which the map changes: orders take some
 /// milliseconds, a step some tens.
@@ -23,8 +25,10 @@
 const CAREFUL_TIME: Duration = Duration::from_secs(6);
 /// Fencing numbers that one lease has room for.
 const FENCES_PER_LEASE: u64 = 4_096;
+/// Distance from the versions in use to one that no coordinator uses meanwhile.
+const UNUSED_VERSIONS: u64 = 1_000_000;
 /// Age at which a view no longer says enough of a rank to begin a switch.
-const VIEW_LIMIT: Duration = Duration::from_millis(300);
+const VIEW_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time for copying the weights of a map.
 const PREPARE_LIMIT: Duration = Duration::from_secs(6);
 /// Longest time from a hold until the switch is given up; with the time for clearing it stays
@@ -71,6 +75,8 @@
         /// The map.
         version: MapVersion,
     },
+    /// All ranks take an order that changes nothing, so that an earlier coordinator can do no more.
+    Fencing,
     /// All ranks are disarmed.
     Clearing {
         /// Ranks that are held, with the step of each.
@@ -94,6 +100,7 @@
             Self::Arming { .. } => "arming",
             Self::Releasing { .. } => "releasing",
             Self::Settling { .. } => "settling",
+            Self::Fencing => "fencing",
             Self::Clearing { .. } => "clearing",
             Self::Freeing { .. } => "freeing",
         }
@@ -136,11 +143,21 @@
     is_asked: bool,
 }
 
+/// What ranks show of switches that are under way.
+#[derive(Clone, Debug)]
+struct GroupLook {
+    is_previous_silent: bool,
+    held: BTreeMap<RankId, StepNumber>,
+    armed: Option<ArmedMap>,
+    are_all_armed: bool,
+}
+
 /// State of a coordinator towards the ranks of its group.
 #[derive(Clone, Debug)]
 pub struct SwitchDriver {
     own_rank: RankId,
-    previous: Option<RankId>,
+    previous: Option<LeadMark>,
+    settled_in: Option<GroupGeneration>,
     fence: FencingNumber,
     phase: SwitchPhase,
     phase_since: Instant,
@@ -149,6 +166,7 @@
     ranks: BTreeMap<RankId, RankRow>,
     odd_since: Option<Instant>,
     unanswered_at: Option<Instant>,
+    fenced_at: Option<Instant>,
     is_deposed: bool,
     notes: Vec<DriverNote>,
 }
@@ -161,6 +179,7 @@
         Self {
             own_rank,
             previous: None,
+            settled_in: None,
             fence: FencingNumber::new(lease.get().saturating_mul(FENCES_PER_LEASE)),
             phase: SwitchPhase::Idle,
             phase_since: now,
@@ -169,18 +188,30 @@
             ranks: BTreeMap::new(),
             odd_since: None,
             unanswered_at: None,
+            fenced_at: None,
             is_deposed: false,
             notes: Vec::new(),
         }
     }
 
-    /// Sets the rank beside the coordinator that led before, which may be silent together with it.
+    /// Sets the coordinator that led right before, with none between, whose rank may be silent
+    /// together with it.
     #[must_use]
-    pub const fn with_previous(mut self, previous: Option<RankId>) -> Self {
+    pub const fn with_previous(mut self, previous: Option<LeadMark>) -> Self {
         self.previous = previous;
         self
     }
 
+    /// What other agents should know of this coordinator, which led at the revision `known_at`.
+    #[must_use]
+    pub const fn mark(&self, known_at: StoreRevision) -> LeadMark {
+        LeadMark {
+            rank: self.own_rank,
+            known_at,
+            settled_in: self.settled_in,
+        }
+    }
+
     /// What the driver is doing.
     #[must_use]
     pub const fn phase(&self) -> &SwitchPhase {
@@ -203,8 +234,8 @@
         self.ranks.values().map(|row| &row.view)
     }
 
-    /// Takes the state of a rank as seen at `now`.
-    pub fn observe(&mut self, view: RankView, now: Instant) {
+    /// Takes the state of a rank that was asked for at `asked_at` and came by `now`.
+    pub fn observe(&mut self, view: RankView, asked_at: Instant, now: Instant) {
         let is_new_generation = self
             .ranks
             .values()
@@ -214,18 +245,19 @@
             let generation = view.generation;
             self.ranks
                 .retain(|_, row| row.view.generation >= generation);
+            self.settled_in = None;
             self.enter(SwitchPhase::Idle, now, "new_generation");
         }
         let rank = view.rank;
         if let Some(row) = self.ranks.get_mut(&rank) {
             if row.view.generation <= view.generation {
                 row.view = view;
-                row.viewed_at = now;
+                row.viewed_at = asked_at;
             }
         } else {
             let row = RankRow {
                 view,
-                viewed_at: now,
+                viewed_at: asked_at,
                 is_done: false,
                 is_asked: false,
             };
@@ -258,9 +290,12 @@
             row.view.is_open && now.saturating_duration_since(row.viewed_at) <= VIEW_LIMIT
         };
         let fresh = self.ranks.iter().filter(|(_, row)| is_fresh(row)).count();
-        let previous = self.previous.and_then(|rank| self.ranks.get(&rank));
-        self.previous.is_some_and(|rank| rank != self.own_rank)
-            && !previous.is_some_and(is_fresh)
+        let Some(mark) = self.previous.filter(|mark| mark.rank != self.own_rank) else {
+            return false;
+        };
+        // Only where it had raised its fencing number at every rank is what is held or armed its own.
+        mark.settled_in == Some(first.view.generation)
+            && !self.ranks.get(&mark.rank).is_some_and(is_fresh)
             && fresh + 1 == usize::from(first.view.size)
     }
 
@@ -318,6 +353,16 @@
         true
     }
 
+    /// The highest version that is known to be or to have been used.
+    fn known_version(&self) -> MapVersion {
+        let known = self.ranks.values().map(|row| {
+            let armed = row.view.armed.map(|armed| armed.version);
+            let prepared = row.view.prepared.max(armed).unwrap_or_default();
+            row.view.map.max(prepared)
+        });
+        known.max().unwrap_or_default().max(self.last_version)
+    }
+
     /// Orders that are due at `now`; each is out until its reply comes.
     pub fn due_orders(&mut self, now: Instant) -> Vec<DueOrder> {
         self.advance(now);
@@ -367,6 +412,9 @@
             SwitchPhase::Releasing { armed, holder } => {
                 (rank == *holder).then_some(RankOrder::Go { step: armed.step })
             }
+            SwitchPhase::Fencing => Some(RankOrder::Disarm {
+                version: MapVersion::new(self.known_version().get() + UNUSED_VERSIONS),
+            }),
             SwitchPhase::Clearing { .. } => Some(RankOrder::Disarm {
                 version: self.disarmed_version(rank),
             }),
@@ -387,7 +435,8 @@
     /// Takes the reply to an order.
     pub fn reply(&mut self, order: &DueOrder, reply: OrderReply, now: Instant) {
         if reply == OrderReply::Fenced {
-            self.is_deposed = true;
+            // Orders that were on their way when this driver raised its own number say nothing.
+            self.is_deposed |= order.fence == self.fence;
             return;
         }
         if order.round != self.round {
@@ -418,7 +467,8 @@
                 self.clear(held, now, "arm_refused");
             }
             // A map in use can't be disarmed, and a step that has begun needs no leave.
-            SwitchPhase::Clearing { .. }
+            SwitchPhase::Fencing
+            | SwitchPhase::Clearing { .. }
             | SwitchPhase::Releasing { .. }
             | SwitchPhase::Freeing { .. } => {
                 if let Some(row) = self.ranks.get_mut(&order.rank) {
@@ -514,6 +564,7 @@
                 }
             }
             SwitchPhase::Settling { version } => self.advance_settling(version, now),
+            SwitchPhase::Fencing => self.advance_fencing(spent, now),
             SwitchPhase::Clearing { held } => {
                 if self.all_done() {
                     self.enter(SwitchPhase::Freeing { held }, now, "disarmed");
@@ -528,12 +579,27 @@
     }
 
     fn advance_preparing(&mut self, version: MapVersion, spent: Duration, now: Instant) {
-        let is_prepared = |row: &RankRow| row.view.prepared == Some(version);
-        if self.ranks.values().all(is_prepared) && self.is_complete(now) {
+        if self.all_done() && self.fenced_at.is_none() {
+            self.fenced_at = Some(now);
+        }
+        // Once all ranks have taken an order of this coordinator, an earlier one can do no more:
+        // what is armed or held then is its last word.
+        let fenced_at = self.fenced_at;
+        let is_settled = |row: &RankRow| fenced_at.is_some_and(|at| row.viewed_at > at);
+        let is_prepared = |row: &RankRow| row.view.prepared == Some(version) && is_settled(row);
+        let is_left = |row: &RankRow| row.view.armed.is_some() || row.view.held.is_some();
+        if self
+            .ranks
+            .values()
+            .any(|row| is_settled(row) && is_left(row))
+        {
+            self.enter(SwitchPhase::Idle, now, "leftovers");
+        } else if self.ranks.values().all(is_prepared) && self.is_complete(now) {
             let began = self.ranks.values().map(|row| row.view.step).max();
             let step = StepNumber::new(began.unwrap_or_default().get() + self.lead_steps(now));
             let armed = ArmedMap { version, step };
             let holder = self.chosen_holder();
+            self.settled_in = self.ranks.values().next().map(|row| row.view.generation);
             self.enter(SwitchPhase::Holding { armed, holder }, now, "prepared");
         } else if spent > PREPARE_LIMIT {
             self.enter(SwitchPhase::Idle, now, "prepare_slow");
@@ -556,7 +622,8 @@
             .ranks
             .values()
             .all(|row| row.view.armed.is_none() && row.view.map != version);
-        if is_fresh && (is_partial || is_lost) {
+        let is_held = self.ranks.values().any(|row| row.view.held.is_some());
+        if is_fresh && (is_partial || is_lost || is_held) {
             self.after_skew(now, |driver| {
                 driver.enter(SwitchPhase::Idle, now, "not_switched");
             });
@@ -570,74 +637,107 @@
         first.is_some() && self.ranks.values().all(|row| row.view.armed == first)
     }
 
-    /// Completes or clears what an earlier coordinator, or an order carried out late, left.
-    fn look_for_leftovers(&mut self, now: Instant) {
-        let is_fresh = self
+    /// The rank that is left out where the coordinator before is silent.
+    fn silent_rank(&self, is_previous_silent: bool) -> Option<RankId> {
+        let previous = self.previous.filter(|_| is_previous_silent);
+        previous.map(|mark| mark.rank)
+    }
+
+    /// What the ranks that can be asked show, as asked for after `since`; `None` until all did.
+    fn look_since(&self, since: Instant, now: Instant) -> Option<GroupLook> {
+        let is_previous_silent = self.is_previous_missing(now);
+        let silent = self.silent_rank(is_previous_silent);
+        let rows: Vec<&RankRow> = self
             .ranks
             .values()
-            .all(|row| row.viewed_at > self.phase_since);
-        if self.is_previous_missing(now) {
-            self.clear_without_previous(now);
+            .filter(|row| Some(row.view.rank) != silent)
+            .collect();
+        let is_seen = rows.iter().all(|row| row.viewed_at > since);
+        if !is_seen || !(is_previous_silent || self.is_complete(now)) {
+            return None;
+        }
+        let held = rows
+            .iter()
+            .filter_map(|row| Some((row.view.rank, row.view.held?)));
+        Some(GroupLook {
+            is_previous_silent,
+            held: held.collect(),
+            armed: rows.iter().find_map(|row| row.view.armed),
+            are_all_armed: rows.iter().all(|row| row.view.armed.is_some()),
+        })
+    }
+
+    /// Begins to deal with what an earlier coordinator, or an order carried out late, left.
+    fn look_for_leftovers(&mut self, now: Instant) {
+        let Some(look) = self.look_since(self.phase_since, now) else {
             return;
+        };
+        if look.is_previous_silent && (look.held.is_empty() || look.are_all_armed) {
+            // Nothing to free, or the silent rank may be armed like the others.
+            self.odd_since = None;
+        } else if look.held.is_empty() && self.is_armed_alike() {
+            let version = look.armed.map_or(self.last_version, |armed| armed.version);
+            self.enter(SwitchPhase::Settling { version }, now, "armed_before");
+        } else if !look.held.is_empty() || look.armed.is_some() {
+            self.after_skew(now, |driver| {
+                driver.fence = driver.fence.next();
+                driver.enter(SwitchPhase::Fencing, now, "leftovers");
+            });
+        } else {
+            self.odd_since = None;
         }
-        if !self.is_complete(now) || !is_fresh {
+    }
+
+    /// Decides on the leftovers once no earlier coordinator can change them.
+    fn advance_fencing(&mut self, spent: Duration, now: Instant) {
+        let silent = self.silent_rank(self.is_previous_missing(now));
+        let mut others = self.ranks.iter().filter(|(rank, _)| Some(**rank) != silent);
+        if self.fenced_at.is_none() && others.all(|(_, row)| row.is_done) {
+            self.fenced_at = Some(now);
+        }
+        let Some(fenced_at) = self.fenced_at else {
+            if spent > PREPARE_LIMIT {
+                self.enter(SwitchPhase::Idle, now, "fencing_slow");
+            }
+            return;
+        };
+        let Some(look) = self.look_since(fenced_at, now) else {
+            return;
+        };
+        if look.is_previous_silent {
+            self.finish_without_previous(look, now);
             return;
         }
-        let armed = self.ranks.values().find_map(|row| row.view.armed);
-        let held: BTreeMap<RankId, StepNumber> = self
-            .ranks
-            .values()
-            .filter_map(|row| Some((row.view.rank, row.view.held?)))
-            .collect();
-        match armed {
-            None if held.is_empty() => self.odd_since = None,
-            None => self.after_skew(now, |driver| driver.clear(held, now, "held_unowned")),
-            Some(armed) => {
-                let holder = held.iter().find(|(_, step)| **step == armed.step);
-                if let Some((holder, _)) = holder {
-                    let holder = *holder;
-                    self.after_skew(now, |driver| {
-                        driver.fence = driver.fence.next();
-                        driver.enter(SwitchPhase::Arming { armed, holder }, now, "taken_over");
-                    });
-                } else if self.is_armed_alike() {
-                    let version = armed.version;
-                    self.enter(SwitchPhase::Settling { version }, now, "armed_before");
-                } else {
-                    let holder = self.chosen_holder();
-                    self.after_skew(now, |driver| {
-                        let phase = SwitchPhase::Holding { armed, holder };
-                        driver.enter(phase, now, "partly_armed");
-                    });
-                }
+        let Some(armed) = look.armed else {
+            let held = look.held;
+            self.enter(SwitchPhase::Freeing { held }, now, "held_unowned");
+            return;
+        };
+        let holder = look.held.iter().find(|(_, step)| **step == armed.step);
+        match holder.map(|(holder, _)| *holder) {
+            Some(holder) => self.enter(SwitchPhase::Arming { armed, holder }, now, "taken_over"),
+            None if self.is_armed_alike() => {
+                let version = armed.version;
+                self.enter(SwitchPhase::Settling { version }, now, "armed_before");
+            }
+            None => {
+                let holder = self.chosen_holder();
+                self.enter(SwitchPhase::Holding { armed, holder }, now, "partly_armed");
             }
         }
     }
 
     /// Clears a hold of the coordinator that led before while its own rank is silent with it: that
-    /// rank is not armed unless all others are.
-    fn clear_without_previous(&mut self, now: Instant) {
-        let previous = self.previous;
-        let others = self
-            .ranks
-            .values()
-            .filter(|row| Some(row.view.rank) != previous);
-        let held: BTreeMap<RankId, StepNumber> = others
-            .clone()
-            .filter_map(|row| Some((row.view.rank, row.view.held?)))
-            .collect();
-        let is_seen = others.clone().all(|row| row.viewed_at > self.phase_since);
-        let are_all_armed = others.clone().all(|row| row.view.armed.is_some());
-        if held.is_empty() || !is_seen || are_all_armed {
-            self.odd_since = None;
+    /// rank is armed last, so it is not armed and won't be while one other rank is not.
+    fn finish_without_previous(&mut self, look: GroupLook, now: Instant) {
+        if look.held.is_empty() || look.are_all_armed {
+            self.enter(SwitchPhase::Idle, now, "previous_unknown");
             return;
         }
-        self.after_skew(now, |driver| {
-            if let Some(previous) = previous {
-                driver.ranks.remove(&previous);
-            }
-            driver.clear(held, now, "previous_silent");
-        });
+        if let Some(previous) = self.previous {
+            self.ranks.remove(&previous.rank);
+        }
+        self.clear(look.held, now, "previous_silent");
     }
 
     /// Acts once the ranks have looked odd for longer than views taken one after the other can.
@@ -669,6 +769,7 @@
         self.phase_since = now;
         self.round += 1;
         self.odd_since = None;
+        self.fenced_at = None;
         for row in self.ranks.values_mut() {
             row.is_done = false;
             row.is_asked = false;
--- a/crates/groups/src/levels/rank.rs
+++ b/crates/groups/src/levels/rank.rs
@@ -1,6 +1,8 @@
 //! What a rank reports and the orders it takes.
 
-use amaranthgw_core::{GroupGeneration, GroupId, MapVersion, RankId, StartMark, StepNumber};
+use amaranthgw_core::{
+    GroupGeneration, GroupId, MapVersion, ParseError, RankId, StartMark, StepNumber, StoreRevision,
+};
 
 use super::GroupPlacement;
 
@@ -47,6 +49,43 @@
     pub experts: Vec<Vec<u16>>,
 }
 
+/// What an agent knows of the coordinator that asked it last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeadMark {
+    /// Rank beside the coordinator.
+    pub rank: RankId,
+    /// Revision of the store at which it certainly led.
+    pub known_at: StoreRevision,
+    /// Generation in which all ranks have taken its orders, so that no earlier one is obeyed.
+    pub settled_in: Option<GroupGeneration>,
+}
+
+impl std::fmt::Display for LeadMark {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.rank, self.known_at)?;
+        match self.settled_in {
+            Some(generation) => write!(f, ".{generation}"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl std::str::FromStr for LeadMark {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, ParseError> {
+        let mut parts = text.split('.');
+        let mut part = || parts.next().unwrap_or_default();
+        let (rank, known_at) = (part().parse()?, part().parse()?);
+        let settled_in = parts.next().map(str::parse).transpose()?;
+        Ok(Self {
+            rank,
+            known_at,
+            settled_in,
+        })
+    }
+}
+
 /// An order to one rank.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum RankOrder {
--- /dev/null
+++ b/crates/groups/tests/it/levels/model.rs
@@ -0,0 +1,322 @@
+//! A rank group that takes the platform's orders, late and lost ones too.
+
+use std::time::Duration;
+
+use amaranthgw_core::{
+    FencingNumber, GroupGeneration, MapVersion, RankId, StartMark, StepNumber, StoreRevision,
+};
+use amaranthgw_groups::levels::{
+    ArmedMap, DueOrder, GroupPlacement, OrderReply, RankOrder, RankView, SwitchDriver,
+};
+use tokio::time::Instant;
+
+pub(super) const RANKS: u16 = 4;
+
+/// Faults and protections of one run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ModelPlan {
+    /// Of a thousand orders, those that are carried out late and never answered.
+    pub(super) late: u32,
+    /// Of a thousand orders, those whose answer is lost.
+    pub(super) unanswered: u32,
+    /// Of a thousand actions, those that replace the coordinator.
+    pub(super) replaced: u32,
+    /// Of a thousand actions, those that break the group.
+    pub(super) broken: u32,
+    /// Whether ranks refuse orders with a lower fencing number.
+    pub(super) is_fenced: bool,
+    /// Whether a rank is held before a switch: off only to see the model notice it.
+    pub(super) has_hold: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ModelRank {
+    map: u64,
+    prepared: Option<u64>,
+    armed: Option<ArmedMap>,
+    held: Option<u64>,
+    highest: u64,
+    fence: u64,
+}
+
+/// One run: a group, its coordinators, and orders on their way.
+#[derive(Debug)]
+pub(super) struct GroupModel {
+    plan: ModelPlan,
+    random: fastrand::Rng,
+    now: Instant,
+    generation: u64,
+    step: u64,
+    ranks: Vec<ModelRank>,
+    /// The coordinator that leads and those that do not know yet that they no longer do.
+    drivers: Vec<SwitchDriver>,
+    lease: u64,
+    sent: Vec<(usize, DueOrder)>,
+    late: Vec<DueOrder>,
+    pub(super) switches: u32,
+    pub(super) mixed_step: Option<u64>,
+}
+
+impl GroupModel {
+    pub(super) fn new(seed: u64, plan: ModelPlan) -> Self {
+        let mut model = Self {
+            plan,
+            random: fastrand::Rng::with_seed(seed),
+            now: Instant::now(),
+            generation: 1,
+            step: 0,
+            ranks: vec![ModelRank::default(); RANKS.into()],
+            drivers: Vec::new(),
+            lease: 0,
+            sent: Vec::new(),
+            late: Vec::new(),
+            switches: 0,
+            mixed_step: None,
+        };
+        model.elect();
+        model
+    }
+
+    /// Runs `actions` random ones.
+    pub(super) fn run(&mut self, actions: u32) {
+        for _ in 0..actions {
+            self.now += Duration::from_millis(self.random.u64(1..25));
+            if self.chance(self.plan.replaced) {
+                self.elect();
+            }
+            if self.chance(self.plan.broken) {
+                self.break_group();
+            }
+            match self.random.u32(0..10) {
+                0..=1 => self.pass(),
+                2..=4 => self.look(),
+                5 => self.start(),
+                6 => self.carry_out_late(),
+                _ => self.deliver(),
+            }
+        }
+    }
+
+    /// Ends all faults and lets the newest coordinator work; gives whether the group is calm.
+    pub(super) fn settle(&mut self) -> bool {
+        self.plan = ModelPlan {
+            late: 0,
+            unanswered: 0,
+            replaced: 0,
+            broken: 0,
+            ..self.plan
+        };
+        self.elect();
+        let newest = self.drivers.len() - 1;
+        self.drivers.drain(..newest);
+        self.sent.clear();
+        for _ in 0..4_000 {
+            self.now += Duration::from_millis(5);
+            match self.random.u32(0..4) {
+                0 => self.pass(),
+                1 => self.look(),
+                2 if !self.late.is_empty() => self.carry_out_late(),
+                _ => self.deliver(),
+            }
+        }
+        let is_calm = |rank: &ModelRank| rank.armed.is_none() && rank.held.is_none();
+        self.ranks.iter().all(is_calm)
+    }
+
+    fn chance(&mut self, of_thousand: u32) -> bool {
+        self.random.u32(0..1_000) < of_thousand
+    }
+
+    fn elect(&mut self) {
+        let previous = self.drivers.last();
+        let previous = previous.map(|driver| driver.mark(StoreRevision::default()));
+        self.lease += 1;
+        let own = RankId::new(own_rank(self.lease));
+        let driver = SwitchDriver::new(own, FencingNumber::new(self.lease), self.now);
+        self.drivers.push(driver.with_previous(previous));
+        if self.drivers.len() > 3 {
+            self.drivers.remove(0);
+            self.sent.retain(|(driver, _)| *driver > 0);
+            for (driver, _) in &mut self.sent {
+                *driver -= 1;
+            }
+        }
+    }
+
+    fn break_group(&mut self) {
+        self.generation += 1;
+        let kept = |rank: &ModelRank| ModelRank {
+            highest: rank.highest,
+            fence: rank.fence,
+            ..ModelRank::default()
+        };
+        self.ranks = self.ranks.iter().map(kept).collect();
+    }
+
+    /// Begins the next step unless a rank is held before it.
+    fn pass(&mut self) {
+        let next = self.step + 1;
+        if self.ranks.iter().any(|rank| rank.held == Some(next)) {
+            return;
+        }
+        self.step = next;
+        for rank in &mut self.ranks {
+            if rank.armed.is_some_and(|armed| armed.step.get() == next) {
+                rank.map = rank.armed.take().expect("armed").version.get();
+                rank.prepared = None;
+                self.switches += 1;
+            }
+        }
+        let first = self.ranks[0].map;
+        if self.ranks.iter().any(|rank| rank.map != first) {
+            self.mixed_step = self.mixed_step.or(Some(next));
+        }
+    }
+
+    fn view(&self, index: usize) -> RankView {
+        let rank = &self.ranks[index];
+        RankView {
+            group: "g".parse().expect("group"),
+            generation: GroupGeneration::new(self.generation),
+            rank: RankId::new(u16::try_from(index).expect("rank")),
+            size: RANKS,
+            is_open: true,
+            born: StartMark::new(1),
+            step: StepNumber::new(self.step),
+            map: MapVersion::new(rank.map),
+            prepared: rank.prepared.map(MapVersion::new),
+            armed: rank.armed,
+            held: rank.held.map(StepNumber::new),
+            pace_milli: 1_000,
+            counts: Vec::new(),
+            experts: Vec::new(),
+        }
+    }
+
+    /// A coordinator looks at most of the ranks and gives the orders that are due.
+    fn look(&mut self) {
+        let driver = self.random.usize(0..self.drivers.len());
+        for index in 0..self.ranks.len() {
+            if self.random.u32(0..10) > 0 {
+                let view = self.view(index);
+                self.drivers[driver].observe(view, self.now, self.now);
+            }
+        }
+        self.give(driver);
+    }
+
+    fn give(&mut self, driver: usize) {
+        let due = self.drivers[driver].due_orders(self.now);
+        self.sent
+            .extend(due.into_iter().map(|order| (driver, order)));
+    }
+
+    fn start(&mut self) {
+        let driver = self.random.usize(0..self.drivers.len());
+        self.drivers[driver].start(GroupPlacement::initial(1, 8, RANKS.into()), self.now);
+        self.give(driver);
+    }
+
+    /// One order reaches its rank, or is put off.
+    fn deliver(&mut self) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let at = self.random.usize(0..self.sent.len());
+        let (driver, order) = self.sent.swap_remove(at);
+        let reply = if self.chance(self.plan.late) {
+            self.late.push(order.clone());
+            OrderReply::Unanswered
+        } else if self.chance(self.plan.unanswered) {
+            self.carry_out(&order);
+            OrderReply::Unanswered
+        } else {
+            self.carry_out(&order)
+        };
+        self.drivers[driver].reply(&order, reply, self.now);
+        self.give(driver);
+    }
+
+    fn carry_out_late(&mut self) {
+        if self.late.is_empty() {
+            return;
+        }
+        let at = self.random.usize(0..self.late.len());
+        let order = self.late.swap_remove(at);
+        self.carry_out(&order);
+    }
+
+    fn carry_out(&mut self, due: &DueOrder) -> OrderReply {
+        let is_current = due.generation.get() == self.generation;
+        let (step, has_hold, is_fenced) = (self.step, self.plan.has_hold, self.plan.is_fenced);
+        let rank = &mut self.ranks[usize::from(due.rank.get())];
+        if is_fenced && due.fence.get() < rank.fence {
+            return OrderReply::Fenced;
+        }
+        rank.fence = rank.fence.max(due.fence.get());
+        if !is_current {
+            return OrderReply::Conflict;
+        }
+        if rank.take(&due.order, step, has_hold) {
+            OrderReply::Accepted
+        } else {
+            OrderReply::Conflict
+        }
+    }
+}
+
+fn own_rank(lease: u64) -> u16 {
+    u16::try_from(lease % u64::from(RANKS)).expect("rank")
+}
+
+impl ModelRank {
+    /// Carries an order out; `false` where it does not fit the state.
+    fn take(&mut self, order: &RankOrder, step: u64, has_hold: bool) -> bool {
+        match order {
+            RankOrder::Prepare { version, .. } => {
+                let version = version.get();
+                if self.prepared == Some(version) {
+                    return true;
+                }
+                if version <= self.highest || self.armed.is_some() {
+                    return false;
+                }
+                self.highest = version;
+                self.prepared = Some(version);
+            }
+            RankOrder::Arm(armed) => {
+                if self.armed == Some(*armed) {
+                    return true;
+                }
+                let is_prepared = self.prepared == Some(armed.version.get());
+                if !is_prepared || armed.step.get() <= step || self.armed.is_some() {
+                    return false;
+                }
+                self.armed = Some(*armed);
+            }
+            RankOrder::Disarm { version } => {
+                if self.map == version.get() {
+                    return false;
+                }
+                if self.armed.is_some_and(|armed| armed.version == *version) {
+                    self.armed = None;
+                }
+            }
+            RankOrder::Hold { step: held } => {
+                if held.get() <= step {
+                    return false;
+                }
+                if has_hold {
+                    self.held = Some(held.get());
+                }
+            }
+            RankOrder::Go { step: held } => {
+                if self.held != Some(held.get()) {
+                    return false;
+                }
+                self.held = None;
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/groups/tests/it/levels/planner.rs
@@ -0,0 +1,110 @@
+//! Placements that level the ranks with few copies.
+
+use amaranthgw_groups::levels::{GroupPlacement, PlannerInput, PlannerLimits, plan_change};
+use proptest::prelude::*;
+
+const LIMITS: PlannerLimits = PlannerLimits {
+    places: 11,
+    new_per_set: 4,
+    new_per_rank: 4,
+    level: 1.08,
+    least_gain: 0.02,
+};
+const RANKS: usize = 12;
+const EXPERTS: usize = 96;
+
+/// Demand with a few experts that get much of it.
+fn skewed(random: &mut fastrand::Rng) -> Vec<f64> {
+    let mut demand: Vec<f64> = (0..EXPERTS).map(|_| random.f64() * 0.3).collect();
+    for _ in 0..8 {
+        demand[random.usize(0..EXPERTS)] += 2.0 + random.f64() * 3.0;
+    }
+    let sum: f64 = demand.iter().sum();
+    demand.into_iter().map(|load| load / sum).collect()
+}
+
+fn input<'a>(
+    placement: &'a GroupPlacement,
+    demand: &'a [Vec<f64>],
+    pace: &'a [f64],
+) -> PlannerInput<'a> {
+    PlannerInput {
+        placement,
+        demand,
+        lasting: demand,
+        pace,
+    }
+}
+
+proptest! {
+    #[test]
+    fn plan_change_within_limits(seed in any::<u64>()) {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut placement = GroupPlacement::initial(3, EXPERTS, RANKS);
+        for _ in 0..4 {
+            let demand: Vec<_> = (0..3).map(|_| skewed(&mut random)).collect();
+            let planned = plan_change(input(&placement, &demand, &[1.0; RANKS]), &LIMITS);
+            let Some(change) = planned else { continue };
+            prop_assert!(change.after < change.before);
+            let mut copies = [0; RANKS];
+            for (old, new) in placement.sets.iter().zip(&change.placement.sets) {
+                prop_assert!(new.is_complete(EXPERTS));
+                for (rank, (old, new)) in old.ranks.iter().zip(&new.ranks).enumerate() {
+                    prop_assert!(new.len() <= LIMITS.places);
+                    let fresh = new.iter().filter(|expert| !old.contains(expert)).count();
+                    prop_assert!(fresh <= LIMITS.new_per_set);
+                    copies[rank] += fresh;
+                    let mut unique = new.clone();
+                    unique.sort_unstable();
+                    unique.dedup();
+                    prop_assert_eq!(unique.len(), new.len());
+                }
+            }
+            prop_assert!(copies.iter().all(|copies| *copies <= LIMITS.new_per_rank));
+            placement = change.placement;
+        }
+    }
+
+    #[test]
+    fn plan_change_reaches_level(seed in any::<u64>()) {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let demand = vec![skewed(&mut random)];
+        let mut placement = GroupPlacement::initial(1, EXPERTS, RANKS);
+        for _ in 0..6 {
+            if let Some(change) = plan_change(input(&placement, &demand, &[1.0; RANKS]), &LIMITS) {
+                placement = change.placement;
+            }
+        }
+        let imbalance = placement.imbalance(&demand, &[1.0; RANKS]);
+        prop_assert!(imbalance < 1.5, "{imbalance}");
+    }
+}
+
+#[test]
+fn plan_change_level_already() {
+    let placement = GroupPlacement::initial(1, EXPERTS, RANKS);
+    let demand = vec![vec![1.0; EXPERTS]];
+    assert_eq!(
+        plan_change(input(&placement, &demand, &[1.0; RANKS]), &LIMITS),
+        None
+    );
+}
+
+#[test]
+fn plan_change_relieves_slow_rank() {
+    let placement = GroupPlacement::initial(1, EXPERTS, RANKS);
+    let demand = vec![vec![1.0; EXPERTS]];
+    let mut pace = [1.0; RANKS];
+    pace[3] = 2.0;
+    let change = plan_change(input(&placement, &demand, &pace), &LIMITS).expect("change");
+    let loads = change.placement.sets[0].loads(&demand[0]);
+    assert!(loads[3] < 8.0 - 1.0, "{loads:?}");
+    assert!(change.after < change.before);
+}
+
+#[test]
+fn imbalance_without_load() {
+    let placement = GroupPlacement::initial(1, 4, 2);
+    let imbalance = placement.imbalance(&[vec![0.0; 4]], &[]);
+    assert!((imbalance - 1.0).abs() < f64::EPSILON);
+}
--- a/crates/groups/tests/it/main.rs
+++ b/crates/groups/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of this crate.
 
 mod agreement;
+mod levels;
 mod orders;
 mod placement;
--- a/crates/standins/src/http/call.rs
+++ b/crates/standins/src/http/call.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -45,6 +46,16 @@
         self.head.method.as_str()
     }
 
+    /// Method and path with query.
+    pub(crate) fn line(&self) -> CompactString {
+        format_compact!("{} {}", self.head.method, self.head.uri)
+    }
+
+    /// The headers.
+    pub(crate) const fn headers(&self) -> &HeaderMap {
+        &self.head.headers
+    }
+
     /// The parts of the path between its slashes.
     pub(crate) fn segments(&self) -> Vec<&str> {
         let path = self.head.uri.path();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,6 +18,7 @@
 mod run;
 mod running;
 mod settings;
+pub mod site;
 mod store;
 mod units;
 mod vms;
--- /dev/null
+++ b/crates/standins/src/site/mod.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the users' platform: its metadata store and the servers behind it.
+//!
+//! Tests change their state and faults directly through shared handles.
+
+mod store;
+mod target;
+
+pub use store::{SiteStore, StoreFault};
+pub use target::{SiteRun, SiteTarget, TargetBehaviour};
--- /dev/null
+++ b/crates/standins/src/site/store.rs
@@ -0,0 +1,358 @@
+//! The platform's metadata store.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use compact_str::CompactString;
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::error::Result;
+use crate::http::{
+    Call, CallError, CallHandler, ConnectionSwitch, NoAnswer, Reply, ReplyFuture, ReplyResult,
+    bind, empty_reply, json_reply, serve,
+};
+use crate::lock::lock;
+use crate::running::{RunningStandin, Standin};
+
+/// Pause between two looks of a waiting watch.
+const WATCH_PAUSE: Duration = Duration::from_millis(5);
+
+/// How the store treats its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It turns every call away.
+    Busy,
+    /// It closes connections without an answer.
+    Silent,
+    /// It writes and gives no answer to the write.
+    LosesAnswers,
+}
+
+#[derive(Clone, Debug)]
+struct ItemRow {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Debug)]
+struct ChangeRow {
+    revision: u64,
+    key: CompactString,
+    item: Option<ItemRow>,
+}
+
+#[derive(Debug, Default)]
+struct SiteWorld {
+    revision: u64,
+    items: BTreeMap<CompactString, ItemRow>,
+    history: Vec<ChangeRow>,
+    forgotten: u64,
+    leases: HashMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// Stand-in for the platform's metadata store.
+#[derive(Clone, Debug, Default)]
+pub struct SiteStore {
+    world: Arc<Mutex<SiteWorld>>,
+}
+
+impl SiteStore {
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Writes `value` under `key` as an operator or a server does.
+    pub fn put(&self, key: &str, value: &Value) {
+        lock(&self.world).put(key.into(), value.to_string().into_bytes(), 0);
+    }
+
+    /// Writes bytes that may be anything.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        lock(&self.world).put(key.into(), value.to_vec(), 0);
+    }
+
+    /// Removes `key`.
+    pub fn remove(&self, key: &str) {
+        lock(&self.world).remove(&key.into());
+    }
+
+    /// Changes how callers are treated.
+    pub fn set_fault(&self, fault: StoreFault) {
+        lock(&self.world).fault = fault;
+    }
+
+    /// Forgets all history.
+    pub fn compact(&self) {
+        let mut world = lock(&self.world);
+        world.forgotten = world.revision;
+        world.history.clear();
+    }
+
+    /// Calls received so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        lock(&self.world).calls
+    }
+
+    /// The value under `key`.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let mut world = lock(&self.world);
+        world.expire();
+        world.items.get(key).map(|item| item.value.clone())
+    }
+
+    async fn answer(&self, call: &Call) -> ReplyResult {
+        let fault = {
+            let mut world = lock(&self.world);
+            world.calls += 1;
+            world.expire();
+            world.fault
+        };
+        match fault {
+            StoreFault::Busy => return Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE)),
+            StoreFault::Silent => return Err(NoAnswer),
+            StoreFault::None | StoreFault::LosesAnswers => {}
+        }
+        if call.segments().as_slice() == ["kv-watch"] {
+            return Ok(self.watch(call).await.unwrap_or_else(|error| error.reply()));
+        }
+        let reply = lock(&self.world).answer(call);
+        if call.method() == "POST" && fault == StoreFault::LosesAnswers {
+            return Err(NoAnswer);
+        }
+        Ok(reply.unwrap_or_else(|error| error.reply()))
+    }
+
+    async fn watch(&self, call: &Call) -> std::result::Result<Reply, CallError> {
+        let prefix: CompactString = call.required_query("prefix")?;
+        let after: u64 = call.required_query("after")?;
+        let wait: u64 = call.required_query("wait_ms")?;
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            let told = lock(&self.world).changes(&prefix, after);
+            match told {
+                None => return Ok(empty_reply(StatusCode::GONE)),
+                Some((events, as_of)) if !events.is_empty() || Instant::now() >= until => {
+                    let body = json!({ "events": events, "as_of": as_of });
+                    return Ok(json_reply(StatusCode::OK, &body));
+                }
+                Some(_) => sleep(WATCH_PAUSE).await,
+            }
+        }
+    }
+}
+
+impl Standin for SiteStore {
+    fn start(&self, listen: SocketAddr) -> Result<RunningStandin> {
+        let (listener, address) = bind(listen)?;
+        let handler = Arc::new(SiteStoreHandler {
+            store: self.clone(),
+        });
+        let running = RunningStandin::new().with_address(address);
+        Ok(running.with_task(serve(listener, handler, ConnectionSwitch::new())))
+    }
+}
+
+#[derive(Debug)]
+struct SiteStoreHandler {
+    store: SiteStore,
+}
+
+impl CallHandler for SiteStoreHandler {
+    fn handle(self: Arc<Self>, call: Call) -> ReplyFuture {
+        Box::pin(async move { self.store.answer(&call).await })
+    }
+}
+
+#[derive(Deserialize)]
+struct TxnBody {
+    #[serde(default)]
+    expect: Vec<ExpectRow>,
+    #[serde(default)]
+    puts: Vec<PutRow>,
+    #[serde(default)]
+    deletes: Vec<CompactString>,
+}
+
+#[derive(Deserialize)]
+struct ExpectRow {
+    key: CompactString,
+    rev: u64,
+}
+
+#[derive(Deserialize)]
+struct PutRow {
+    key: CompactString,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    ttl_ms: u64,
+}
+
+impl SiteWorld {
+    fn answer(&mut self, call: &Call) -> std::result::Result<Reply, CallError> {
+        let as_of = self.revision;
+        Ok(match (call.method(), call.segments().as_slice()) {
+            ("GET", ["kv-key"]) => {
+                let key: CompactString = call.required_query("key")?;
+                match self.items.get(&key) {
+                    Some(item) => json_reply(StatusCode::OK, &item_json(&key, item)),
+                    None => empty_reply(StatusCode::NOT_FOUND),
+                }
+            }
+            ("GET", ["kv-range"]) => {
+                let prefix: CompactString = call.required_query("prefix")?;
+                let rows = self
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&*prefix));
+                let entries: Vec<_> = rows.map(|(key, item)| item_json(key, item)).collect();
+                let body = json!({ "entries": entries, "has_more": false, "as_of": as_of });
+                json_reply(StatusCode::OK, &body)
+            }
+            ("POST", ["kv-lease"]) => {
+                let lasts = Duration::from_millis(call.json::<LeaseBody>()?.ttl_ms);
+                self.next_lease += 1;
+                self.leases
+                    .insert(self.next_lease, (Instant::now() + lasts, lasts));
+                lease_reply(self.next_lease, lasts)
+            }
+            ("POST", ["kv-keep", lease]) => {
+                let lease = lease.parse().unwrap_or_default();
+                match self.leases.get_mut(&lease) {
+                    Some((until, lasts)) => {
+                        *until = Instant::now() + *lasts;
+                        lease_reply(lease, *lasts)
+                    }
+                    None => empty_reply(StatusCode::NOT_FOUND),
+                }
+            }
+            ("DELETE", ["kv-lease-end", lease]) => {
+                self.end_lease(lease.parse().unwrap_or_default());
+                empty_reply(StatusCode::OK)
+            }
+            ("POST", ["kv-txn"]) => self.commit(call.json()?),
+            _ => empty_reply(StatusCode::NOT_FOUND),
+        })
+    }
+
+    fn commit(&mut self, body: TxnBody) -> Reply {
+        let revision = |key: &CompactString| self.items.get(key).map_or(0, |item| item.revision);
+        if body.expect.iter().any(|row| revision(&row.key) != row.rev) {
+            return empty_reply(StatusCode::PRECONDITION_FAILED);
+        }
+        let has_lease = |row: &PutRow| row.lease == 0 || self.leases.contains_key(&row.lease);
+        if !body.puts.iter().all(has_lease) {
+            return empty_reply(StatusCode::NOT_FOUND);
+        }
+        for row in body.puts {
+            let value = STANDARD.decode(&row.value).unwrap_or_default();
+            self.put(row.key, value, row.lease);
+        }
+        for key in body.deletes {
+            self.remove(&key);
+        }
+        json_reply(StatusCode::OK, &json!({ "rev": self.revision }))
+    }
+
+    fn put(&mut self, key: CompactString, value: Vec<u8>, lease: u64) {
+        self.revision += 1;
+        let revision = self.revision;
+        let item = ItemRow {
+            value,
+            revision,
+            lease,
+        };
+        self.history.push(ChangeRow {
+            revision,
+            key: key.clone(),
+            item: Some(item.clone()),
+        });
+        self.items.insert(key, item);
+    }
+
+    fn remove(&mut self, key: &CompactString) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push(ChangeRow {
+                revision: self.revision,
+                key: key.clone(),
+                item: None,
+            });
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let held = self.items.iter().filter(|(_, item)| item.lease == lease);
+        let keys: Vec<CompactString> = held.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Changes under `prefix` since `after`; `None` where they are forgotten.
+    fn changes(&self, prefix: &str, after: u64) -> Option<(Vec<Value>, u64)> {
+        if after < self.forgotten {
+            return None;
+        }
+        let changes = self.history.iter();
+        let told = changes.filter(|row| row.revision > after && row.key.starts_with(prefix));
+        let events = told.map(|row| match &row.item {
+            Some(item) => item_json(&row.key, item),
+            None => json!({ "key": row.key, "rev": row.revision, "tombstone": true }),
+        });
+        Some((events.collect(), self.revision))
+    }
+}
+
+fn item_json(key: &str, item: &ItemRow) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(&item.value),
+        "rev": item.revision,
+        "create_revision": item.revision,
+        "lease": item.lease,
+    })
+}
+
+fn lease_reply(lease: u64, lasts: Duration) -> Reply {
+    json_reply(
+        StatusCode::OK,
+        &json!({ "lease": lease, "ttl_ms": lasts.as_millis() }),
+    )
+}
