--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -181,6 +181,9 @@
                     return Err(self.unknown());
                 }
             }
+            if matches!(failure, AttemptFailure::NotRun(StatusCode::SERVICE_UNAVAILABLE)) {
+                self.wait_after_refusal().await;
+            }
             if matches!(failure, AttemptFailure::Unsent(_)) && self.misses < MAX_MISSES {
                 // Nothing arrived, so the next send is no repeat.
                 self.misses += 1;
@@ -189,13 +192,26 @@
         }
     }
 
-    /// Waits a moment for a target that takes the request; `false` where it waited long enough.
-    async fn wait_for_capacity(&mut self) -> bool {
-        let limit = match self.call.route.kind {
+    /// Waits before the next send, as targets that turn requests away mostly do so together.
+    async fn wait_after_refusal(&mut self) {
+        let pause = self.capacity_wait() / MAX_SENDS;
+        if self.sends < MAX_SENDS && self.waited < self.capacity_wait() {
+            self.waited += pause;
+            sleep(pause).await;
+        }
+    }
+
+    /// Longest time that the request waits for a target that takes it.
+    fn capacity_wait(&self) -> Duration {
+        match self.call.route.kind {
             RouteKind::Streaming => STREAM_CAPACITY_WAIT,
             RouteKind::Idempotent | RouteKind::NonIdempotent => PLAIN_CAPACITY_WAIT,
-        };
-        if self.sends >= MAX_SENDS || self.waited >= limit {
+        }
+    }
+
+    /// Waits a moment for a target that takes the request; `false` where it waited long enough.
+    async fn wait_for_capacity(&mut self) -> bool {
+        if self.sends >= MAX_SENDS || self.waited >= self.capacity_wait() {
             return false;
         }
         self.waited += CAPACITY_LOOK_PAUSE;
