--- a/crates/amaranthgw/src/agent/beside.rs
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -35,12 +35,14 @@
         }
     }
 
-    /// State of the rank with counts and experts.
-    pub(super) async fn read(&self) -> Result<RankView> {
+    /// State of the rank with its experts and, where `has_counts`, the counts.
+    pub(super) async fn read(&self, has_counts: bool) -> Result<RankView> {
         let report = self.client.report(BESIDE_LIMIT).await?;
         let mut view = report.ok_or(AgentError::NoGroup)?;
-        let counts = self.client.counts(view.generation, BESIDE_LIMIT).await?;
-        view.counts = counts.unwrap_or_default();
+        if has_counts {
+            let counts = self.client.counts(view.generation, BESIDE_LIMIT).await?;
+            view.counts = counts.unwrap_or_default();
+        }
         view.experts = self.experts(view.generation, view.map).await?;
         Ok(view)
     }
--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -19,7 +19,7 @@
 
 use super::AgentError;
 use super::election::WonLease;
-use super::link::{PassedOrder, SharedLink};
+use super::link::{PassedOrder, SharedLink, ViewAsk};
 use super::roster::{RankRoster, list_ranks, read_shape};
 use crate::telemetry::{EventLog, NodeEvent};
 
@@ -27,10 +27,14 @@
 const CALM_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks while weights are copied or a switch settles.
 const BUSY_PAUSE: Duration = Duration::from_millis(50);
+/// The least pause for each rank of a group, so that looks leave most of a link of 8 Mbit/s free.
+const PAUSE_PER_RANK: Duration = Duration::from_millis(4);
 /// Pause between two reads of the registry while ranks are missing.
 const SEARCH_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two reads of the registry while all ranks are there.
 const ROSTER_PAUSE: Duration = Duration::from_secs(5);
+/// Counts read in one look at all ranks: some five bytes each, over links of 8 Mbit/s and more.
+const COUNTS_PER_LOOK: usize = 12_000;
 /// Imbalance below which a set is left as it is.
 const LEVEL_IMBALANCE: f64 = 1.08;
 /// Part of the mean load that one more copied expert must take off the largest load.
@@ -71,6 +75,12 @@
     shape: Option<ExpertShape>,
     demand: Option<ExpertDemand>,
     links: HashMap<amaranthgw_core::RankId, SharedLink>,
+    /// Ranks of this group, and of other groups of the service.
+    members: HashSet<SocketAddr>,
+    strangers: HashSet<SocketAddr>,
+    searched_at: Option<Instant>,
+    counted_at: Option<Instant>,
+    looks: usize,
     unseen: HashSet<SocketAddr>,
     /// Revision of the store at which this agent certainly led.
     known_at: StoreRevision,
@@ -103,6 +113,11 @@
             shape: None,
             demand: None,
             links: HashMap::new(),
+            members: HashSet::new(),
+            strangers: HashSet::new(),
+            searched_at: None,
+            counted_at: None,
+            looks: 0,
             unseen: HashSet::new(),
             known_at: StoreRevision::new(won.fence.get()),
             placement: None,
@@ -121,7 +136,7 @@
         while !self.driver.is_deposed() {
             let now = Instant::now();
             if now >= look_at {
-                self.look();
+                self.look(now);
                 look_at = now + self.pause();
             }
             tokio::select! {
@@ -162,6 +177,8 @@
         if let Some((ranks, as_of)) = ranks {
             self.known_at = self.known_at.max(as_of);
             self.roster.adopt(&ranks);
+            // A group may have formed with other ranks meanwhile.
+            self.strangers.clear();
         }
         let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
         self.refresh(if is_complete {
@@ -174,19 +191,39 @@
     fn pause(&self) -> Duration {
         match self.driver.phase() {
             SwitchPhase::Idle => CALM_PAUSE,
-            _ => BUSY_PAUSE,
+            _ => BUSY_PAUSE.max(PAUSE_PER_RANK * u32::try_from(self.members.len()).unwrap_or(1)),
         }
     }
 
-    /// Asks every rank for its state.
-    fn look(&self) {
-        for (rank, link) in self.roster.links() {
+    /// Asks the ranks of the group for their state, and those of unknown groups now and then.
+    fn look(&mut self, now: Instant) {
+        let is_counting = self.counted_at.is_none_or(|at| now >= at + CALM_PAUSE);
+        if is_counting {
+            self.counted_at = Some(now);
+            self.looks += 1;
+        }
+        let is_search = self.searched_at.is_none_or(|at| now >= at + SEARCH_PAUSE);
+        if is_search {
+            self.searched_at = Some(now);
+        }
+        let stride = self.count_stride();
+        let mark = self.driver.mark(self.known_at);
+        for (index, (rank, link)) in self.roster.links().enumerate() {
+            let is_other = self.strangers.contains(rank);
+            let is_known = self.members.contains(rank);
+            if is_other || !(is_known || is_search) {
+                continue;
+            }
+            let has_counts = is_counting && is_known && (index + self.looks).is_multiple_of(stride);
             let (rank, link, events) = (*rank, Arc::clone(link), self.events.clone());
-            let (asked_at, mark) = (Instant::now(), self.driver.mark(self.known_at));
             tokio::spawn(async move {
-                let event = match link.view(mark).await {
+                let event = match link.view(ViewAsk { mark, has_counts }).await {
                     Ok(view) => {
-                        LinkEvent::Seen(rank, Arc::clone(&link), SeenRank { view, asked_at })
+                        let seen = SeenRank {
+                            view,
+                            asked_at: now,
+                        };
+                        LinkEvent::Seen(rank, Arc::clone(&link), seen)
                     }
                     Err(error) => LinkEvent::Unseen(rank, error),
                 };
@@ -196,16 +233,31 @@
         }
     }
 
+    /// Looks among which the counts of all ranks are spread.
+    fn count_stride(&self) -> usize {
+        let numbers = self.shape.map_or(0, |shape| shape.sets * shape.experts);
+        (numbers * self.members.len())
+            .div_ceil(COUNTS_PER_LOOK)
+            .max(1)
+    }
+
     fn take(&mut self, event: LinkEvent) {
         let now = Instant::now();
         match event {
             LinkEvent::Seen(address, link, seen) if seen.view.group == self.group => {
                 self.note_seen(address, None);
+                self.members.insert(address);
                 self.links.insert(seen.view.rank, link);
                 self.driver.observe(seen.view, seen.asked_at, now);
             }
-            LinkEvent::Seen(..) => {}
-            LinkEvent::Unseen(address, error) => self.note_seen(address, Some(&error)),
+            LinkEvent::Seen(address, ..) => {
+                self.strangers.insert(address);
+            }
+            LinkEvent::Unseen(address, error) if self.members.contains(&address) => {
+                self.note_seen(address, Some(&error));
+            }
+            // A rank that never answered belongs to no group yet.
+            LinkEvent::Unseen(..) => {}
             LinkEvent::Listed(ranks, shape) => self.take_listing(ranks, shape),
             LinkEvent::Replied(order, reply) => self.driver.reply(&order, reply, now),
         }
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -70,7 +70,7 @@
                 continue;
             }
             // A rank that is not up yet has no group to lead.
-            let Ok(view) = self.rank.read().await else {
+            let Ok(view) = self.rank.read(false).await else {
                 continue;
             };
             sleep(RANK_PAUSE * u32::from(view.rank.get() % 16)).await;
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, GroupGeneration};
+use amaranthgw_core::{FencingNumber, GroupGeneration, ParseError};
 use amaranthgw_groups::levels::{LeadMark, OrderReply, RankOrder, RankView};
 use amaranthgw_net::{DialSettings, KeptClient};
 use amaranthgw_platform::rank::RankClient;
@@ -16,7 +16,7 @@
 use super::beside::RankBeside;
 use super::{AgentError, Result};
 
-/// Path at which an agent tells the state of its rank; the query is the mark of who asks.
+/// Path at which an agent tells the state of its rank; the query is a [`ViewAsk`].
 pub(super) const RANK_PATH: &str = "/rank";
 /// Path at which an agent takes an order for its rank.
 pub(super) const ORDER_PATH: &str = "/order";
@@ -30,6 +30,41 @@
 /// Longest wait for a rank that is asked from afar.
 const FAR_LIMIT: Duration = Duration::from_millis(250);
 
+/// What a coordinator asks of a rank.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ViewAsk {
+    /// What the agent should know of the coordinator.
+    pub(super) mark: LeadMark,
+    /// Whether the counts of experts are wanted, which make up most of an answer.
+    pub(super) has_counts: bool,
+}
+
+impl std::fmt::Display for ViewAsk {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "{}{}",
+            self.mark,
+            if self.has_counts { COUNTS } else { "" }
+        )
+    }
+}
+
+impl std::str::FromStr for ViewAsk {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, ParseError> {
+        let mark = text.strip_suffix(COUNTS);
+        Ok(Self {
+            mark: mark.unwrap_or(text).parse()?,
+            has_counts: mark.is_some(),
+        })
+    }
+}
+
+/// Marks a question for counts.
+const COUNTS: &str = "+counts";
+
 /// An order as one agent passes it to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct PassedOrder {
@@ -45,8 +80,8 @@
 pub(super) trait RankLink: std::fmt::Debug + Send + Sync {
     /// State of the rank.
     ///
-    /// `mark` is what its agent should know of the coordinator that asks.
-    fn view(&self, mark: LeadMark) -> BoxFuture<'_, Result<RankView>>;
+    /// `ask` says what its agent should know and tell.
+    fn view(&self, ask: ViewAsk) -> BoxFuture<'_, Result<RankView>>;
 
     /// Gives the rank an order.
     fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply>;
@@ -57,8 +92,8 @@
 }
 
 impl RankLink for RankBeside {
-    fn view(&self, _mark: LeadMark) -> BoxFuture<'_, Result<RankView>> {
-        Box::pin(self.read())
+    fn view(&self, ask: ViewAsk) -> BoxFuture<'_, Result<RankView>> {
+        Box::pin(self.read(ask.has_counts))
     }
 
     fn order(&self, order: PassedOrder) -> BoxFuture<'_, OrderReply> {
@@ -86,8 +121,8 @@
         }
     }
 
-    async fn view_by_agent(&self, mark: LeadMark) -> Result<RankView> {
-        let path = format!("{RANK_PATH}?{mark}");
+    async fn view_by_agent(&self, ask: ViewAsk) -> Result<RankView> {
+        let path = format!("{RANK_PATH}?{ask}");
         let called = self
             .agent
             .call(Method::GET, &path, Bytes::new(), AGENT_LIMIT);
@@ -108,9 +143,9 @@
 }
 
 impl RankLink for FarRank {
-    fn view(&self, mark: LeadMark) -> BoxFuture<'_, Result<RankView>> {
+    fn view(&self, ask: ViewAsk) -> BoxFuture<'_, Result<RankView>> {
         Box::pin(async move {
-            match self.view_by_agent(mark).await {
+            match self.view_by_agent(ask).await {
                 Ok(view) => Ok(view),
                 // Counts are left out: from afar they make the whole group pause.
                 Err(_agent_down) => {
--- a/crates/amaranthgw/src/agent/service.rs
+++ b/crates/amaranthgw/src/agent/service.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::beside::RankBeside;
-use super::link::{ORDER_PATH, PassedOrder, RANK_PATH};
+use super::link::{ORDER_PATH, PassedOrder, RANK_PATH, ViewAsk};
 
 /// Largest order: a map of a group of 256 ranks and experts.
 const MAX_ORDER_BYTES: usize = 4 * 1024 * 1024;
@@ -44,9 +44,10 @@
 async fn answer(rank: &RankBeside, request: Request<Incoming>) -> Response<Full<Bytes>> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, RANK_PATH) => {
-            let coordinator = request.uri().query().and_then(|mark| mark.parse().ok());
-            rank.note_asked(coordinator);
-            match rank.read().await {
+            let query = request.uri().query();
+            let ask = query.and_then(|ask| ask.parse::<ViewAsk>().ok());
+            rank.note_asked(ask.map(|ask| ask.mark));
+            match rank.read(ask.is_some_and(|ask| ask.has_counts)).await {
                 Ok(view) => json(&view),
                 Err(_unavailable) => status(StatusCode::SERVICE_UNAVAILABLE),
             }
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -181,7 +181,10 @@
                     return Err(self.unknown());
                 }
             }
-            if matches!(failure, AttemptFailure::NotRun(StatusCode::SERVICE_UNAVAILABLE)) {
+            if matches!(
+                failure,
+                AttemptFailure::NotRun(StatusCode::SERVICE_UNAVAILABLE)
+            ) {
                 self.wait_after_refusal().await;
             }
             if matches!(failure, AttemptFailure::Unsent(_)) && self.misses < MAX_MISSES {
--- a/crates/amaranthgw/tests/it/gateway/streams.rs
+++ b/crates/amaranthgw/tests/it/gateway/streams.rs
@@ -103,3 +103,15 @@
         started.elapsed()
     );
 }
+
+#[tokio::test]
+async fn run_call_caller_left() {
+    let mut site = TestSite::with_routes();
+    let target = site.add_target("i-1", "draft", TargetBehaviour::Refuse);
+    let gateway = site.start_gateway().await;
+    let leaving = open(gateway.address(), request("POST", "/draft/", "enquiry"));
+    let left = tokio::time::timeout(Duration::from_millis(100), leaving).await;
+    assert!(left.is_err(), "the caller left before an answer");
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(target.arrivals(), 1);
+}
--- a/crates/fleet/tests/it/settings/mod.rs
+++ b/crates/fleet/tests/it/settings/mod.rs
@@ -2,7 +2,9 @@
 
 use amaranthgw_core::MilliSpan;
 use amaranthgw_fleet::lists::{CUSTOMER_RULES, PLAN_RULES};
-use amaranthgw_fleet::settings::{EntrySettings, FieldRule, Result, SidecarSettings};
+use amaranthgw_fleet::settings::{
+    AgentSettings, EntrySettings, FieldRule, GatewaySettings, Result, SidecarSettings,
+};
 use compact_str::ToCompactString;
 use yare::parameterized;
 
@@ -163,6 +165,8 @@
 #[parameterized(
     rules_entry_documented = { "Entry", EntrySettings::RULES },
     rules_sidecar_documented = { "Sidecar", SidecarSettings::RULES },
+    rules_gateway_documented = { "Gateway", GatewaySettings::RULES },
+    rules_agent_documented = { "Agent", AgentSettings::RULES },
     rules_customers_documented = { "Customers", CUSTOMER_RULES },
     rules_plans_documented = { "Plans", PLAN_RULES },
 )]
