A rank whose agent is away tells its experts straight, once for each map

Cause: win_after_leader_stops (new) failed: after an agent had ended, the next coordinator never learned what that rank holds and changed no map any more. Change: agent::experts reads the list of a rank once a map, also straight from afar; stand-in of a rank group on the platform's orders, tests of real agents: levelling, store away, unanswered orders, takeover.

--- a/crates/amaranthgw/src/agent/beside.rs
+++ b/crates/amaranthgw/src/agent/beside.rs
@@ -3,23 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use amaranthgw_core::{GroupGeneration, MapVersion};
 use amaranthgw_groups::levels::{LeadMark, OrderReply, RankView};
 use amaranthgw_platform::rank::RankClient;
 use tokio::time::Instant;
 
+use super::experts::KnownExperts;
 use super::link::{BESIDE_LIMIT, ORDER_LIMIT, PassedOrder};
 use super::{AgentError, Result};
 use crate::telemetry::{EventLog, NodeEvent};
 
-/// Experts of the rank under one map.
-type KnownExperts = (GroupGeneration, MapVersion, Vec<Vec<u16>>);
-
 /// The rank beside this process, with what is known of it.
 #[derive(Debug)]
 pub(super) struct RankBeside {
     client: RankClient,
-    experts: Mutex<Option<KnownExperts>>,
+    experts: KnownExperts,
     asked: Mutex<Option<(Instant, Option<LeadMark>)>>,
     log: EventLog,
 }
@@ -29,7 +26,7 @@
     pub(super) fn new(address: SocketAddr, log: EventLog) -> Self {
         Self {
             client: RankClient::new(address),
-            experts: Mutex::default(),
+            experts: KnownExperts::default(),
             asked: Mutex::default(),
             log,
         }
@@ -43,30 +40,10 @@
             let counts = self.client.counts(view.generation, BESIDE_LIMIT).await?;
             view.counts = counts.unwrap_or_default();
         }
-        view.experts = self.experts(view.generation, view.map).await?;
+        self.experts.complete(&self.client, &mut view).await?;
         Ok(view)
     }
 
-    /// Experts of the rank under `map`; empty where it changes right now.
-    async fn experts(&self, generation: GroupGeneration, map: MapVersion) -> Result<Vec<Vec<u16>>> {
-        let known = self
-            .experts
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        if let Some((_, _, experts)) = known.filter(|known| (known.0, known.1) == (generation, map))
-        {
-            return Ok(experts);
-        }
-        let (version, experts) = self.client.experts(BESIDE_LIMIT).await?;
-        if version != map {
-            return Ok(Vec::new());
-        }
-        let known = Some((generation, map, experts.clone()));
-        *self.experts.lock().unwrap_or_else(PoisonError::into_inner) = known;
-        Ok(experts)
-    }
-
     /// Passes an order on to the rank.
     pub(super) async fn pass_on(&self, passed: PassedOrder) -> OrderReply {
         let PassedOrder {
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::beside::RankBeside;
+use super::experts::KnownExperts;
 use super::{AgentError, Result};
 
 /// Path at which an agent tells the state of its rank; the query is a [`ViewAsk`].
@@ -110,6 +111,7 @@
 pub(super) struct FarRank {
     agent: KeptClient,
     rank: RankClient,
+    experts: KnownExperts,
 }
 
 impl FarRank {
@@ -118,6 +120,7 @@
         Self {
             agent: KeptClient::new(agent, DialSettings::new(AGENT_LIMIT)),
             rank: RankClient::new(rank),
+            experts: KnownExperts::default(),
         }
     }
 
@@ -150,7 +153,9 @@
                 // Counts are left out: from afar they make the whole group pause.
                 Err(_agent_down) => {
                     let report = self.rank.report(FAR_LIMIT).await?;
-                    report.ok_or(AgentError::NoGroup)
+                    let mut view = report.ok_or(AgentError::NoGroup)?;
+                    self.experts.complete(&self.rank, &mut view).await?;
+                    Ok(view)
                 }
             }
         })
--- a/crates/amaranthgw/src/agent/mod.rs
+++ b/crates/amaranthgw/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod election;
 mod error;
+mod experts;
 mod link;
 mod process;
 mod roster;
--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run the real binary as separate processes.
 
+mod agents;
 mod bad_input;
 mod bench;
 mod claims;
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Tests change their state and faults directly through shared handles.
 
+mod group;
 mod store;
 mod target;
 
+pub use group::{SiteGroup, SiteRank};
 pub use store::{SiteStore, StoreFault};
 pub use target::{SiteRun, SiteTarget, TargetBehaviour};
