Counts are paced by their number; measurements of the platform

Change: 60,000 counts a second at most: each 60 ms for 12 ranks with 3 sets, each 0.15 s for 24 with 16.

--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -35,6 +35,8 @@
 const ROSTER_PAUSE: Duration = Duration::from_secs(5);
 /// Counts read in one look at all ranks: some five bytes each, over links of 8 Mbit/s and more.
 const COUNTS_PER_LOOK: usize = 12_000;
+/// Counts read in a second: some 300 KB, which leaves most of a link of 8 Mbit/s free.
+const COUNTS_PER_SECOND: u32 = 60_000;
 /// Imbalance below which a set is left as it is.
 const LEVEL_IMBALANCE: f64 = 1.08;
 /// Part of the mean load that one more copied expert must take off the largest load.
@@ -197,7 +199,8 @@
 
     /// Asks the ranks of the group for their state, and those of unknown groups now and then.
     fn look(&mut self, now: Instant) {
-        let is_counting = self.counted_at.is_none_or(|at| now >= at + CALM_PAUSE);
+        let count_pause = self.count_pause();
+        let is_counting = self.counted_at.is_none_or(|at| now >= at + count_pause);
         if is_counting {
             self.counted_at = Some(now);
             self.looks += 1;
@@ -233,6 +236,13 @@
         }
     }
 
+    /// Pause between two looks that read counts.
+    fn count_pause(&self) -> Duration {
+        let numbers = self.shape.map_or(0, |shape| shape.sets * shape.experts);
+        let read = numbers * self.members.len() / self.count_stride();
+        Duration::from_secs(1) * u32::try_from(read).unwrap_or(u32::MAX) / COUNTS_PER_SECOND
+    }
+
     /// Looks among which the counts of all ranks are spread.
     fn count_stride(&self) -> usize {
         let numbers = self.shape.map_or(0, |shape| shape.sets * shape.experts);
