One way to count store calls and to record reread settings

Cause: the outcome of a store call was worked out at seven places in two ways (ok or failed at agents, ok, no_answer or refused at gateways), and both commands read changed settings by a copy of the same lines. Change: count_store_call takes the result; record_reload serves gateway and agent. The one visible difference: agents' store calls carry the labels no_answer and refused instead of failed.

--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -95,20 +95,20 @@
     ) -> Result<Option<WonLease>, PlatformError> {
         let key = coordinator_key(group.as_str());
         let held = self.store.read(&key, CALL_LIMIT).await;
-        count_store_call("read_lease", if held.is_ok() { "ok" } else { "failed" });
+        count_store_call("read_lease", &held);
         if held?.is_some() {
             return Ok(None);
         }
         let asked_at = Instant::now();
         let granted = self.store.grant(self.lasts, CALL_LIMIT).await;
-        count_store_call("grant_lease", if granted.is_ok() { "ok" } else { "failed" });
+        count_store_call("grant_lease", &granted);
         let granted = granted?;
         let name = self.vm.as_str().as_bytes();
         let created = self
             .store
             .create(&key, name, granted.lease, CALL_LIMIT)
             .await;
-        count_store_call("write_lease", if created.is_ok() { "ok" } else { "failed" });
+        count_store_call("write_lease", &created);
         let revision = match created {
             Ok(revision) => revision,
             Err(PlatformError::Conflict) => return Ok(None),
@@ -139,7 +139,7 @@
             .store
             .watch(key, after, Duration::ZERO, CALL_LIMIT)
             .await;
-        count_store_call("watch_lease", if watched.is_ok() { "ok" } else { "failed" });
+        count_store_call("watch_lease", &watched);
         // A history that is not known may hold another coordinator.
         let (changes, _as_of) = watched.ok()?;
         let written = changes
@@ -157,7 +157,7 @@
                 break "not_renewed";
             }
             let renewed = self.store.renew(won.lease, self.lasts.duration() / 2).await;
-            count_store_call("renew_lease", if renewed.is_ok() { "ok" } else { "failed" });
+            count_store_call("renew_lease", &renewed);
             match renewed {
                 Ok(renewed) => {
                     until.send_replace(asked_at + renewed.lasts.duration());
@@ -178,6 +178,6 @@
     pub(super) async fn give_up(&self, lease: LeaseId) {
         let ended = self.store.end(lease, CALL_LIMIT).await;
         // Where this fails, the lease ends by itself.
-        count_store_call("end_lease", if ended.is_ok() { "ok" } else { "failed" });
+        count_store_call("end_lease", &ended);
     }
 }
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -74,7 +74,7 @@
     let listed = store
         .list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, CALL_LIMIT)
         .await;
-    count_store_call("list_ranks", if listed.is_ok() { "ok" } else { "failed" });
+    count_store_call("list_ranks", &listed);
     let listing = listed?;
     let decoded = listing
         .items
@@ -90,7 +90,7 @@
     service: &ServiceId,
 ) -> Result<Option<ExpertShape>> {
     let read = store.read(CONFIG_KEY, CALL_LIMIT).await;
-    count_store_call("read_config", if read.is_ok() { "ok" } else { "failed" });
+    count_store_call("read_config", &read);
     let Some(item) = read? else {
         return Ok(None);
     };
--- a/crates/amaranthgw/src/cli/node.rs
+++ b/crates/amaranthgw/src/cli/node.rs
@@ -53,19 +53,12 @@
     };
     let log = EventLog::with_standard_output(EventLevel::Info);
     let process = GatewayProcess::start(&settings, &log)?;
-    let reload = |text: std::result::Result<String, CompactString>| {
-        let read = text.and_then(|text| {
-            let parsed = GatewaySettings::parse(&text, &name);
-            parsed.map_err(|error| error.to_compact_string())
+    let reload = |text| {
+        let parse = |text: &str| GatewaySettings::parse(text, &name);
+        record_reload(&log, text, parse, |settings| {
+            process.reload(settings);
+            "bounds in force"
         });
-        let outcome = match read {
-            Ok(settings) => {
-                process.reload(&settings);
-                CompactString::const_new("bounds in force")
-            }
-            Err(reason) => reason,
-        };
-        log.record(NodeEvent::SettingsReloaded { outcome });
     };
     supervise_until_stop(&process.stop_signal(), path, &reload)?;
     process.join()?;
@@ -81,23 +74,33 @@
     };
     let log = EventLog::with_standard_output(EventLevel::Info);
     let process = AgentProcess::start(&settings, &log)?;
-    let reload = |text: std::result::Result<String, CompactString>| {
-        let read = text.and_then(|text| {
-            let parsed = AgentSettings::parse(&text, &name);
-            parsed.map_err(|error| error.to_compact_string())
+    let reload = |text| {
+        let parse = |text: &str| AgentSettings::parse(text, &name);
+        record_reload(&log, text, parse, |reread| {
+            if *reread == settings {
+                "unchanged"
+            } else {
+                "in force at the next start"
+            }
         });
-        let outcome = match read {
-            Ok(reread) if reread == settings => CompactString::const_new("unchanged"),
-            Ok(_changed) => CompactString::const_new("in force at the next start"),
-            Err(reason) => reason,
-        };
-        log.record(NodeEvent::SettingsReloaded { outcome });
     };
     supervise_until_stop(&process.stop_signal(), path, &reload)?;
     process.join()?;
     Ok(EXIT_DONE)
 }
 
+/// Reads changed settings and records what `adopt` made of them, or why they can't be used.
+fn record_reload<T>(
+    log: &EventLog,
+    text: std::result::Result<String, CompactString>,
+    parse: impl FnOnce(&str) -> amaranthgw_fleet::settings::Result<T>,
+    adopt: impl FnOnce(&T) -> &'static str,
+) {
+    let read = text.and_then(|text| parse(&text).map_err(|error| error.to_compact_string()));
+    let outcome = read.map_or_else(|reason| reason, |settings| adopt(&settings).into());
+    log.record(NodeEvent::SettingsReloaded { outcome });
+}
+
 fn supervise_until_stop(
     stop: &StopSignal,
     path: &Path,
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -88,7 +88,7 @@
             .store
             .list(OPERATOR_PREFIX, ReadFreshness::Linearizable, CALL_LIMIT)
             .await;
-        count_store_call("list_operators", outcome(&listed));
+        count_store_call("list_operators", &listed);
         let listed = listed?;
         self.note_success();
         self.evacuated.clear();
@@ -107,7 +107,7 @@
             .store
             .watch(OPERATOR_PREFIX, after, WATCH_WAIT, CALL_LIMIT)
             .await;
-        count_store_call("watch_operators", outcome(&watched));
+        count_store_call("watch_operators", &watched);
         let (changes, as_of) = watched?;
         let is_changed = !changes.is_empty();
         for change in changes {
@@ -193,7 +193,7 @@
         let listed = store
             .list(REGISTRY_PREFIX, ReadFreshness::Linearizable, CALL_LIMIT)
             .await;
-        count_store_call("list_registry", outcome(&listed));
+        count_store_call("list_registry", &listed);
         let pause = match listed {
             Ok(listing) => {
                 let (records, unusable, reason) = decode_entries(&listing.items);
@@ -239,11 +239,3 @@
     }
     (records, unusable, reason)
 }
-
-const fn outcome<T>(result: &Result<T>) -> &'static str {
-    match result {
-        Ok(_) => "ok",
-        Err(PlatformError::Net(_)) => "no_answer",
-        Err(_) => "refused",
-    }
-}
--- a/crates/amaranthgw/src/telemetry/metrics.rs
+++ b/crates/amaranthgw/src/telemetry/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{PlanId, ServiceId, SlotCount, TargetId};
+use amaranthgw_platform::PlatformError;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -84,7 +85,12 @@
     counter!("amaranthgw_attempts_total", "outcome" => outcome).increment(1);
 }
 
-/// Counts a call of the key-value service by what became of it.
-pub fn count_store_call(call: &'static str, outcome: &'static str) {
+/// Counts a call of the key-value service by what became of it: `ok`, `no_answer` or `refused`.
+pub fn count_store_call<T>(call: &'static str, result: &amaranthgw_platform::Result<T>) {
+    let outcome = match result {
+        Ok(_) => "ok",
+        Err(PlatformError::Net(_)) => "no_answer",
+        Err(_) => "refused",
+    };
     counter!("amaranthgw_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
 }
