Gateways log what a choice of target was based on

3102 now holds when the target was chosen, when a connection was open, whether the target was taken for cold, by which registry entry and how old it is, and the number of gateways that common limits were divided by. 3003 tells when a target was found cold, 3008 when the number of gateways changed. No decision changes.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use super::basis::ChoiceBasis;
 use super::shared::GatewayThread;
 
 /// Time limit of a connection attempt to a target: about a hundred handshakes within a region.
@@ -94,10 +95,11 @@
     thread: &GatewayThread,
     target: &TargetCandidate,
     request: &Request<Full<Bytes>>,
+    basis: Option<&ChoiceBasis>,
     deadline: Instant,
 ) -> Result<OpenAttempt, AttemptFailure> {
     let flight = TargetGauge::begin_request(&target.gauge);
-    let opening = send(thread, target, request);
+    let opening = send(thread, target, request, basis);
     let opened = timeout_at(deadline, opening).await;
     let now = Instant::now();
     let opened = opened.unwrap_or(Err(AttemptFailure::TimedOut));
@@ -148,6 +150,7 @@
     thread: &GatewayThread,
     target: &TargetCandidate,
     request: &Request<Full<Bytes>>,
+    basis: Option<&ChoiceBasis>,
 ) -> Result<(HttpConnection, http::Response<Incoming>), AttemptFailure> {
     let address = target.record.address;
     loop {
@@ -160,6 +163,9 @@
             let dialled = dial(address, settings).await;
             dialled.map_err(AttemptFailure::Unsent)?
         };
+        if let Some(basis) = basis {
+            basis.record_connected();
+        }
         let was_fresh = connection.is_fresh();
         match connection.send(request.clone()).await {
             Ok(response) => return Ok((connection, response)),
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/basis.rs
@@ -0,0 +1,66 @@
+//! Inputs of the choice of a target, for the log of the attempt.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use amaranthgw_core::StoreRevision;
+use amaranthgw_fleet::gateway::TargetCandidate;
+use tokio::time::Instant;
+
+/// What the gateway knew of a target when it chose it, and when a connection to it was open.
+#[derive(Debug)]
+pub(super) struct ChoiceBasis {
+    chosen_at: Instant,
+    /// Whether the target was taken for cold.
+    pub(super) is_cold: bool,
+    /// Revision of the target's registry entry.
+    pub(super) entry: StoreRevision,
+    /// Time since that revision was first read.
+    pub(super) entry_age: Duration,
+    /// Gateways that the shares of common limits were divided by.
+    pub(super) gateways: u32,
+    // Milliseconds since `chosen_at`, plus one; 0 for never.
+    connected_ms: AtomicU64,
+}
+
+impl ChoiceBasis {
+    /// Records the inputs of choosing `target` at `now`.
+    pub(super) fn new(target: &TargetCandidate, gateways: u32, now: Instant) -> Self {
+        let (entry, entry_age) = target.gauge.entry_age(now);
+        Self {
+            chosen_at: now,
+            is_cold: target.is_cold(now),
+            entry,
+            entry_age,
+            gateways,
+            connected_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// When the target was chosen.
+    pub(super) const fn chosen_at(&self) -> Instant {
+        self.chosen_at
+    }
+
+    /// Label of the assumed state in logs.
+    pub(super) const fn warmth(&self) -> &'static str {
+        if self.is_cold { "cold" } else { "warm" }
+    }
+
+    /// Records that a connection for the request is open.
+    pub(super) fn record_connected(&self) {
+        let waited = whole_millis(self.chosen_at.elapsed());
+        self.connected_ms
+            .store(waited.saturating_add(1), Ordering::Relaxed);
+    }
+
+    /// Milliseconds from the choice until a connection was open; `None` if none was.
+    pub(super) fn connected_ms(&self) -> Option<u64> {
+        self.connected_ms.load(Ordering::Relaxed).checked_sub(1)
+    }
+}
+
+/// Whole milliseconds of `time`; saturates at the maximum.
+pub(super) fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -128,6 +128,7 @@
                     (target, "draining", CompactString::default())
                 }
                 TargetTransition::Gone(target) => (target, "gone", CompactString::default()),
+                TargetTransition::Cold(target, _left) => (target, "cold", CompactString::default()),
             };
             self.log.record(NodeEvent::TargetShifted {
                 target,
@@ -143,7 +144,13 @@
 
     fn publish(&mut self) {
         if self.world.is_changed {
+            let previous = self.world.snapshot_gateway_count();
             let snapshot = Arc::new(self.world.snapshot(Instant::now()));
+            let gateways = snapshot.gateway_count;
+            if gateways != previous {
+                self.log
+                    .record(NodeEvent::GatewaysCounted { gateways, previous });
+            }
             self.shared.snapshot.store(snapshot);
             self.shared.published.notify_waiters();
         }
--- a/crates/amaranthgw/src/gateway/mod.rs
+++ b/crates/amaranthgw/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway process: accepts callers' requests and forwards them directly to targets.
 
 mod attempt;
+mod basis;
 mod body;
 mod control;
 mod feeds;
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::attempt::{AttemptFailure, OpenAttempt, open_attempt};
+use super::basis::{ChoiceBasis, whole_millis};
 use super::body::{AnswerBody, full_body};
 use super::refusal::CallRefusal;
 use super::serve::AdmittedCall;
@@ -67,6 +68,8 @@
     unsent: u32,
     /// Whether the budget has already granted the next retry.
     is_retry_granted: bool,
+    /// Inputs of the last choice of a target.
+    basis: Option<Arc<ChoiceBasis>>,
 }
 
 /// Runs `call` and returns the response.
@@ -84,6 +87,7 @@
         waited: Duration::ZERO,
         unsent: 0,
         is_retry_granted: false,
+        basis: None,
     };
     match run.first_answer().await {
         Ok(FirstAnswer::Stream(attempt)) => stream_response(run, *attempt),
@@ -224,7 +228,9 @@
         deadline: Instant,
     ) -> Result<OpenAttempt, AttemptFailure> {
         let thread = Arc::clone(&self.thread);
-        let mut opening = pin!(open_attempt(&thread, target, request, deadline));
+        let basis = self.basis.clone();
+        let opening = open_attempt(&thread, target, request, basis.as_deref(), deadline);
+        let mut opening = pin!(opening);
         loop {
             if let Ok(opened) = timeout(GROUP_POLL_INTERVAL, &mut opening).await {
                 return opened;
@@ -331,6 +337,8 @@
             Some(budget) if !budget.try_spend(now) => return Err(self.final_refusal()),
             _ => {}
         }
+        let basis = ChoiceBasis::new(&target, snapshot.gateway_count, now);
+        self.basis = Some(Arc::new(basis));
         Ok(target)
     }
 
@@ -410,12 +418,22 @@
         outcome: &'static str,
         detail: CompactString,
     ) {
+        let Some(basis) = &self.basis else {
+            return;
+        };
+        let chosen_at = basis.chosen_at();
         self.thread.log.record(NodeEvent::CallAttempted {
             request: self.call.name(),
             target: target.clone(),
             send: self.sends,
             outcome,
             detail,
+            chosen_ms: whole_millis(chosen_at.saturating_duration_since(self.call.arrived_at)),
+            connected_ms: basis.connected_ms(),
+            warmth: basis.warmth(),
+            entry: basis.entry,
+            entry_age_ms: whole_millis(basis.entry_age),
+            gateways: basis.gateways,
             age_ms: self.call.age_ms(),
         });
     }
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -2,8 +2,8 @@
 
 use amaranthgw_core::{
     AttemptNumber, ChangeNumber, ConfigVersion, DomainId, FencingNumber, GroupGeneration, GroupId,
-    MapVersion, RankId, RequestId, RouteId, ServiceId, SlotCount, StartMark, StepNumber, TargetId,
-    VmId, WorkspaceId,
+    MapVersion, RankId, RequestId, RouteId, ServiceId, SlotCount, StartMark, StepNumber,
+    StoreRevision, TargetId, VmId, WorkspaceId,
 };
 use compact_str::CompactString;
 
@@ -267,6 +267,13 @@
         /// Duration of the suspicion, in milliseconds.
         age_ms: u64,
     }
+    /// The number of gateways that share the common limits changed.
+    3008 Info GatewaysCounted "gateways counted" {
+        /// Gateways known now, with this one.
+        gateways: u32,
+        /// Number before.
+        previous: u32,
+    }
     /// A request was refused before it was sent to any target.
     3101 Info CallRefused "call refused" {
         /// The request.
@@ -294,6 +301,18 @@
         outcome: &'static str,
         /// Status or error; for an interrupted stream, the last complete event.
         detail: CompactString,
+        /// Age of the request when the target was chosen, in milliseconds.
+        chosen_ms: u64,
+        /// Time from the choice until a connection was open, in milliseconds; `None` if none was.
+        connected_ms: Option<u64>,
+        /// Whether the target was taken for `cold` or `warm`.
+        warmth: &'static str,
+        /// Revision of the registry entry of the target.
+        entry: StoreRevision,
+        /// Time since that revision was first read, in milliseconds.
+        entry_age_ms: u64,
+        /// Gateways that the shares of common limits were divided by.
+        gateways: u32,
         /// Time since the request arrived, in milliseconds.
         age_ms: u64,
     }
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -55,6 +55,9 @@
     slow_until_ms: AtomicU64,
     cold_window_started_ms: AtomicU64,
     cold_sent: AtomicU32,
+    /// Revision of the registry entry in force.
+    entry_written: AtomicU64,
+    entry_read_ms: AtomicU64,
 }
 
 /// Ejection time after a first failure; doubles with each further failure.
@@ -91,9 +94,28 @@
             slow_until_ms: AtomicU64::new(0),
             cold_window_started_ms: AtomicU64::new(0),
             cold_sent: AtomicU32::new(0),
+            entry_written: AtomicU64::new(0),
+            entry_read_ms: AtomicU64::new(0),
         }
     }
 
+    /// Records that the registry entry read at `now` was last written at revision `written`.
+    pub fn record_entry(&self, written: StoreRevision, now: Instant) {
+        if self.entry_written.swap(written.get(), Ordering::Relaxed) != written.get() {
+            self.entry_read_ms
+                .store(self.millis(now), Ordering::Relaxed);
+        }
+    }
+
+    /// Revision of the target's registry entry, and the time since that revision was first read.
+    #[must_use]
+    pub fn entry_age(&self, now: Instant) -> (StoreRevision, Duration) {
+        let written = StoreRevision::new(self.entry_written.load(Ordering::Relaxed));
+        let read_ms = self.entry_read_ms.load(Ordering::Relaxed);
+        let age = self.millis(now).saturating_sub(read_ms);
+        (written, Duration::from_millis(age))
+    }
+
     /// Requests in flight from this process.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use amaranthgw_core::{
-    DomainId, EntityTable, GroupId, RequestRate, ServiceId, StoreRevision, TargetId, VmId,
-    saturating_whole,
+    DomainId, EntityTable, GroupId, MilliSpan, RequestRate, ServiceId, StoreRevision, TargetId,
+    VmId, saturating_whole,
 };
 use tokio::time::Instant;
 
@@ -45,6 +45,19 @@
     pub group: Option<Arc<GroupGauge>>,
 }
 
+impl TargetRow {
+    /// Creates the row of a target first seen at `now`, as not cold.
+    fn new(record: TargetRecord, now: Instant) -> Self {
+        Self {
+            record,
+            gauge: Arc::new(TargetGauge::new(now)),
+            cold_until: now,
+            missing_until: None,
+            group: None,
+        }
+    }
+}
+
 /// State of a gateway's control thread.
 #[derive(Debug)]
 pub struct GatewayWorld {
@@ -94,6 +107,8 @@
     Seen(TargetRecord),
     /// It began to drain and accepts no new requests.
     Draining(TargetId),
+    /// It is in slow start, for the given time.
+    Cold(TargetId, MilliSpan),
     /// Removed: its entry is gone or another target has its address.
     Gone(TargetId),
 }
@@ -167,8 +182,8 @@
         self.is_registry_known = true;
         let mut transitions = Vec::new();
         let holders = newest_by_address(entries);
-        for record in holders.values() {
-            self.adopt_record(record.clone(), now, &mut transitions);
+        for entry in holders.values() {
+            self.adopt_entry(entry, now, &mut transitions);
         }
         self.drop_missing(&holders, now, &mut transitions);
         transitions
@@ -177,7 +192,7 @@
     /// Removes targets that the registry no longer lists, or whose address another target has.
     fn drop_missing(
         &mut self,
-        holders: &HashMap<SocketAddr, TargetRecord>,
+        holders: &HashMap<SocketAddr, RegistryEntry>,
         now: Instant,
         transitions: &mut Vec<TargetTransition>,
     ) {
@@ -189,7 +204,7 @@
         let mut gone = Vec::new();
         for (target, row) in self.targets.iter_mut() {
             let holder = holders.get(&row.record.address);
-            if holder.is_some_and(|holder| holder.target == *target) {
+            if holder.is_some_and(|holder| holder.record.target == *target) {
                 continue;
             }
             let until = *row.missing_until.get_or_insert(kept_until);
@@ -204,36 +219,36 @@
         }
     }
 
-    fn adopt_record(
+    fn adopt_entry(
         &mut self,
-        record: TargetRecord,
+        entry: &RegistryEntry,
         now: Instant,
         transitions: &mut Vec<TargetTransition>,
     ) {
-        let cold_until = now + record.cold_left.duration();
-        let Some(row) = self.targets.get_mut(&record.target) else {
+        let record = entry.record.clone();
+        let target = record.target.clone();
+        if !self.targets.contains(&target) {
             transitions.push(TargetTransition::Seen(record.clone()));
             self.is_changed = true;
-            self.targets.insert(
-                record.target.clone(),
-                TargetRow {
-                    gauge: Arc::new(TargetGauge::new(now)),
-                    cold_until,
-                    missing_until: None,
-                    group: None,
-                    record,
-                },
-            );
+            let row = TargetRow::new(record.clone(), now);
+            self.targets.insert(target.clone(), row);
+        }
+        let Some(row) = self.targets.get_mut(&target) else {
             return;
         };
         if record.is_draining && !row.record.is_draining {
-            transitions.push(TargetTransition::Draining(record.target.clone()));
+            transitions.push(TargetTransition::Draining(target.clone()));
         }
-        let was_cold = row.cold_until > now;
         if row.record.address != record.address {
             row.gauge = Arc::new(TargetGauge::new(now));
         }
-        self.is_changed |= row.record != record || was_cold != (cold_until > now);
+        row.gauge.record_entry(entry.written, now);
+        let cold_until = now + record.cold_left.duration();
+        let (was_cold, is_cold) = (row.cold_until > now, cold_until > now);
+        if is_cold && !was_cold {
+            transitions.push(TargetTransition::Cold(target, record.cold_left));
+        }
+        self.is_changed |= row.record != record || was_cold != is_cold;
         row.record = record;
         row.cold_until = cold_until;
         row.missing_until = None;
@@ -367,12 +382,12 @@
     }
 }
 
-/// The most recently written record of each address. The entry of a crashed target remains for a
+/// The most recently written entry of each address. The entry of a crashed target remains for a
 /// few heartbeat intervals, during which a successor may register at the same address.
-fn newest_by_address(mut entries: Vec<RegistryEntry>) -> HashMap<SocketAddr, TargetRecord> {
+fn newest_by_address(mut entries: Vec<RegistryEntry>) -> HashMap<SocketAddr, RegistryEntry> {
     entries.sort_by_key(|entry| entry.written);
     let by_address = entries
         .into_iter()
-        .map(|entry| (entry.record.address, entry.record));
+        .map(|entry| (entry.record.address, entry));
     by_address.collect()
 }
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{ConfigVersion, RequestRate, StoreRevision, TickSchedule};
+use amaranthgw_core::{
+    ConfigVersion, MilliSpan, RequestRate, StoreRevision, TargetId, TickSchedule,
+};
 use amaranthgw_fleet::gateway::{
     FleetBounds, GatewayWorld, RegistryEntry, RouteTable, TargetTransition, gateway_schedule,
 };
@@ -146,3 +148,38 @@
     assert!(limit * 4 * 2 <= 28 * 3 / 2 + 5, "{limit}");
     assert_eq!(snapshot.cold_limit(RequestRate::new(0)), 1);
 }
+
+#[test]
+fn adopt_registry_cold_once() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("a", 1, 1)], now);
+    let mut cold = entry("a", 1, 2);
+    cold.record.cold_left = MilliSpan::new(3_000);
+    let transitions = world.adopt_registry(vec![cold.clone()], now);
+    let target = "a".parse().expect("target");
+    assert_eq!(
+        transitions,
+        [TargetTransition::Cold(target, MilliSpan::new(3_000))]
+    );
+    assert!(world.adopt_registry(vec![cold], now).is_empty());
+}
+
+#[test]
+fn adopt_registry_entry_age() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_registry(vec![entry("a", 1, 4)], now);
+    let age = |world: &GatewayWorld, at| {
+        let target: TargetId = "a".parse().expect("target");
+        let row = world.targets.get(&target).expect("row");
+        row.gauge.entry_age(at)
+    };
+    let later = now + Duration::from_secs(2);
+    world.adopt_registry(vec![entry("a", 1, 4)], later);
+    let (written, since_read) = age(&world, later);
+    assert_eq!(written, StoreRevision::new(4));
+    assert_eq!(since_read, Duration::from_secs(2));
+    world.adopt_registry(vec![entry("a", 1, 9)], later);
+    let (written, since_read) = age(&world, later);
+    assert_eq!(written, StoreRevision::new(9));
+    assert_eq!(since_read, Duration::ZERO);
+}
