--- a/crates/amaranthgw/tests/it/gateway/env.rs
+++ b/crates/amaranthgw/tests/it/gateway/env.rs
@@ -92,7 +92,7 @@
         self.start_process(seeds, &json!({}))
     }
 
-    fn start_process(&self, seeds: &[SocketAddr], extra: &Value) -> GatewayProcess {
+    pub(super) fn start_process(&self, seeds: &[SocketAddr], extra: &Value) -> GatewayProcess {
         let mut settings = json!({
             "vm": "gateway-1",
             "domain": "domain-a",
