A gateway's share of a cold rate comes in slots that start at a random time

What callers would see: a cold target gets more than it bears, crashes, and the requests on it end in a 502 or start again elsewhere.

Cause: a gateway counted its sends in windows that began with the first one, lay in the gauge of the target and allowed one request at least. Gateways that found a target cold together opened their windows together, a restart began a new one, and with more gateways than the target bears requests the one of each was too many.

Change: `ColdShare` divides the rate into slots of time, each open for 300 ms from a start that every gauge draws at random, so that the sum over gateways follows the rate for any number of them, after idle times and over restarts. The count is one atomic value, which two traffic threads can't both reset. `cold_limit_shared` tested the old arithmetic; the bound that it stated is now checked by simulation, for any second and six sizes.

--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -3,7 +3,7 @@
 use amaranthgw_core::{DomainId, TargetId};
 use tokio::time::Instant;
 
-use super::TargetCandidate;
+use super::{ColdShare, TargetCandidate};
 
 /// Input of a load-balancing decision.
 #[derive(Clone, Copy, Debug)]
@@ -12,12 +12,20 @@
     pub tried: &'a [TargetId],
     /// Failure domain of this process.
     pub domain: &'a DomainId,
-    /// Requests that this process may send to one cold target per counting window of one second.
-    pub cold_limit: u32,
+    /// Requests that this process may send to one cold target; `None` for none.
+    pub cold_share: Option<ColdShare>,
     /// Time of the decision.
     pub now: Instant,
 }
 
+impl ChoiceInput<'_> {
+    /// Whether `target` admits the request; counts the request if the target is cold.
+    fn is_admitted(&self, target: &TargetCandidate) -> bool {
+        let admit = |share| target.gauge.try_admit_cold(share, self.now);
+        !target.is_cold(self.now) || self.cold_share.is_some_and(admit)
+    }
+}
+
 /// Chooses among the targets that accept new requests.
 pub trait ChoicePolicy: std::fmt::Debug + Send + Sync {
     /// Label in logs and metrics.
@@ -71,13 +79,10 @@
             .map(|target| (Self::load(target, input), target))
             .collect();
         loaded.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let admits = |target: &&TargetCandidate| {
-            !target.is_cold(input.now) || target.gauge.try_admit_cold(input.cold_limit, input.now)
-        };
         loaded
             .into_iter()
             .map(|(_load, target)| target)
-            .find(admits)
+            .find(|target| input.is_admitted(target))
     }
 }
 
@@ -132,9 +137,7 @@
         let start = self.next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let in_turn = (0..targets.len()).map(|step| &targets[(start + step) % targets.len()]);
         let admits = |target: &&TargetCandidate| {
-            !input.tried.contains(&target.record.target)
-                && (!target.is_cold(input.now)
-                    || target.gauge.try_admit_cold(input.cold_limit, input.now))
+            !input.tried.contains(&target.record.target) && input.is_admitted(target)
         };
         in_turn.into_iter().find(admits)
     }
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod choice;
+mod cold;
 mod events;
 mod groups;
 mod routes;
@@ -16,6 +17,7 @@
 
 pub use budget::{WindowBudget, WindowSettings};
 pub use choice::{ChoiceInput, ChoicePolicy, LeastLoadedPolicy, RoundRobinPolicy};
+pub use cold::ColdShare;
 pub use events::{EventId, EventScanner};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
 pub use routes::{
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -10,7 +10,8 @@
 };
 use tokio::time::Instant;
 
-use super::GroupGauge;
+use super::cold::{ColdCounter, ColdShare};
+use super::groups::GroupGauge;
 
 /// What a target publishes about itself in the platform's registry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,8 +54,7 @@
     displaced_until_ms: AtomicU64,
     rejecting_until_ms: AtomicU64,
     slow_until_ms: AtomicU64,
-    cold_window_started_ms: AtomicU64,
-    cold_sent: AtomicU32,
+    cold_sends: ColdCounter,
     /// Revision of the registry entry in force.
     entry_written: AtomicU64,
     entry_read_ms: AtomicU64,
@@ -75,8 +75,6 @@
 /// Half-life of the weight of a load report; between the durations of a plain request (about ten
 /// milliseconds) and of a stream (one to two seconds).
 const LOAD_REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
-/// Length of the window in which requests to a cold target are counted.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 impl TargetGauge {
     /// Creates the gauge of a target first seen at `now`.
@@ -92,8 +90,7 @@
             displaced_until_ms: AtomicU64::new(0),
             rejecting_until_ms: AtomicU64::new(0),
             slow_until_ms: AtomicU64::new(0),
-            cold_window_started_ms: AtomicU64::new(0),
-            cold_sent: AtomicU32::new(0),
+            cold_sends: ColdCounter::new(),
             entry_written: AtomicU64::new(0),
             entry_read_ms: AtomicU64::new(0),
         }
@@ -218,21 +215,11 @@
         self.failures.load(Ordering::Relaxed) > 0
     }
 
-    /// Counts a request offered to a cold target; returns whether it is among the first `limit` in
-    /// the target's current window of one second and may be sent.
-    ///
-    /// A window starts with its first request and does not slide: any second can contain up to
-    /// twice `limit`, which the caller has to allow for.
+    /// Counts a request offered to a cold target; returns whether `share` admits it.
     #[must_use]
-    pub fn try_admit_cold(&self, limit: u32, now: Instant) -> bool {
-        let now_ms = self.millis(now);
-        let window = u64::try_from(COLD_WINDOW.as_millis()).unwrap_or(u64::MAX);
-        let since = self.cold_window_started_ms.load(Ordering::Relaxed);
-        if now_ms.saturating_sub(since) >= window {
-            self.cold_window_started_ms.store(now_ms, Ordering::Relaxed);
-            self.cold_sent.store(0, Ordering::Relaxed);
-        }
-        self.cold_sent.fetch_add(1, Ordering::Relaxed) < limit
+    pub fn try_admit_cold(&self, share: ColdShare, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started_at);
+        self.cold_sends.try_admit(share, age)
     }
 
     fn millis(&self, at: Instant) -> u64 {
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod choice;
+mod cold;
 mod events;
 mod groups;
 mod routes;
