Shared limits are divided by the gateways registered in the store

What the users saw: a cold target flooded.

Cause: the number of gateways came from gossip alone. It is 8 while no peer is known, drops to 2 with the first and rises as more are heard of, so just after a start each gateway takes a multiple of its share, all at once. Gateways that can't reach each other forget each other within 5 s, while all still reach the target. The class: a common limit divided by a number that is known only in part, and errs upwards in the share.

Change: each gateway writes an entry of its own to the store, and the number is that of the entries and of peers heard of beside. A restarted gateway finds its own entry in the first read, so the number is complete before it sends anything to a cold target; a new one waits for its second read, 1 s later. Entries are dropped after three reads without a change, counted in reads so that an outage of the store makes no gateway look gone. The retry slack hung on the same number and follows: before the roster is settled it is divided by 8 at least, also once the first peer is heard of.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use amaranthgw_core::{DomainId, GroupId, TargetId, TickSchedule, VmId};
-use amaranthgw_fleet::gateway::{FleetBounds, GatewayWorld, RegistryEntry, TargetTransition};
+use amaranthgw_fleet::gateway::{
+    FleetBounds, GatewayWorld, RegistryEntry, RosterReading, TargetTransition,
+};
 use compact_str::{CompactString, ToCompactString};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
@@ -24,6 +26,8 @@
     Evacuated(EvacuatedDomains, &'static str),
     /// A peer gateway sent a query or a reply.
     Peer(VmId),
+    /// A read of the registrations of gateways.
+    Roster(RosterReading),
     /// All decoded entries of the registry.
     Registry(Vec<RegistryEntry>),
     /// Bounds that hold for all gateways together.
@@ -73,6 +77,7 @@
             ControlMessage::Config(config, source) => state.adopt_config(&config, source),
             ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(&domains, source),
             ControlMessage::Peer(vm) => state.world.record_peer(vm, Instant::now()),
+            ControlMessage::Roster(reading) => state.world.adopt_roster(reading),
             ControlMessage::Registry(entries) => state.adopt_registry(entries),
             ControlMessage::Bounds(bounds) => state.world.adopt_bounds(bounds),
             ControlMessage::Grouped(target, group) => {
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -23,7 +23,7 @@
 use crate::telemetry::{EventLog, NodeEvent, count_store_call};
 
 /// Time limit of one store call; a watch adds its own wait.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest wait of one watch; bounds the time to detect a dead connection.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Delay before a new list after a compaction; doubles with each failed call, so that the first
@@ -231,7 +231,7 @@
 }
 
 /// Delay before the next call after `failures` consecutive failed calls.
-fn retry_delay(failures: u32) -> Duration {
+pub(super) fn retry_delay(failures: u32) -> Duration {
     let doubled = BASE_RETRY_DELAY.saturating_mul(1 << failures.min(8));
     doubled.min(MAX_RETRY_DELAY)
 }
--- a/crates/amaranthgw/src/gateway/mod.rs
+++ b/crates/amaranthgw/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod process;
 mod refusal;
+mod roster;
 mod run;
 mod serve;
 mod shared;
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -19,6 +19,7 @@
 use super::groups::follow_groups;
 use super::listener::serve_callers;
 use super::peers::{PeerRegistry, follow_peers, serve_peers};
+use super::roster::follow_roster;
 use super::shared::{GatewayShared, GatewayThread};
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_health_and_metrics};
@@ -209,6 +210,12 @@
     let store = || Arc::new(PlatformStore::new(settings.store));
     tokio::spawn(follow_operators(store(), control.clone(), log.clone()));
     tokio::spawn(follow_registry(store(), control.clone(), log.clone()));
+    tokio::spawn(follow_roster(
+        store(),
+        settings.vm.clone(),
+        control.clone(),
+        log.clone(),
+    ));
     if settings.agent_port > 0 {
         let (shared, log) = (Arc::clone(shared), log.clone());
         tokio::spawn(follow_groups(
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/roster.rs
@@ -0,0 +1,99 @@
+//! Registers this gateway in the key-value service and follows the registrations of the others.
+
+use std::sync::Arc;
+
+use amaranthgw_core::VmId;
+use amaranthgw_fleet::gateway::{GatewayRoster, RosterEntry, RosterReading};
+use amaranthgw_platform::Result;
+use amaranthgw_platform::store::{
+    GATEWAY_PREFIX, PlatformStore, ReadFreshness, gateway_entry, gateway_key,
+};
+use ractor::ActorRef;
+use tokio::time::sleep;
+
+use super::control::ControlMessage;
+use super::feeds::{STORE_TIMEOUT, retry_delay};
+use crate::telemetry::{EventLog, NodeEvent, count_store_call};
+
+/// Value of a registration; only its revision matters.
+const REGISTRATION: &[u8] = b"{}";
+
+/// Reads and renews registrations until the process ends.
+pub(super) async fn follow_roster(
+    store: Arc<PlatformStore>,
+    vm: VmId,
+    control: ActorRef<ControlMessage>,
+    log: EventLog,
+) {
+    let mut feed = RosterFeed {
+        roster: GatewayRoster::new(vm.clone()),
+        store,
+        vm,
+        log,
+    };
+    loop {
+        let reading = feed.read().await;
+        for entry in &reading.departed {
+            feed.remove(entry).await;
+        }
+        // Fails only while the process stops.
+        drop(control.cast(ControlMessage::Roster(reading)));
+        feed.register().await;
+        sleep(feed.roster.interval()).await;
+    }
+}
+
+struct RosterFeed {
+    roster: GatewayRoster,
+    store: Arc<PlatformStore>,
+    vm: VmId,
+    log: EventLog,
+}
+
+impl RosterFeed {
+    /// Reads all registrations; tries again until the store answers.
+    async fn read(&mut self) -> RosterReading {
+        let mut failures = 0;
+        loop {
+            let listed = self
+                .store
+                .list(GATEWAY_PREFIX, ReadFreshness::Linearizable, STORE_TIMEOUT)
+                .await;
+            count_store_call("list_gateways", &listed);
+            if let Ok(listing) = listed {
+                let entries = listing.items.iter().filter_map(gateway_entry).collect();
+                return self.roster.adopt(entries);
+            }
+            // Counted in the metrics only; the operator feed logs an outage of the store.
+            failures += 1;
+            sleep(retry_delay(failures)).await;
+        }
+    }
+
+    /// Writes the own registration; tries again until the store acknowledges it.
+    async fn register(&self) {
+        let key = gateway_key(&self.vm);
+        let mut failures = 0;
+        loop {
+            let written = self.store.put(&key, REGISTRATION, STORE_TIMEOUT).await;
+            count_store_call("register_gateway", &written);
+            if written.is_ok() {
+                return;
+            }
+            failures += 1;
+            sleep(retry_delay(failures)).await;
+        }
+    }
+
+    /// Removes the registration of a gateway that is gone; a later read tries again if this fails.
+    async fn remove(&self, entry: &RosterEntry) {
+        let key = gateway_key(&entry.vm);
+        let removed: Result<_> = self.store.remove(&key, entry.written, STORE_TIMEOUT).await;
+        count_store_call("remove_gateway", &removed);
+        if removed.is_ok() {
+            self.log.record(NodeEvent::GatewayRemoved {
+                vm: entry.vm.clone(),
+            });
+        }
+    }
+}
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -348,7 +348,7 @@
         let input = ChoiceInput {
             tried: &self.tried,
             domain: &self.thread.shared.domain,
-            cold_share: service.map(|service| snapshot.cold_share(service.cold_rate)),
+            cold_share: service.and_then(|service| snapshot.cold_share(service.cold_rate)),
             now,
         };
         self.thread.shared.policy.choose(targets, &input).cloned()
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -274,6 +274,11 @@
         /// Number before.
         previous: u32,
     }
+    /// The registration of a gateway that is gone was removed from the key-value service.
+    3009 Info GatewayRemoved "gateway registration removed" {
+        /// VM of the gateway.
+        vm: VmId,
+    }
     /// A request was refused before it was sent to any target.
     3101 Info CallRefused "call refused" {
         /// The request.
--- a/crates/amaranthgw/tests/it/gateway/feeds.rs
+++ b/crates/amaranthgw/tests/it/gateway/feeds.rs
@@ -144,3 +144,24 @@
     };
     eventually("route of the peer", moved).await;
 }
+
+#[tokio::test]
+async fn follow_roster_registers() {
+    let site = TestSite::with_routes();
+    let _gateway = site.start_without_waiting(&[]);
+    let key = "amaranthgw/gateways/gateway-1";
+    let registered = || async { site.store.value(key) };
+    eventually("registration", registered).await;
+}
+
+#[tokio::test]
+async fn follow_roster_store_returns() {
+    let site = TestSite::with_routes();
+    site.store.set_fault(StoreFault::Busy);
+    let _gateway = site.start_without_waiting(&[]);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.store.set_fault(StoreFault::None);
+    let key = "amaranthgw/gateways/gateway-1";
+    let registered = || async { site.store.value(key) };
+    eventually("registration", registered).await;
+}
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod events;
 mod groups;
+mod roster;
 mod routes;
 mod systems;
 mod targets;
@@ -20,6 +21,7 @@
 pub use cold::ColdShare;
 pub use events::{EventId, EventScanner};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
+pub use roster::{GatewayRoster, RosterEntry, RosterReading};
 pub use routes::{
     CallLimits, ExpertShape, KeyHolder, LookupError, RouteKind, RouteRow, RouteTable, ServiceRow,
     SplitShare,
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use super::{
-    ColdShare, GroupGauge, RegistryEntry, RouteTable, TargetCandidate, TargetGauge, TargetRecord,
-    WindowBudget, WindowSettings,
+    ColdShare, GroupGauge, RegistryEntry, RosterReading, RouteTable, TargetCandidate, TargetGauge,
+    TargetRecord, WindowBudget, WindowSettings,
 };
 
 /// Settings that are the same at all gateways; the gateways divide the retry slack among
@@ -74,8 +74,10 @@
     pub evacuated: BTreeSet<DomainId>,
     /// Store revision at which `evacuated` was read.
     pub evacuated_as_of: StoreRevision,
-    /// Other live gateways, with the time each was last seen.
+    /// Other gateways that were heard of directly, with the time each was last seen.
     pub peers: EntityTable<VmId, Instant>,
+    /// Last read of the gateways that are registered in the key-value service.
+    pub roster: RosterReading,
     /// Whether the registry has been read at least once.
     pub is_registry_known: bool,
     /// Whether the published snapshot is out of date.
@@ -86,7 +88,7 @@
     is_registry_failing: bool,
 }
 
-/// Number of gateways assumed while no peer is known.
+/// Least number of gateways by which the retry slack is divided until the roster is settled.
 const DEFAULT_GATEWAY_COUNT: u32 = 8;
 /// Fraction of the shared retry slack that is granted: half, since a gateway that restarts within a
 /// window has forgotten what it spent and can spend its share twice.
@@ -119,6 +121,7 @@
             evacuated: BTreeSet::new(),
             evacuated_as_of: StoreRevision::default(),
             peers: EntityTable::new(),
+            roster: RosterReading::default(),
             is_registry_known: false,
             is_changed: true,
             budgets: HashMap::new(),
@@ -274,15 +277,26 @@
         self.peers.insert(peer, now);
     }
 
-    /// Number of gateways, including this one; `DEFAULT_GATEWAY_COUNT` while no peer is known.
+    /// Applies a read of the roster.
+    pub fn adopt_roster(&mut self, reading: RosterReading) {
+        self.is_changed |= self.roster.is_settled != reading.is_settled;
+        self.roster = reading;
+    }
+
+    /// Number of gateways, including this one: those in the roster and those heard of since it was
+    /// read. At least `DEFAULT_GATEWAY_COUNT` until the roster is settled.
     #[must_use]
     pub fn gateway_count(&self) -> u32 {
-        if self.peers.is_empty() {
-            return DEFAULT_GATEWAY_COUNT;
+        let registered = &self.roster.live;
+        let is_unregistered = |vm: &&VmId| !registered.contains(*vm);
+        let unregistered = self.peers.ids().filter(is_unregistered).count();
+        let others = u32::try_from(registered.len() + unregistered).unwrap_or(u32::MAX);
+        let known = others.saturating_add(1);
+        if self.roster.is_settled {
+            known
+        } else {
+            known.max(DEFAULT_GATEWAY_COUNT)
         }
-        u32::try_from(self.peers.len())
-            .unwrap_or(u32::MAX)
-            .saturating_add(1)
     }
 
     /// Number of gateways by which the shared limits of the last snapshot were divided.
@@ -334,6 +348,7 @@
             targets,
             budgets: self.budgets.clone(),
             gateway_count,
+            is_roster_settled: self.roster.is_settled,
             is_ready: self.is_ready(),
         }
     }
@@ -360,15 +375,19 @@
     pub budgets: HashMap<ServiceId, Arc<WindowBudget>>,
     /// Number of gateways that share the retry slack and the rates of cold targets.
     pub gateway_count: u32,
+    /// Whether that number is complete; cold targets get no requests before.
+    pub is_roster_settled: bool,
     /// Whether requests can be routed: configuration and targets are known.
     pub is_ready: bool,
 }
 
 impl GatewaySnapshot {
-    /// Requests that this process may send to a cold target that can handle `rate`.
+    /// Requests that this process may send to a cold target that can handle `rate`; `None` until
+    /// the number of gateways is known.
     #[must_use]
-    pub fn cold_share(&self, rate: RequestRate) -> ColdShare {
-        ColdShare::new(rate, self.gateway_count)
+    pub fn cold_share(&self, rate: RequestRate) -> Option<ColdShare> {
+        self.is_roster_settled
+            .then(|| ColdShare::new(rate, self.gateway_count))
     }
 }
 
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod events;
 mod groups;
+mod roster;
 mod routes;
 mod world;
 
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -8,8 +8,8 @@
     ConfigVersion, MilliSpan, RequestRate, StoreRevision, TargetId, TickSchedule,
 };
 use amaranthgw_fleet::gateway::{
-    ColdShare, FleetBounds, GatewayWorld, RegistryEntry, RouteTable, TargetTransition,
-    gateway_schedule,
+    ColdShare, FleetBounds, GatewayWorld, RegistryEntry, RosterReading, RouteTable,
+    TargetTransition, gateway_schedule,
 };
 use tokio::time::Instant;
 
@@ -27,6 +27,14 @@
     GatewayWorld::new("domain-a".parse().expect("domain"), bounds)
 }
 
+fn settled_roster(others: &[&str]) -> RosterReading {
+    RosterReading {
+        live: others.iter().map(|vm| vm.parse().expect("vm")).collect(),
+        is_settled: true,
+        ..RosterReading::default()
+    }
+}
+
 fn routed_targets(world: &mut GatewayWorld, now: Instant) -> Vec<String> {
     let snapshot = world.snapshot(now);
     let targets = snapshot.targets.values().flatten();
@@ -124,6 +132,7 @@
 fn gateway_schedule_forgets_peers() {
     let (mut world, now) = (world(), Instant::now());
     let mut schedule: TickSchedule<GatewayWorld> = gateway_schedule();
+    world.adopt_roster(settled_roster(&[]));
     for vm in ["gateway-1", "gateway-2", "gateway-3"] {
         world.record_peer(vm.parse().expect("vm"), now);
     }
@@ -137,14 +146,32 @@
 }
 
 #[test]
-fn cold_share_counts_peers() {
+fn adopt_roster_counts_unregistered_peers() {
     let (mut world, now) = (world(), Instant::now());
-    for vm in ["gateway-1", "gateway-2", "gateway-3"] {
+    world.adopt_roster(settled_roster(&["gateway-1", "gateway-2"]));
+    for vm in ["gateway-2", "gateway-3"] {
         world.record_peer(vm.parse().expect("vm"), now);
     }
+    assert_eq!(world.snapshot(now).gateway_count, 4);
+}
+
+// Shares were too large after a restart: one peer heard of replaced the cautious first count.
+#[test]
+fn gateway_count_first_peer_heard() {
+    let (mut world, now) = (world(), Instant::now());
+    let before = world.gateway_count();
+    world.record_peer("gateway-1".parse().expect("vm"), now);
+    assert_eq!(world.gateway_count(), before);
+}
+
+#[test]
+fn cold_share_unsettled_roster() {
+    let (mut world, now) = (world(), Instant::now());
     let rate = RequestRate::new(28);
+    assert_eq!(world.snapshot(now).cold_share(rate), None);
+    world.adopt_roster(settled_roster(&[]));
     let share = world.snapshot(now).cold_share(rate);
-    assert_eq!(share, ColdShare::new(rate, 4));
+    assert_eq!(share, Some(ColdShare::new(rate, 1)));
 }
 
 #[test]
