Targets of a returning failure domain count as cold until they can't be

What callers saw: a domain came back, its idle targets drew the requests of all gateways and got up to 56 in a second where a cold target may get 47.

Cause: whether a target is cold is known from its registry entry alone. The state of a domain arrives by a watch and from peers at once, entries are listed every 1.1 s, and not at all by a gateway that the store turns away. The class: one belief is renewed by a fast way, another that it implies only by a slow one.

Change: when a domain leaves the set of those that are out, its targets count as cold for the time that the configuration names for their service, whatever their entries say. Services without such a time are not touched.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -109,9 +109,9 @@
     fn adopt_evacuated(&mut self, evacuated: &EvacuatedDomains, source: &'static str) {
         let names: Vec<_> = evacuated.domains.iter().map(DomainId::as_str).collect();
         let names = CompactString::from(names.join(","));
-        let is_changed = self
-            .world
-            .adopt_evacuated(evacuated.domains.clone(), evacuated.as_of);
+        let is_changed =
+            self.world
+                .adopt_evacuated(evacuated.domains.clone(), evacuated.as_of, Instant::now());
         // Peers get the set if it is the latest known, even if only its revision changed.
         if self.world.evacuated_as_of == evacuated.as_of {
             self.peer_registry.set_evacuated(evacuated);
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -99,6 +99,12 @@
         self.rows.values()
     }
 
+    /// Iterates over the mutable rows in table order.
+    #[must_use]
+    pub fn rows_mut(&mut self) -> impl ExactSizeIterator<Item = &mut Row> {
+        self.rows.values_mut()
+    }
+
     /// Iterates over the identifiers in table order.
     #[must_use]
     pub fn ids(&self) -> impl ExactSizeIterator<Item = &Id> {
--- a/crates/fleet/src/gateway/routes.rs
+++ b/crates/fleet/src/gateway/routes.rs
@@ -141,6 +141,8 @@
 pub struct ServiceRow {
     /// Request rate that a cold target can handle.
     pub cold_rate: RequestRate,
+    /// How long a target stays cold.
+    pub cold_time: MilliSpan,
     /// Expert placement parameters, if the service runs on rank groups.
     pub experts: Option<ExpertShape>,
 }
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -37,8 +37,10 @@
     pub record: TargetRecord,
     /// Load and health as seen by this process; shared with traffic threads.
     pub gauge: Arc<TargetGauge>,
-    /// End of its slow start, until which it is cold.
+    /// End of its slow start, until which it is cold, according to its registry entry.
     pub cold_until: Instant,
+    /// End of the time in which it may be cold although its entry doesn't say so yet.
+    pub maybe_cold_until: Instant,
     /// When the row is removed unless its entry returns; `None` while the registry lists it.
     pub missing_until: Option<Instant>,
     /// Its rank group; `None` if it has none or the agent of its rank has not reported it.
@@ -52,6 +54,7 @@
             record,
             gauge: Arc::new(TargetGauge::new(now)),
             cold_until: now,
+            maybe_cold_until: now,
             missing_until: None,
             group: None,
         }
@@ -151,12 +154,28 @@
 
     /// Replaces the failure domains that are out of service with those read at revision `as_of`,
     /// unless a later revision is known; returns whether the set changed.
-    pub fn adopt_evacuated(&mut self, evacuated: BTreeSet<DomainId>, as_of: StoreRevision) -> bool {
+    ///
+    /// Targets of a domain that returns count as cold at first: their entries are read less often
+    /// than the domain's state, and not at all by a gateway that the store turns away.
+    pub fn adopt_evacuated(
+        &mut self,
+        evacuated: BTreeSet<DomainId>,
+        as_of: StoreRevision,
+        now: Instant,
+    ) -> bool {
         if as_of < self.evacuated_as_of {
             return false;
         }
         self.evacuated_as_of = as_of;
         let has_changed = self.evacuated != evacuated;
+        for row in self.targets.rows_mut() {
+            let domain = &row.record.domain;
+            if self.evacuated.contains(domain) && !evacuated.contains(domain) {
+                let service = self.routes.services.get(&row.record.service);
+                let cold_time = service.map_or(MilliSpan::default(), |service| service.cold_time);
+                row.maybe_cold_until = now + cold_time.duration();
+            }
+        }
         self.evacuated = evacuated;
         self.is_changed |= has_changed;
         has_changed
@@ -330,7 +349,7 @@
             let candidate = TargetCandidate {
                 record: row.record.clone(),
                 gauge: Arc::clone(&row.gauge),
-                cold_until: row.cold_until,
+                cold_until: row.cold_until.max(row.maybe_cold_until),
                 cold_rate: service.map_or(RequestRate::default(), |service| service.cold_rate),
                 group: row.group.clone(),
             };
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -8,7 +8,7 @@
     ConfigVersion, MilliSpan, RequestRate, StoreRevision, TargetId, TickSchedule,
 };
 use amaranthgw_fleet::gateway::{
-    ColdShare, FleetBounds, GatewayWorld, RegistryEntry, RosterReading, RouteTable,
+    ColdShare, FleetBounds, GatewayWorld, RegistryEntry, RosterReading, RouteTable, ServiceRow,
     TargetTransition, gateway_schedule,
 };
 use tokio::time::Instant;
@@ -120,14 +120,48 @@
     let (mut world, now) = (world(), Instant::now());
     world.adopt_registry(vec![entry("a", 1, 1)], now);
     let out = BTreeSet::from(["domain-a".parse().expect("domain")]);
-    assert!(world.adopt_evacuated(out, StoreRevision::new(9)));
+    assert!(world.adopt_evacuated(out, StoreRevision::new(9), now));
     assert!(routed_targets(&mut world, now).is_empty());
-    assert!(!world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(8)));
+    assert!(!world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(8), now));
     assert!(routed_targets(&mut world, now).is_empty());
-    assert!(world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(10)));
+    assert!(world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(10), now));
     assert_eq!(routed_targets(&mut world, now), ["a"]);
 }
 
+// Idle targets of a domain that came back were flooded before their entries said that they are cold.
+#[test]
+fn adopt_evacuated_returned_targets_count_as_cold() {
+    let (mut world, now) = (world(), Instant::now());
+    let mut routes = RouteTable::new(ConfigVersion::new(1));
+    let service = ServiceRow {
+        cold_rate: RequestRate::new(28),
+        cold_time: MilliSpan::new(3_000),
+        experts: None,
+    };
+    routes.add_service("desk".parse().expect("service"), service);
+    world.adopt_routes(Arc::new(routes));
+    let mut elsewhere = entry("b", 2, 2);
+    elsewhere.record.domain = "domain-b".parse().expect("domain");
+    let entries = vec![entry("a", 1, 1), elsewhere];
+    world.adopt_registry(entries.clone(), now);
+    let out = BTreeSet::from(["domain-a".parse().expect("domain")]);
+    world.adopt_evacuated(out, StoreRevision::new(9), now);
+    let returned = now + Duration::from_mins(1);
+    world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(10), returned);
+    // An entry from before the return doesn't show that the target is warm.
+    world.adopt_registry(entries, returned);
+    let cold = |world: &mut GatewayWorld, at| {
+        let snapshot = world.snapshot(at);
+        let targets = snapshot.targets.values().flatten();
+        let cold = targets.filter(|target| target.is_cold(at));
+        cold.map(|target| target.record.target.to_string())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(cold(&mut world, returned), ["a"]);
+    let later = returned + Duration::from_secs(3);
+    assert!(cold(&mut world, later).is_empty());
+}
+
 #[test]
 fn gateway_schedule_forgets_peers() {
     let (mut world, now) = (world(), Instant::now());
