A stream whose event has no end counts as broken

What callers would see: bytes without end in place of events, passed on in parts of 256 KB until they gave up.

Cause: `EventScanner` passed an event that was too long to buffer on in parts, and looked for its end from its beginning again with each part.

Change: an event of more than 256 KB is an error; the stream goes on at another target after the last whole event, or ends visibly incomplete. What has been looked at is not looked at again.

--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -111,9 +111,10 @@
                     if let Some(group) = &attempt.target.group {
                         group.record_progress(Instant::now());
                     }
-                    let events = self.scanner.push(frame.data_ref().map_or(&[], |data| data));
-                    if !events.is_empty() {
-                        return ReadResult::Events(events);
+                    match self.scanner.push(frame.data_ref().map_or(&[], |data| data)) {
+                        Ok(events) if events.is_empty() => {}
+                        Ok(events) => return ReadResult::Events(events),
+                        Err(_oversized) => return ReadResult::Broken("event_too_long"),
                     }
                 }
                 Some(Err(_broken)) => return ReadResult::Broken("broken_answer"),
--- a/crates/fleet/src/gateway/events.rs
+++ b/crates/fleet/src/gateway/events.rs
@@ -1,20 +1,36 @@
-//! Framing of server-sent event streams, so that events are forwarded whole, except very long ones.
+//! Framing of server-sent event streams, so that events are forwarded whole.
 
 use bytes::{Bytes, BytesMut};
 
 /// Value of an event's `id` field; opaque to the gateway.
 pub type EventId = compact_str::CompactString;
 
-/// Buffers the bytes of an event stream and returns complete events, very long ones in parts.
+/// Buffers the bytes of an event stream and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventScanner {
     pending: BytesMut,
+    /// Leading bytes of `pending` that are known not to end an event.
+    scanned: usize,
     last_event: Option<EventId>,
     identified_events: u32,
 }
 
-/// Maximum size of an incomplete event that is buffered; a longer one is forwarded in parts.
-const MAX_PENDING_BYTES: usize = 256 * 1024;
+/// Largest event; a longer one has no end.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Longest end of an event, a blank line.
+const MAX_END_BYTES: usize = 3;
+
+/// An event is longer than [`EventScanner`] accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OversizedEvent;
+
+impl std::fmt::Display for OversizedEvent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "event longer than {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for OversizedEvent {}
 
 impl EventScanner {
     /// Creates a scanner for a stream that resumes after `last_event`, or starts from the
@@ -27,28 +43,35 @@
         }
     }
 
-    /// Appends `part` and returns the events that are now complete, or the buffered part of an
-    /// event that is too long to buffer.
-    pub fn push(&mut self, part: &[u8]) -> Bytes {
+    /// Appends `part` and returns the events that are now complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`OversizedEvent`] if the buffered event is too long and not yet complete.
+    pub fn push(&mut self, part: &[u8]) -> Result<Bytes, OversizedEvent> {
         self.pending.extend_from_slice(part);
         let mut end = 0;
-        while let Some(length) = event_length(&self.pending[end..]) {
+        while let Some(length) = event_length(&self.pending[end..], self.scanned) {
             let event = &self.pending[end..end + length];
             if let Some(id) = event_id(event) {
                 self.last_event = Some(id);
                 self.identified_events += 1;
             }
             end += length;
+            self.scanned = 0;
         }
-        if end == 0 && self.pending.len() > MAX_PENDING_BYTES {
-            end = self.pending.len();
+        let events = self.pending.split_to(end).freeze();
+        self.scanned = self.pending.len().saturating_sub(MAX_END_BYTES);
+        if events.is_empty() && self.pending.len() > MAX_EVENT_BYTES {
+            return Err(OversizedEvent);
         }
-        self.pending.split_to(end).freeze()
+        Ok(events)
     }
 
     /// Discards the incomplete event, before the stream resumes on another connection.
     pub fn restart(&mut self) {
         self.pending.clear();
+        self.scanned = 0;
     }
 
     /// Whether an incomplete event is buffered.
@@ -71,10 +94,10 @@
     }
 }
 
-/// Length of the first event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
+/// Length of the first event, including the blank line that ends it; looks for its end from `from`.
+fn event_length(bytes: &[u8], from: usize) -> Option<usize> {
     let newline = |at: usize| bytes.get(at) == Some(&b'\n');
-    for at in 0..bytes.len() {
+    for at in from..bytes.len() {
         if !newline(at) {
             continue;
         }
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 pub use budget::{WindowBudget, WindowSettings};
 pub use choice::{ChoiceInput, ChoicePolicy, LeastLoadedPolicy, RoundRobinPolicy};
 pub use cold::ColdShare;
-pub use events::{EventId, EventScanner};
+pub use events::{EventId, EventScanner, OversizedEvent};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
 pub use roster::{GatewayRoster, RosterEntry, RosterReading};
 pub use routes::{
--- a/crates/fleet/tests/it/gateway/events.rs
+++ b/crates/fleet/tests/it/gateway/events.rs
@@ -8,21 +8,40 @@
 #[test]
 fn push_partial_event() {
     let mut scanner = EventScanner::new(None);
-    assert_eq!(scanner.push(b"id: 1\ndata"), "");
+    assert_eq!(scanner.push(b"id: 1\ndata").expect("events"), "");
     assert!(scanner.has_partial());
     assert_eq!(scanner.last_event(), None);
-    assert_eq!(scanner.push(b": a\n\nid: 2"), "id: 1\ndata: a\n\n");
+    let events = scanner.push(b": a\n\nid: 2").expect("events");
+    assert_eq!(events, "id: 1\ndata: a\n\n");
     assert_eq!(scanner.last_event().map(EventId::as_str), Some("1"));
 }
 
 #[test]
 fn restart_drops_partial_event() {
     let mut scanner = EventScanner::new(Some("4".into()));
-    assert_eq!(scanner.push(b"id: 5\nda"), "");
+    assert_eq!(scanner.push(b"id: 5\nda").expect("events"), "");
     scanner.restart();
     assert!(!scanner.has_partial());
     assert_eq!(scanner.last_event().map(EventId::as_str), Some("4"));
-    assert_eq!(scanner.push(b"id: 5\ndata: e\n\n"), "id: 5\ndata: e\n\n");
+    let events = scanner.push(b"id: 5\ndata: e\n\n").expect("events");
+    assert_eq!(events, "id: 5\ndata: e\n\n");
+}
+
+// An event without end was passed on in parts, as bytes that are no answer.
+#[test]
+fn push_event_without_end() {
+    let mut scanner = EventScanner::new(None);
+    assert_eq!(
+        scanner.push(b"data: a\n\ndata: ").expect("events"),
+        "data: a\n\n"
+    );
+    let part = [b'a'; 1024];
+    let refused_at = (0..1024).find(|_| scanner.push(&part).is_err());
+    // With the 6 bytes before them, 256 parts are too many.
+    assert_eq!(refused_at, Some(255));
+    scanner.restart();
+    let events = scanner.push(b"data: b\n\n").expect("events");
+    assert_eq!(events, "data: b\n\n");
 }
 
 proptest! {
@@ -33,7 +52,7 @@
         let mut scanner = EventScanner::new(None);
         let (mut passed, mut from) = (Vec::new(), 0);
         for cut in cuts.into_iter().chain([STREAM.len()]) {
-            passed.extend_from_slice(&scanner.push(&STREAM[from..cut]));
+            passed.extend_from_slice(&scanner.push(&STREAM[from..cut]).expect("events"));
             from = cut;
         }
         prop_assert_eq!(passed, STREAM);
