Answers have a largest length

What callers would see: a target that sends a body without end uses up the memory of the gateway, which is killed, and all its requests end with it.

Cause: the body of a plain answer was read whole without a limit, up to the deadline of the request; that of a rejection too, though only to use the connection again. The same held for replies of the store, of peers and agents, for queries of peers, for reports of ranks and for the plain targets of a sidecar.

Change: `net::read_whole` reads all of these up to a limit and gives up at once where the announced length exceeds it. For plain answers of gateways it is the new setting `max_answer`, 4 MiB by default as operators allow it for request bodies; a longer answer is a broken one: repeated at another target where that is safe, else 502. A rejection is read for 50 ms and 16 KiB at most, then the connection is reset and the request goes on.

Evidence: new tests in gateway::endless, raw targets that send without end until they have sent 64 MiB. Before: chunked, unframed and announced bodies and rejections took all 64 MiB, with and without another target to go to (8 cases). Now at most 16 MiB with the buffers of the sockets, and the caller has its answer within the deadline. Heads without end and bytes after an answer passed before. The path through the sidecar has no test of its own.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -6,12 +6,12 @@
 use amaranthgw_fleet::gateway::{
     FlightGuard, GroupGauge, StreamGuard, TargetCandidate, TargetGauge,
 };
-use amaranthgw_net::{DialSettings, HttpConnection, NetError, dial};
+use amaranthgw_net::{DialSettings, HttpConnection, NetError, dial, read_whole};
 use amaranthgw_platform::answer::{AnswerHead, AnswerKind, decode_head};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
@@ -28,6 +28,11 @@
 /// is not sent while the target closes the connection.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 
+/// Longest body of a rejection that is read.
+const MAX_REJECTION_BYTES: usize = 16 * 1024;
+/// Longest time for which the body of a rejection is read.
+const REJECTION_READ_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Reason why an attempt produced no valid answer to its request.
 #[derive(Debug)]
 pub(super) enum AttemptFailure {
@@ -130,8 +135,9 @@
     match head.kind {
         AnswerKind::Own => Ok(attempt),
         AnswerKind::NotRun => {
-            // The body is short; reading it allows the connection to be reused.
-            drop(timeout_at(deadline, attempt.collect(thread)).await);
+            // Reading a short body allows the connection to be reused; any other is reset.
+            let reading = attempt.collect(thread, MAX_REJECTION_BYTES);
+            drop(timeout_at(deadline.min(now + REJECTION_READ_TIMEOUT), reading).await);
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 target.gauge.record_displacement(now);
             } else {
@@ -178,11 +184,16 @@
 }
 
 impl OpenAttempt {
-    /// Reads the whole body and returns the connection to the pool unless the target closes it.
-    pub(super) async fn collect(mut self, thread: &GatewayThread) -> Result<Bytes, hyper::Error> {
-        let collected = (&mut self.body).collect().await?;
+    /// Reads the whole body, of at most `limit` bytes, and returns the connection to the pool unless
+    /// the target closes it.
+    pub(super) async fn collect(
+        mut self,
+        thread: &GatewayThread,
+        limit: usize,
+    ) -> amaranthgw_net::Result<Bytes> {
+        let collected = read_whole(&mut self.body, limit).await?;
         self.finish(thread);
-        Ok(collected.to_bytes())
+        Ok(collected)
     }
 
     /// Returns the connection to the pool unless the target closes it; to be called once the whole
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -9,7 +9,7 @@
 
 use amaranthgw_core::{ConfigVersion, VmId};
 use amaranthgw_fleet::gateway::PEER_TIMEOUT;
-use amaranthgw_net::{DialSettings, PooledClient};
+use amaranthgw_net::{DialSettings, PooledClient, read_whole};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -33,6 +33,8 @@
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of peers queried per round.
 const PEERS_PER_ROUND: usize = 2;
+/// Longest query of a peer.
+const MAX_QUERY_BYTES: usize = 4 * 1024;
 /// Time limit of a query to a peer.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -262,12 +264,11 @@
     control: &ActorRef<ControlMessage>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    use http_body_util::BodyExt;
     let is_gossip = request.uri().path() == GOSSIP_PATH;
-    let body = request.into_body().collect().await;
+    let body = read_whole(request.into_body(), MAX_QUERY_BYTES).await;
     let query = body
         .ok()
-        .and_then(|body| serde_json::from_slice::<GossipQuery>(&body.to_bytes()).ok());
+        .and_then(|body| serde_json::from_slice::<GossipQuery>(&body).ok());
     let Some(query) = query.filter(|_| is_gossip) else {
         let mut refused = Response::new(Full::default());
         *refused.status_mut() = StatusCode::BAD_REQUEST;
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -72,6 +72,7 @@
             published: Notify::new(),
             policy: Box::new(LeastLoadedPolicy),
             domain: settings.domain.clone(),
+            max_answer: usize::try_from(settings.max_answer.get()).unwrap_or(usize::MAX),
             in_flight: AtomicU32::new(0),
             stop: stop.clone(),
         });
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -11,7 +11,7 @@
 use amaranthgw_platform::answer::caller_headers;
 use amaranthgw_platform::request::{ForwardTerms, forward_headers};
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -138,11 +138,19 @@
         let gauge = Arc::clone(attempt.gauge());
         let target = attempt.target.record.target.clone();
         let thread = Arc::clone(&self.thread);
-        let collected = timeout_at(self.call.deadline, attempt.collect(&thread)).await;
-        let Ok(Ok(body)) = collected else {
-            gauge.record_failure(Instant::now());
-            self.record_attempt(&target, "broken_answer", CompactString::default());
-            return None;
+        let reading = attempt.collect(&thread, thread.shared.max_answer);
+        let failure = match timeout_at(self.call.deadline, reading).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(error)) => Err(error.to_compact_string()),
+            Err(_elapsed) => Err(CompactString::const_new("incomplete at the deadline")),
+        };
+        let body = match failure {
+            Ok(body) => body,
+            Err(detail) => {
+                gauge.record_failure(Instant::now());
+                self.record_attempt(&target, "broken_answer", detail);
+                return None;
+            }
         };
         gauge.record_success();
         let mut response = Response::new(full_body(body));
--- a/crates/amaranthgw/src/gateway/shared.rs
+++ b/crates/amaranthgw/src/gateway/shared.rs
@@ -23,6 +23,8 @@
     pub(super) policy: Box<dyn ChoicePolicy>,
     /// Failure domain of the process.
     pub(super) domain: DomainId,
+    /// Largest body of a plain answer, in bytes.
+    pub(super) max_answer: usize,
     /// Number of requests in flight.
     pub(super) in_flight: AtomicU32,
     /// Stop signal, with the current phase of the process.
--- a/crates/amaranthgw/src/sidecar/target/http.rs
+++ b/crates/amaranthgw/src/sidecar/target/http.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use amaranthgw_core::{MilliSpan, SlotCount, StartMark};
+use amaranthgw_net::{NetError, read_whole};
 use bytes::Bytes;
 use http::request::Builder;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,6 +19,8 @@
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest body of an answer; an entry accepts no longer message from a sidecar.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum time to read a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -97,10 +100,11 @@
     }
 }
 
-/// Reads a whole response body.
+/// Reads a whole response body; one of more than [`MAX_ANSWER_BYTES`] is malformed.
 pub(super) async fn collect(response: Response<Incoming>) -> Result<Bytes> {
-    let collected = response.into_body().collect().await;
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|_broken| TargetError::ConnectionLost)
+    let collected = read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+    collected.map_err(|error| match error {
+        NetError::TooLong { .. } => TargetError::Malformed,
+        _ => TargetError::ConnectionLost,
+    })
 }
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod cold;
 mod descriptors;
+mod endless;
 mod env;
 mod feeds;
 mod groups;
--- a/crates/fleet/src/settings/entry.rs
+++ b/crates/fleet/src/settings/entry.rs
@@ -118,7 +118,7 @@
 pub(super) const GRACE_RANGE: FieldRange =
     FieldRange::Span(MilliSpan::new(0), MilliSpan::new(3_600_000));
 /// Allowed size limit of a request body.
-const BODY_RANGE: FieldRange =
+pub(super) const BODY_RANGE: FieldRange =
     FieldRange::Bytes(ByteCount::new(1_024), ByteCount::new(64 * 1_024 * 1_024));
 
 pub(super) const fn default_traffic_threads() -> u16 {
--- a/crates/fleet/src/settings/gateway.rs
+++ b/crates/fleet/src/settings/gateway.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use amaranthgw_core::{DomainId, MilliSpan, VmId};
+use amaranthgw_core::{ByteCount, DomainId, MilliSpan, VmId};
 use serde::{Deserialize, Serialize};
 
-use super::entry::{GRACE_RANGE, THREAD_RANGE, TICK_RANGE};
+use super::entry::{BODY_RANGE, GRACE_RANGE, THREAD_RANGE, TICK_RANGE};
 use super::{FieldRange, FieldRule, JsonDocument, Result, parse_document};
 use crate::gateway::FleetBounds;
 
@@ -50,6 +50,9 @@
     /// that their processes can renew them, 100 ms to 1 h; 2.5 s by default.
     #[serde(default = "default_return_time")]
     pub return_time: MilliSpan,
+    /// Largest body of a plain answer, 1 KiB to 64 MiB; 4 MiB by default. A longer one is no answer.
+    #[serde(default = "default_max_answer")]
+    pub max_answer: ByteCount,
     /// Port of the agents next to the ranks; 0 if rank groups are not polled.
     #[serde(default)]
     pub agent_port: u16,
@@ -80,6 +83,7 @@
         FieldRule::new("retry_slack", FieldRange::Decimal(1_000_000)),
         FieldRule::new("retry_window", WINDOW_RANGE),
         FieldRule::new("return_time", WINDOW_RANGE).with_default("2500ms"),
+        FieldRule::new("max_answer", BODY_RANGE).with_default("4194304"),
         FieldRule::new("agent_port", PORT_RANGE).with_default("0"),
     ];
 
@@ -113,6 +117,10 @@
     MilliSpan::new(100)
 }
 
+const fn default_max_answer() -> ByteCount {
+    ByteCount::new(4 * 1024 * 1024)
+}
+
 const fn default_return_time() -> MilliSpan {
     MilliSpan::new(2_500)
 }
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -22,6 +22,11 @@
         /// Error of the HTTP library.
         source: hyper::Error,
     },
+    /// The body of the answer is longer than allowed.
+    TooLong {
+        /// Longest allowed body, in bytes.
+        limit: usize,
+    },
     /// The complete answer did not arrive in time.
     TimedOut {
         /// Timeout of the call.
@@ -52,6 +57,7 @@
             Self::Handshake { source } => write!(f, "HTTP handshake failed: {source}"),
             Self::Unsent => f.write_str("connection closed before the request was sent"),
             Self::Broken { source } => write!(f, "connection lost during the request: {source}"),
+            Self::TooLong { limit } => write!(f, "answer longer than {limit} bytes"),
             Self::TimedOut { waited } => {
                 write!(f, "no complete answer within {} ms", waited.as_millis())
             }
@@ -66,7 +72,7 @@
             Self::Dial { source } => Some(source),
             Self::Handshake { source } | Self::Broken { source } => Some(source),
             Self::Malformed { source } => Some(source),
-            Self::Unsent | Self::TimedOut { .. } => None,
+            Self::Unsent | Self::TooLong { .. } | Self::TimedOut { .. } => None,
         }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,10 +1,12 @@
 //! Outgoing HTTP connections: dialling, pooling, and a client for small calls to one peer.
 
+mod body;
 mod dial;
 mod error;
 mod pool;
 mod pooled;
 
+pub use body::read_whole;
 pub use dial::{DialSettings, HttpConnection, dial};
 pub use error::NetError;
 pub use pool::ConnectionPool;
--- a/crates/net/src/pooled.rs
+++ b/crates/net/src/pooled.rs
@@ -6,10 +6,10 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use tokio::time::{Instant, timeout};
 
-use super::{DialSettings, HttpConnection, NetError, Result, dial};
+use super::{DialSettings, HttpConnection, NetError, Result, dial, read_whole};
 
 /// A complete answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,6 +33,10 @@
 /// Idle time after which a connection is no longer reused, as the peer may be about to close it.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Longest answer. The longest valid one is a page of the key-value service: values of 1 MB in
+/// base64.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
+
 impl PooledClient {
     /// Creates a client of the peer at `address`; connects at the first call.
     #[must_use]
@@ -87,10 +91,7 @@
                 Err(error) => return Err(error),
             };
             let status = response.status();
-            let collected = response.into_body().collect().await;
-            let body = collected
-                .map_err(|source| NetError::Broken { source })?
-                .to_bytes();
+            let body = read_whole(response.into_body(), MAX_REPLY_BYTES).await?;
             self.put_idle(connection);
             return Ok(WholeReply { status, body });
         }
