Informational responses before an answer are limited

What callers would see: a late answer or a 504, and a gateway whose processor is busy with responses that lead nowhere.

Cause: the HTTP library passes over 1xx responses and waits for the answer behind them; a target may send them without end.

--- a/crates/amaranthgw/tests/it/gateway/endless.rs
+++ b/crates/amaranthgw/tests/it/gateway/endless.rs
@@ -60,6 +60,10 @@
         Self::new("HTTP/1.1 200 OK\r\n", "x-more: aaaaaaaa\r\n")
     }
 
+    fn informational() -> Self {
+        Self::new("", "HTTP/1.1 103 Early Hints\r\n\r\n")
+    }
+
     fn chunked_body() -> Self {
         let head = format!("HTTP/1.1 200 OK\r\n{SIGNED}transfer-encoding: chunked\r\n\r\n");
         Self::new(head, format!("400\r\n{}\r\n", "a".repeat(1024)))
@@ -173,6 +177,7 @@
     noise = { EndlessAnswer::noise() },
     header = { EndlessAnswer::header() },
     headers = { EndlessAnswer::headers() },
+    informational = { EndlessAnswer::informational() },
     chunked_body = { EndlessAnswer::chunked_body() },
     unframed_body = { EndlessAnswer::unframed_body() },
     announced_body = { EndlessAnswer::announced_body() },
@@ -196,6 +201,7 @@
     noise = { EndlessAnswer::noise() },
     header = { EndlessAnswer::header() },
     headers = { EndlessAnswer::headers() },
+    informational = { EndlessAnswer::informational() },
     chunked_body = { EndlessAnswer::chunked_body() },
     unframed_body = { EndlessAnswer::unframed_body() },
     announced_body = { EndlessAnswer::announced_body() },
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -1,6 +1,8 @@
 //! Opens HTTP/1.1 connections with a connect timeout and a limit on unacknowledged data.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,9 +10,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -19,6 +23,9 @@
 /// Largest read buffer of a connection. Longer heads are rejected; bodies are read in chunks.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Informational responses (1xx) accepted before the answer to a request.
+const MAX_INFORMATIONAL: u32 = 16;
+
 /// Timeouts and close behaviour of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DialSettings {
@@ -110,11 +117,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`NetError::Unsent`] if the connection closed before any byte was sent, else
+    /// Returns [`NetError::Unsent`] if the connection closed before any byte was sent,
+    /// [`NetError::OnlyInformational`] after `MAX_INFORMATIONAL` such responses, else
     /// [`NetError::Broken`].
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send(&mut self, mut request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         self.is_fresh = false;
-        let sent = self.sender.try_send_request(request).await;
+        let excess = limit_informational(&mut request);
+        let sending = self.sender.try_send_request(request);
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = excess.notified() => return Err(NetError::OnlyInformational),
+        };
         sent.map_err(|mut error| match error.take_message() {
             Some(_unsent) => NetError::Unsent,
             None => NetError::Broken {
@@ -124,6 +137,18 @@
     }
 }
 
+/// Returns a notification of the informational response to `request` that exceeds the limit.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let excess = Arc::new(Notify::new());
+    let (notified, count) = (Arc::clone(&excess), AtomicU32::new(0));
+    on_informational(request, move |_response| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+            notified.notify_one();
+        }
+    });
+    excess
+}
+
 /// Opens an HTTP/1.1 connection to `address` and spawns the task that drives it.
 ///
 /// # Errors
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -22,6 +22,8 @@
         /// Error of the HTTP library.
         source: hyper::Error,
     },
+    /// The peer sent only informational responses, too many to wait for its answer.
+    OnlyInformational,
     /// The body of the answer is longer than allowed.
     TooLong {
         /// Longest allowed body, in bytes.
@@ -57,6 +59,7 @@
             Self::Handshake { source } => write!(f, "HTTP handshake failed: {source}"),
             Self::Unsent => f.write_str("connection closed before the request was sent"),
             Self::Broken { source } => write!(f, "connection lost during the request: {source}"),
+            Self::OnlyInformational => f.write_str("informational responses without an answer"),
             Self::TooLong { limit } => write!(f, "answer longer than {limit} bytes"),
             Self::TimedOut { waited } => {
                 write!(f, "no complete answer within {} ms", waited.as_millis())
@@ -72,7 +75,10 @@
             Self::Dial { source } => Some(source),
             Self::Handshake { source } | Self::Broken { source } => Some(source),
             Self::Malformed { source } => Some(source),
-            Self::Unsent | Self::TooLong { .. } | Self::TimedOut { .. } => None,
+            Self::Unsent
+            | Self::OnlyInformational
+            | Self::TooLong { .. }
+            | Self::TimedOut { .. } => None,
         }
     }
 }
