A request that no target will admit in time is refused at once

What callers would see: 250 ms, or 1 s for a stream, of waiting for a 503 whose cause is known from the start.

Cause: a gateway looked for a target again and again until the wait was used up. With slots of a cold rate, and with targets that just rejected a request, the time of the next admission is known.

Change: `ChoiceInput::next_admission` tells it; a request whose wait ends before is refused with its Retry-After at once. Where no untried target is known the request waits as before, as one may appear.

Evidence: run_call_no_slot_in_time_refused_at_once waited 250 ms with the check switched off, passes with it.

--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -70,6 +70,8 @@
     is_retry_granted: bool,
     /// Inputs of the last choice of a target.
     basis: Option<Arc<ChoiceBasis>>,
+    /// When the next target is known to admit the request, if none did at the last choice.
+    next_admission: Option<Instant>,
 }
 
 /// Runs `call` and returns the response.
@@ -88,6 +90,7 @@
         unsent: 0,
         is_retry_granted: false,
         basis: None,
+        next_admission: None,
     };
     match run.first_answer().await {
         Ok(FirstAnswer::Stream(attempt)) => stream_response(run, *attempt),
@@ -286,9 +289,13 @@
         }
     }
 
-    /// Waits one interval for a target that accepts the request; `false` once the wait is used up.
+    /// Waits one interval for a target that accepts the request; `false` once the wait is used up,
+    /// or if no target will accept it before.
     async fn wait_for_capacity(&mut self) -> bool {
-        if self.sends >= MAX_SENDS || self.waited >= self.capacity_wait() {
+        let left = self.capacity_wait().saturating_sub(self.waited);
+        let gives_up_at = Instant::now() + left;
+        let is_futile = self.next_admission.is_some_and(|at| at > gives_up_at);
+        if self.sends >= MAX_SENDS || left.is_zero() || is_futile {
             return false;
         }
         self.waited += CAPACITY_POLL_INTERVAL;
@@ -336,9 +343,9 @@
         }
         let snapshot = self.thread.shared.snapshot.load();
         let budget = snapshot.budgets.get(&self.call.service).cloned();
-        let target = self
-            .choose(&snapshot, now)
-            .ok_or_else(|| self.final_refusal())?;
+        let (target, next_admission) = self.choose(&snapshot, now);
+        self.next_admission = next_admission;
+        let target = target.ok_or_else(|| self.final_refusal())?;
         match &budget {
             Some(budget) if self.sends == 0 => budget.record_first(now),
             Some(_) if std::mem::take(&mut self.is_retry_granted) => {}
@@ -350,8 +357,15 @@
         Ok(target)
     }
 
-    fn choose(&self, snapshot: &GatewaySnapshot, now: Instant) -> Option<TargetCandidate> {
-        let targets = snapshot.targets.get(&self.call.service)?;
+    /// The chosen target, or the time at which one is known to admit the request.
+    fn choose(
+        &self,
+        snapshot: &GatewaySnapshot,
+        now: Instant,
+    ) -> (Option<TargetCandidate>, Option<Instant>) {
+        let Some(targets) = snapshot.targets.get(&self.call.service) else {
+            return (None, None);
+        };
         let service = snapshot.routes.services.get(&self.call.service);
         let input = ChoiceInput {
             tried: &self.tried,
@@ -359,7 +373,10 @@
             cold_share: service.and_then(|service| snapshot.cold_share(service.cold_rate)),
             now,
         };
-        self.thread.shared.policy.choose(targets, &input).cloned()
+        match self.thread.shared.policy.choose(targets, &input) {
+            Some(target) => (Some(target.clone()), None),
+            None => (None, input.next_admission(targets)),
+        }
     }
 
     /// Time at which the current attempt times out.
--- a/crates/amaranthgw/tests/it/gateway/cold.rs
+++ b/crates/amaranthgw/tests/it/gateway/cold.rs
@@ -143,3 +143,36 @@
     assert!(peak <= COLD_BOUND, "{peak}");
     assert!(target.runs().len() >= COLD_RATE / 2, "the target was used");
 }
+
+// A request waited for a cold target although its gateway's next slot was known to be too late.
+#[tokio::test]
+async fn run_call_no_slot_in_time_refused_at_once() {
+    let mut site = TestSite::new();
+    site.store.put("op/config", &cold_config(7));
+    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    set_cold(&site, "i-1", Duration::from_mins(1));
+    // Among 400 gateways, each has a slot every 19 s.
+    for number in 1..400 {
+        let key = format!("amaranthgw/gateways/gateway-{number}");
+        site.store.put(&key, &json!({}));
+    }
+    let gateway = site.start_process(&[], &json!({ "vm": "gateway-0" }));
+    // By then the gateway has read the registrations twice.
+    sleep(Duration::from_millis(1_500)).await;
+    let mut refused = 0;
+    for _ in 0..3 {
+        let sent_at = Instant::now();
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            assert!(answer.header("retry-after").is_some());
+            let waited = sent_at.elapsed();
+            assert!(waited < Duration::from_millis(150), "{waited:?}");
+            refused += 1;
+        }
+    }
+    assert!(
+        refused >= 2,
+        "{refused} refused, {} run",
+        target.runs().len()
+    );
+}
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -19,6 +19,18 @@
 }
 
 impl ChoiceInput<'_> {
+    /// Earliest time at which one of `targets` that wasn't tried admits the request; `None` if there
+    /// is none.
+    #[must_use]
+    pub fn next_admission(&self, targets: &[TargetCandidate]) -> Option<Instant> {
+        let untried = targets
+            .iter()
+            .filter(|target| !self.tried.contains(&target.record.target));
+        untried
+            .map(|target| target.admits_from(self.cold_share, self.now))
+            .min()
+    }
+
     /// Whether `target` admits the request; counts the request if the target is cold.
     fn is_admitted(&self, target: &TargetCandidate) -> bool {
         let admit = |share| target.gauge.try_admit_cold(share, self.now);
--- a/crates/fleet/src/gateway/cold.rs
+++ b/crates/fleet/src/gateway/cold.rs
@@ -75,19 +75,47 @@
 
     /// Counts a request; returns whether `share` admits it `age` after the counter was created.
     pub(super) fn try_admit(&self, share: ColdShare, age: Duration) -> bool {
-        let position = age.as_secs_f64() / share.slot.as_secs_f64() + self.phase;
-        if share.slot.mul_f64(position.fract()) >= OPEN_TIME {
-            return false;
-        }
-        // Adds one, since 0 means none.
-        let slot = saturating_whole(position).saturating_add(1);
+        let position = self.position(share, age);
+        let limit = u64::from(share.sends).min(COUNT_MASK);
+        let slot = slot_number(position);
         let admit = |state: u64| {
-            let is_current = state >> COUNT_BITS == slot;
-            let sent = if is_current { state & COUNT_MASK } else { 0 };
-            let limit = u64::from(share.sends).min(COUNT_MASK);
+            let sent = sent_in(state, slot);
             (sent < limit).then_some((slot << COUNT_BITS) | (sent + 1))
         };
         let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
-        self.state.fetch_update(set, fetch, admit).is_ok()
+        is_open(share, position) && self.state.fetch_update(set, fetch, admit).is_ok()
+    }
+
+    /// Time until `share` admits the next request.
+    pub(super) fn opens_in(&self, share: ColdShare, age: Duration) -> Duration {
+        let position = self.position(share, age);
+        let sent = sent_in(self.state.load(Ordering::Relaxed), slot_number(position));
+        if is_open(share, position) && sent < u64::from(share.sends) {
+            return Duration::ZERO;
+        }
+        share.slot.mul_f64(1.0 - position.fract())
+    }
+
+    /// Slots that have begun, with the passed part of the current one.
+    fn position(&self, share: ColdShare, age: Duration) -> f64 {
+        age.as_secs_f64() / share.slot.as_secs_f64() + self.phase
+    }
+}
+
+fn is_open(share: ColdShare, position: f64) -> bool {
+    share.slot.mul_f64(position.fract()) < OPEN_TIME
+}
+
+/// Number of the slot at `position`, from 1.
+fn slot_number(position: f64) -> u64 {
+    saturating_whole(position).saturating_add(1)
+}
+
+/// Requests sent in `slot` according to the counter's `state`.
+fn sent_in(state: u64, slot: u64) -> u64 {
+    if state >> COUNT_BITS == slot {
+        state & COUNT_MASK
+    } else {
+        0
     }
 }
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -222,6 +222,19 @@
         self.cold_sends.try_admit(share, age)
     }
 
+    /// Time until `share` admits a request to the target while it is cold.
+    fn cold_opens_in(&self, share: ColdShare, now: Instant) -> Duration {
+        let age = now.saturating_duration_since(self.started_at);
+        self.cold_sends.opens_in(share, age)
+    }
+
+    /// When the target may be tried again after it was displaced or rejected a request.
+    fn backoff_until(&self) -> Instant {
+        let displaced = self.displaced_until_ms.load(Ordering::Relaxed);
+        let rejecting = self.rejecting_until_ms.load(Ordering::Relaxed);
+        self.started_at + Duration::from_millis(displaced.max(rejecting))
+    }
+
     fn millis(&self, at: Instant) -> u64 {
         let since = at.saturating_duration_since(self.started_at).as_millis();
         // Adds one, since 0 means never.
@@ -263,6 +276,20 @@
         now < self.cold_until
     }
 
+    /// Earliest time from `now` at which the target admits a request, with `share` of its rate while
+    /// it is cold.
+    #[must_use]
+    pub fn admits_from(&self, share: Option<ColdShare>, now: Instant) -> Instant {
+        let at = now.max(self.gauge.backoff_until());
+        if !self.is_cold(at) {
+            return at;
+        }
+        let opens_at = share.map(|share| now + self.gauge.cold_opens_in(share, now));
+        opens_at.map_or(self.cold_until, |opens_at| {
+            at.max(opens_at.min(self.cold_until))
+        })
+    }
+
     /// Returns whether its rank group is considered stalled at `now`; suspects the group if its
     /// streams are silent.
     #[must_use]
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -182,3 +182,43 @@
     let later = now + Duration::from_secs(2);
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("a"));
 }
+
+#[test]
+fn next_admission_cold_slot() {
+    let now = Instant::now();
+    let mut targets = [candidate("a", now)];
+    targets[0].cold_until = now + Duration::from_mins(1);
+    let domain: DomainId = "domain-a".parse().expect("domain");
+    let share = ColdShare::new(RequestRate::new(1), 30);
+    let input = |now| ChoiceInput {
+        tried: &[],
+        domain: &domain,
+        cold_share: Some(share),
+        now,
+    };
+    let at = input(now).next_admission(&targets).expect("a time");
+    assert!(at < now + share.slot());
+    let at = at + Duration::from_millis(1);
+    assert!(LeastLoadedPolicy.choose(&targets, &input(at)).is_some());
+    let next = input(at).next_admission(&targets).expect("a time");
+    assert!(next > at + share.slot() / 2);
+}
+
+#[test]
+fn next_admission_rejecting_or_none() {
+    let now = Instant::now();
+    let targets = [candidate("a", now)];
+    targets[0].gauge.record_rejection(now);
+    let domain: DomainId = "domain-a".parse().expect("domain");
+    let tried = [targets[0].record.target.clone()];
+    let mut input = ChoiceInput {
+        tried: &[],
+        domain: &domain,
+        cold_share: None,
+        now,
+    };
+    let at = input.next_admission(&targets).expect("a time");
+    assert!(at > now && at <= now + Duration::from_millis(200));
+    input.tried = &tried;
+    assert_eq!(input.next_admission(&targets), None);
+}
