Returning targets are limited without counting as slow; the roster is read stale

What callers saw: after the return of a domain more requests than needed went to the other domains, and were later for it.

Cause: counting as cold brings two things, a limit of the rate and the penalty of a slow target. Only the first follows from not knowing.

Change: `limited_until` beside `cold_until`; the log names such targets `maybe_cold`.

--- a/crates/amaranthgw/src/gateway/basis.rs
+++ b/crates/amaranthgw/src/gateway/basis.rs
@@ -11,8 +11,8 @@
 #[derive(Debug)]
 pub(super) struct ChoiceBasis {
     chosen_at: Instant,
-    /// Whether the target was taken for cold.
-    pub(super) is_cold: bool,
+    /// Whether the target was taken for `cold`, `maybe_cold` or `warm`.
+    pub(super) warmth: &'static str,
     /// Revision of the target's registry entry.
     pub(super) entry: StoreRevision,
     /// Time since that revision was first read.
@@ -29,7 +29,7 @@
         let (entry, entry_age) = target.gauge.entry_age(now);
         Self {
             chosen_at: now,
-            is_cold: target.is_cold(now),
+            warmth: warmth(target, now),
             entry,
             entry_age,
             gateways,
@@ -42,11 +42,6 @@
         self.chosen_at
     }
 
-    /// Label of the assumed state in logs.
-    pub(super) const fn warmth(&self) -> &'static str {
-        if self.is_cold { "cold" } else { "warm" }
-    }
-
     /// Records that a connection for the request is open.
     pub(super) fn record_connected(&self) {
         let waited = whole_millis(self.chosen_at.elapsed());
@@ -60,6 +55,16 @@
     }
 }
 
+fn warmth(target: &TargetCandidate, now: Instant) -> &'static str {
+    if target.is_cold(now) {
+        "cold"
+    } else if target.is_limited(now) {
+        "maybe_cold"
+    } else {
+        "warm"
+    }
+}
+
 /// Whole milliseconds of `time`; saturates at the maximum.
 pub(super) fn whole_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/amaranthgw/src/gateway/roster.rs
+++ b/crates/amaranthgw/src/gateway/roster.rs
@@ -57,7 +57,7 @@
         loop {
             let listed = self
                 .store
-                .list(GATEWAY_PREFIX, ReadFreshness::Linearizable, STORE_TIMEOUT)
+                .list(GATEWAY_PREFIX, self.freshness(), STORE_TIMEOUT)
                 .await;
             count_store_call("list_gateways", &listed);
             if let Ok(listing) = listed {
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Consistency of the next read. Once the roster is settled, a read that is some seconds old
+    /// does, as gossip tells of new gateways sooner.
+    const fn freshness(&self) -> ReadFreshness {
+        if self.roster.is_settled() {
+            ReadFreshness::MayBeStale
+        } else {
+            ReadFreshness::Linearizable
+        }
+    }
+
     /// Writes the own registration; tries again until the store acknowledges it.
     async fn register(&self) {
         let key = gateway_key(&self.vm);
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -455,7 +455,7 @@
             detail,
             chosen_ms: whole_millis(chosen_at.saturating_duration_since(self.call.arrived_at)),
             connected_ms: basis.connected_ms(),
-            warmth: basis.warmth(),
+            warmth: basis.warmth,
             entry: basis.entry,
             entry_age_ms: whole_millis(basis.entry_age),
             gateways: basis.gateways,
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -310,7 +310,7 @@
         chosen_ms: u64,
         /// Time from the choice until a connection was open, in milliseconds; `None` if none was.
         connected_ms: Option<u64>,
-        /// Whether the target was taken for `cold` or `warm`.
+        /// Whether the target was taken for `cold`, `maybe_cold` or `warm`.
         warmth: &'static str,
         /// Revision of the registry entry of the target.
         entry: StoreRevision,
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -31,10 +31,10 @@
             .min()
     }
 
-    /// Whether `target` admits the request; counts the request if the target is cold.
+    /// Whether `target` admits the request; counts the request if the target's rate is limited.
     fn is_admitted(&self, target: &TargetCandidate) -> bool {
         let admit = |share| target.gauge.try_admit_cold(share, self.now);
-        !target.is_cold(self.now) || self.cold_share.is_some_and(admit)
+        !target.is_limited(self.now) || self.cold_share.is_some_and(admit)
     }
 }
 
--- a/crates/fleet/src/gateway/roster.rs
+++ b/crates/fleet/src/gateway/roster.rs
@@ -100,6 +100,12 @@
         reading
     }
 
+    /// Whether the last read included the gateways that started together with this one.
+    #[must_use]
+    pub const fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
     /// Time until the next write of the own entry and read of all.
     #[must_use]
     pub fn interval(&self) -> Duration {
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -5,9 +5,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use amaranthgw_core::{
-    DomainId, MilliSpan, RequestRate, ServiceId, SlotCount, StoreRevision, TargetId,
-};
+use amaranthgw_core::{DomainId, MilliSpan, ServiceId, SlotCount, StoreRevision, TargetId};
 use tokio::time::Instant;
 
 use super::cold::{ColdCounter, ColdShare};
@@ -263,8 +261,9 @@
     pub gauge: Arc<TargetGauge>,
     /// End of its slow start, until which it is cold.
     pub cold_until: Instant,
-    /// Request rate that it can handle while cold.
-    pub cold_rate: RequestRate,
+    /// Time until which its rate is limited: it is cold, or may be although its entry doesn't say
+    /// so yet.
+    pub limited_until: Instant,
     /// Its rank group; `None` if it has none or the agent of its rank has not reported it.
     pub group: Option<Arc<GroupGauge>>,
 }
@@ -276,17 +275,23 @@
         now < self.cold_until
     }
 
-    /// Earliest time from `now` at which the target admits a request, with `share` of its rate while
-    /// it is cold.
+    /// Whether it gets no more than the rate of a cold target at `now`.
+    #[must_use]
+    pub fn is_limited(&self, now: Instant) -> bool {
+        now < self.limited_until
+    }
+
+    /// Earliest time from `now` at which the target admits a request, with `share` of a cold target's
+    /// rate while it is limited.
     #[must_use]
     pub fn admits_from(&self, share: Option<ColdShare>, now: Instant) -> Instant {
         let at = now.max(self.gauge.backoff_until());
-        if !self.is_cold(at) {
+        if !self.is_limited(at) {
             return at;
         }
         let opens_at = share.map(|share| now + self.gauge.cold_opens_in(share, now));
-        opens_at.map_or(self.cold_until, |opens_at| {
-            at.max(opens_at.min(self.cold_until))
+        opens_at.map_or(self.limited_until, |opens_at| {
+            at.max(opens_at.min(self.limited_until))
         })
     }
 
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -155,7 +155,7 @@
     /// Replaces the failure domains that are out of service with those read at revision `as_of`,
     /// unless a later revision is known; returns whether the set changed.
     ///
-    /// Targets of a domain that returns count as cold at first: their entries are read less often
+    /// Targets of a domain that returns get the rate of cold ones at first: their entries are read less often
     /// than the domain's state, and not at all by a gateway that the store turns away.
     pub fn adopt_evacuated(
         &mut self,
@@ -345,12 +345,11 @@
             if row.record.is_draining || self.evacuated.contains(&row.record.domain) {
                 continue;
             }
-            let service = self.routes.services.get(&row.record.service);
             let candidate = TargetCandidate {
                 record: row.record.clone(),
                 gauge: Arc::clone(&row.gauge),
-                cold_until: row.cold_until.max(row.maybe_cold_until),
-                cold_rate: service.map_or(RequestRate::default(), |service| service.cold_rate),
+                cold_until: row.cold_until,
+                limited_until: row.cold_until.max(row.maybe_cold_until),
                 group: row.group.clone(),
             };
             let service = row.record.service.clone();
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -17,11 +17,16 @@
         record: entry(id, 1, 1).record,
         gauge: Arc::new(TargetGauge::new(now)),
         cold_until: now,
-        cold_rate: RequestRate::new(10),
+        limited_until: now,
         group: None,
     }
 }
 
+fn set_cold(target: &mut TargetCandidate, until: Instant) {
+    target.cold_until = until;
+    target.limited_until = until;
+}
+
 fn choose<'a>(
     policy: &dyn ChoicePolicy,
     targets: &'a [TargetCandidate],
@@ -109,7 +114,7 @@
 fn choose_cold_within_limit() {
     let now = Instant::now();
     let mut targets = [candidate("a", now)];
-    targets[0].cold_until = now + Duration::from_secs(3);
+    set_cold(&mut targets[0], now + Duration::from_secs(3));
     let chosen = (0..10).filter(|_| choose(&LeastLoadedPolicy, &targets, &[], now).is_some());
     assert_eq!(chosen.count(), 2);
     let later = now + Duration::from_millis(1_001);
@@ -120,7 +125,7 @@
 fn choose_cold_without_share() {
     let now = Instant::now();
     let mut targets = [candidate("a", now), candidate("b", now)];
-    targets[0].cold_until = now + Duration::from_secs(3);
+    set_cold(&mut targets[0], now + Duration::from_secs(3));
     let domain: DomainId = "domain-a".parse().expect("domain");
     let input = ChoiceInput {
         tried: &[],
@@ -134,6 +139,21 @@
     assert!(LeastLoadedPolicy.choose(&targets[..1], &input).is_none());
 }
 
+#[test]
+fn choose_maybe_cold_without_penalty() {
+    let now = Instant::now();
+    let mut targets = [candidate("a", now), candidate("b", now)];
+    targets[0].limited_until = now + Duration::from_secs(3);
+    let _busy = TargetGauge::begin_request(&targets[1].gauge);
+    let chosen: Vec<_> = (0..3)
+        .filter_map(|_| choose(&LeastLoadedPolicy, &targets, &[], now))
+        .collect();
+    assert_eq!(chosen, ["a", "a", "b"]);
+    set_cold(&mut targets[0], now + Duration::from_secs(3));
+    let later = now + Duration::from_secs(1);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("b"));
+}
+
 #[test]
 fn choose_tried_skipped() {
     let now = Instant::now();
@@ -187,7 +207,7 @@
 fn next_admission_cold_slot() {
     let now = Instant::now();
     let mut targets = [candidate("a", now)];
-    targets[0].cold_until = now + Duration::from_mins(1);
+    set_cold(&mut targets[0], now + Duration::from_mins(1));
     let domain: DomainId = "domain-a".parse().expect("domain");
     let share = ColdShare::new(RequestRate::new(1), 30);
     let input = |now| ChoiceInput {
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -130,7 +130,7 @@
 
 // Idle targets of a domain that came back were flooded before their entries said that they are cold.
 #[test]
-fn adopt_evacuated_returned_targets_count_as_cold() {
+fn adopt_evacuated_returned_targets_limited() {
     let (mut world, now) = (world(), Instant::now());
     let mut routes = RouteTable::new(ConfigVersion::new(1));
     let service = ServiceRow {
@@ -150,16 +150,17 @@
     world.adopt_evacuated(BTreeSet::new(), StoreRevision::new(10), returned);
     // An entry from before the return doesn't show that the target is warm.
     world.adopt_registry(entries, returned);
-    let cold = |world: &mut GatewayWorld, at| {
+    let limited = |world: &mut GatewayWorld, at| {
         let snapshot = world.snapshot(at);
         let targets = snapshot.targets.values().flatten();
-        let cold = targets.filter(|target| target.is_cold(at));
-        cold.map(|target| target.record.target.to_string())
+        let limited = targets.filter(|target| target.is_limited(at));
+        limited
+            .map(|target| target.record.target.to_string())
             .collect::<Vec<_>>()
     };
-    assert_eq!(cold(&mut world, returned), ["a"]);
+    assert_eq!(limited(&mut world, returned), ["a"]);
     let later = returned + Duration::from_secs(3);
-    assert!(cold(&mut world, later).is_empty());
+    assert!(limited(&mut world, later).is_empty());
 }
 
 #[test]
