The soak holds cold servers to their bound

The soak had no cold server, so it could not have seen what the users saw. One target of each plain service now stays cold for the whole run, and it may run no more than its bound in any second, whatever faults there are: its entry says so all the time, so nothing excuses a gateway.

--- a/crates/amaranthgw/tests/soak/ledger.rs
+++ b/crates/amaranthgw/tests/soak/ledger.rs
@@ -7,12 +7,14 @@
 use amaranthgw_standins::site::SiteRun;
 use tokio::time::Instant;
 
-use super::site::{ConfigRow, PLAIN_SERVICES, SoakSite, SoakTarget, WORKSPACE};
+use super::site::{COLD_RATE, ConfigRow, PLAIN_SERVICES, SoakSite, SoakTarget, WORKSPACE};
 
 /// Time after its acknowledgement within which a configuration takes effect.
 const CONFIG_BOUND: Duration = Duration::from_millis(2_500);
 /// Time for which a target may still get requests after the store acknowledged it as draining.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
+/// Requests that a cold target may run within any second, whatever faults there are.
+const COLD_BOUND: usize = COLD_RATE * 3 / 2 + 5;
 /// Time after an unplanned fault for which `CONFIG_BOUND`, `DRAIN_BOUND` and the check of planned
 /// stops and reloads don't apply.
 const FAULT_GRACE_PERIOD: Duration = Duration::from_secs(4);
@@ -143,6 +145,7 @@
         let mut violations = tables.violations.clone();
         let mut runs: HashMap<String, u32> = HashMap::new();
         for target in &site.targets {
+            violations.extend(check_cold(target));
             for run in target.target.runs() {
                 let id = run.header("x-amaranthgw-request-id").unwrap_or_default();
                 *runs.entry(id.to_owned()).or_default() += 1;
@@ -160,6 +163,20 @@
     }
 }
 
+/// Checks that a cold target ran no more than `COLD_BOUND` requests within any second.
+fn check_cold(target: &SoakTarget) -> Option<String> {
+    let runs = target.target.runs();
+    let in_second_from = |(first, run): (usize, &SiteRun)| {
+        let end = run.arrived_at + Duration::from_secs(1);
+        let later = runs[first..].iter();
+        later.take_while(|later| later.arrived_at < end).count()
+    };
+    let counts = runs.iter().enumerate().map(in_second_from);
+    let peak = counts.max().unwrap_or_default();
+    let is_flooded = target.is_cold && peak > COLD_BOUND;
+    is_flooded.then(|| format!("{}: cold, ran {peak} requests in a second", target.key))
+}
+
 impl LedgerTables {
     /// Whether no unplanned fault was active from `FAULT_GRACE_PERIOD` before `from` to `until`.
     fn is_fault_free(&self, from: Instant, until: Instant) -> bool {
--- a/crates/amaranthgw/tests/soak/site.rs
+++ b/crates/amaranthgw/tests/soak/site.rs
@@ -23,6 +23,12 @@
 pub(super) const WORKSPACE: &str = "school";
 /// Targets of each plain or streaming service.
 const TARGETS_PER_SERVICE: usize = 3;
+/// Number of the target of each plain service that stays cold for the whole run.
+const COLD_TARGET: usize = 2;
+/// Requests per second that a cold target can handle.
+pub(super) const COLD_RATE: usize = 10;
+/// Time of the slow start of a cold target, longer than a run.
+const COLD_MS: u64 = 600_000;
 /// Time within which all gateways must be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -50,6 +56,8 @@
     pub(super) entry: Value,
     /// Store key of the entry.
     pub(super) key: String,
+    /// Whether it is cold for the whole run.
+    pub(super) is_cold: bool,
     /// Time at which it was registered as draining.
     pub(super) draining_at: Mutex<Option<Instant>>,
 }
@@ -169,7 +177,11 @@
             .start(free_address(loopback(1)))
             .expect("target starts");
         let address = self.add_proxy(started.address(), loopback(1));
-        let entry = target.entry(service, address, "domain-a");
+        let mut entry = target.entry(service, address, "domain-a");
+        let is_cold = number == COLD_TARGET && PLAIN_SERVICES.contains(&service);
+        if is_cold {
+            entry["cold_left_ms"] = COLD_MS.into();
+        }
         let key = format!("servers/{id}");
         self.store.put(&key, &entry);
         self.running.push(started);
@@ -178,6 +190,7 @@
             service,
             entry,
             key,
+            is_cold,
             draining_at: Mutex::new(None),
         });
     }
@@ -281,8 +294,9 @@
 
 fn config(version: u64, desk: &str, keys: &[&str]) -> Value {
     let mut config = site_config(version, desk, WORKSPACE, keys);
+    let plain = |name: &str| json!({ "name": name, "cold_s": 3.0, "cold_per_s": COLD_RATE });
     config["services"] = json!([
-        { "name": PLAIN_SERVICES[0] }, { "name": PLAIN_SERVICES[1] }, { "name": "draft" },
+        plain(PLAIN_SERVICES[0]), plain(PLAIN_SERVICES[1]), { "name": "draft" },
         { "name": "llm", "engine": {
             "sets": 2, "experts": 12, "places": 6, "spare": 4,
             "expert_mb": 1.0, "link_mbps": 1000.0,
