Waiting goes on while a displaced target's successor may be listed

Reading the change as a newcomer: `next_admission` took the end of a displacement, 4 s, for the time at which a request can be served, so a stream would have been refused at once, where its wait of 1 s can meet the next listing of the registry. With a displaced target the time is now unknown, and the request waits as it did before. next_admission_displaced_unknown checks it.

--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -142,24 +142,20 @@
         let target = attempt.target.record.target.clone();
         let thread = Arc::clone(&self.thread);
         let reading = attempt.collect(&thread, thread.shared.max_answer);
-        let failure = match timeout_at(self.call.deadline, reading).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(error)) => Err(error.to_compact_string()),
-            Err(_elapsed) => Err(CompactString::const_new("incomplete at the deadline")),
-        };
-        let body = match failure {
-            Ok(body) => body,
-            Err(detail) => {
-                gauge.record_failure(Instant::now());
-                self.record_attempt(&target, "broken_answer", detail);
-                return None;
+        let broken = match timeout_at(self.call.deadline, reading).await {
+            Ok(Ok(body)) => {
+                gauge.record_success();
+                let mut response = Response::new(full_body(body));
+                *response.status_mut() = status;
+                *response.headers_mut() = headers;
+                return Some(response);
             }
+            Ok(Err(error)) => error.to_compact_string(),
+            Err(_elapsed) => CompactString::const_new("incomplete at the deadline"),
         };
-        gauge.record_success();
-        let mut response = Response::new(full_body(body));
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        Some(response)
+        gauge.record_failure(Instant::now());
+        self.record_attempt(&target, "broken_answer", broken);
+        None
     }
 
     /// Whether the request may be run once more.
--- a/crates/amaranthgw/tests/it/gateway/cold.rs
+++ b/crates/amaranthgw/tests/it/gateway/cold.rs
@@ -85,6 +85,22 @@
     (0..runs.len()).map(in_second_from).max().unwrap_or(0)
 }
 
+/// Checks that the target was used, and never beyond the bound of a cold one.
+fn assert_bounded(target: &SiteTarget) {
+    let peak = peak_rate(target);
+    assert!(peak <= COLD_BOUND, "{peak}");
+    assert!(target.runs().len() >= COLD_RATE / 2, "the target was used");
+}
+
+/// A site with the target `i-1` that stays cold.
+fn cold_site() -> (TestSite, SiteTarget) {
+    let mut site = TestSite::new();
+    site.store.put("op/config", &cold_config(7));
+    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    set_cold(&site, "i-1", Duration::from_mins(1));
+    (site, target)
+}
+
 fn set_cold(site: &TestSite, id: &str, left: Duration) {
     let key = format!("servers/{id}");
     let entry = site.store.value(&key).expect("entry");
@@ -96,29 +112,19 @@
 // A cold target was flooded: each gateway that started took its share by the few peers known yet.
 #[tokio::test]
 async fn admit_cold_gateways_start_together() {
-    let mut site = TestSite::new();
-    site.store.put("op/config", &cold_config(7));
-    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
-    set_cold(&site, "i-1", Duration::from_secs(30));
+    let (site, target) = cold_site();
     let gateways = start_gateways(&site, seeds);
     flood(&gateways, Instant::now() + FLOOD_TIME).await;
-    let peak = peak_rate(&target);
-    assert!(peak <= COLD_BOUND, "{peak}");
-    assert!(target.runs().len() >= COLD_RATE / 2, "the target was used");
+    assert_bounded(&target);
 }
 
 // A cold target was flooded: gateways that did not reach each other did not count each other.
 #[tokio::test]
 async fn admit_cold_gateways_cut_off_from_each_other() {
-    let mut site = TestSite::new();
-    site.store.put("op/config", &cold_config(7));
-    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
-    set_cold(&site, "i-1", Duration::from_secs(30));
+    let (site, target) = cold_site();
     let gateways = start_gateways(&site, partner);
     flood(&gateways, Instant::now() + FLOOD_TIME).await;
-    let peak = peak_rate(&target);
-    assert!(peak <= COLD_BOUND, "{peak}");
-    assert!(target.runs().len() >= COLD_RATE / 2, "the target was used");
+    assert_bounded(&target);
 }
 
 // A target of a failure domain that came back was flooded: its entry did not yet say that it is cold.
@@ -139,18 +145,13 @@
     sleep(Duration::from_secs(1)).await;
     site.store.remove("op/evacuate/domain-a");
     flood(&gateways, Instant::now() + Duration::from_secs(2)).await;
-    let peak = peak_rate(&target);
-    assert!(peak <= COLD_BOUND, "{peak}");
-    assert!(target.runs().len() >= COLD_RATE / 2, "the target was used");
+    assert_bounded(&target);
 }
 
 // A request waited for a cold target although its gateway's next slot was known to be too late.
 #[tokio::test]
 async fn run_call_no_slot_in_time_refused_at_once() {
-    let mut site = TestSite::new();
-    site.store.put("op/config", &cold_config(7));
-    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
-    set_cold(&site, "i-1", Duration::from_mins(1));
+    let (site, target) = cold_site();
     // Among 400 gateways, each has a slot every 19 s.
     for number in 1..400 {
         let key = format!("amaranthgw/gateways/gateway-{number}");
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -19,14 +19,17 @@
 }
 
 impl ChoiceInput<'_> {
-    /// Earliest time at which one of `targets` that wasn't tried admits the request; `None` if there
-    /// is none.
+    /// Earliest time at which one of `targets` that wasn't tried admits the request; `None` if it is
+    /// not known, as there is no such target, or one is displaced and the registry is about to list
+    /// its successor.
     #[must_use]
     pub fn next_admission(&self, targets: &[TargetCandidate]) -> Option<Instant> {
-        let untried = targets
-            .iter()
-            .filter(|target| !self.tried.contains(&target.record.target));
-        untried
+        let is_untried = |target: &&TargetCandidate| !self.tried.contains(&target.record.target);
+        let untried = || targets.iter().filter(is_untried);
+        if untried().any(|target| target.gauge.is_displaced(self.now)) {
+            return None;
+        }
+        untried()
             .map(|target| target.admits_from(self.cold_share, self.now))
             .min()
     }
--- a/crates/fleet/src/gateway/cold.rs
+++ b/crates/fleet/src/gateway/cold.rs
@@ -5,8 +5,8 @@
 
 use amaranthgw_core::{RequestRate, saturating_whole};
 
-/// Fraction of a cold target's rate that all gateways together use. Callers' bound is 1.5 times the
-/// rate in any second; the rest covers slots of many gateways that happen to coincide.
+/// Fraction of a cold target's rate that all gateways together use. The operators allow 1.5 times the
+/// rate in any second; the difference covers slots of many gateways that coincide.
 const RATE_SAFETY_FACTOR: f64 = 0.75;
 /// Shortest slot. Several requests of a short burst can share it.
 const MIN_SLOT: Duration = Duration::from_millis(100);
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -226,11 +226,10 @@
         self.cold_sends.opens_in(share, age)
     }
 
-    /// When the target may be tried again after it was displaced or rejected a request.
+    /// When the target may be tried again after it rejected a request.
     fn backoff_until(&self) -> Instant {
-        let displaced = self.displaced_until_ms.load(Ordering::Relaxed);
-        let rejecting = self.rejecting_until_ms.load(Ordering::Relaxed);
-        self.started_at + Duration::from_millis(displaced.max(rejecting))
+        let until_ms = self.rejecting_until_ms.load(Ordering::Relaxed);
+        self.started_at + Duration::from_millis(until_ms)
     }
 
     fn millis(&self, at: Instant) -> u64 {
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -242,3 +242,20 @@
     input.tried = &tried;
     assert_eq!(input.next_admission(&targets), None);
 }
+
+#[test]
+fn next_admission_displaced_unknown() {
+    let now = Instant::now();
+    let targets = [candidate("a", now), candidate("b", now)];
+    targets[0].gauge.record_rejection(now);
+    targets[1].gauge.record_displacement(now);
+    let domain: DomainId = "domain-a".parse().expect("domain");
+    let input = ChoiceInput {
+        tried: &[],
+        domain: &domain,
+        cold_share: None,
+        now,
+    };
+    assert!(input.next_admission(&targets[..1]).is_some());
+    assert_eq!(input.next_admission(&targets), None);
+}
