Reading the change: unknown shares are waited for, names and comments

A request that finds only cold targets while its gateway has not yet read the roster was refused at once, though the share is known some milliseconds later: `admits_from` now says that it does not know. choose_cold_without_share checks it and failed before. `TargetTransition::Cold` no longer carries a time that nobody reads; the module's page names what was added.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -133,7 +133,7 @@
                     (target, "draining", CompactString::default())
                 }
                 TargetTransition::Gone(target) => (target, "gone", CompactString::default()),
-                TargetTransition::Cold(target, _left) => (target, "cold", CompactString::default()),
+                TargetTransition::Cold(target) => (target, "cold", CompactString::default()),
             };
             self.log.record(NodeEvent::TargetShifted {
                 target,
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -19,19 +19,16 @@
 }
 
 impl ChoiceInput<'_> {
-    /// Earliest time at which one of `targets` that wasn't tried admits the request; `None` if it is
-    /// not known, as there is no such target, or one is displaced and the registry is about to list
-    /// its successor.
+    /// Earliest time at which one of `targets` that wasn't tried admits the request; `None` if there
+    /// is no such target or the time of one is not known.
     #[must_use]
     pub fn next_admission(&self, targets: &[TargetCandidate]) -> Option<Instant> {
         let is_untried = |target: &&TargetCandidate| !self.tried.contains(&target.record.target);
-        let untried = || targets.iter().filter(is_untried);
-        if untried().any(|target| target.gauge.is_displaced(self.now)) {
-            return None;
-        }
-        untried()
+        let untried = targets.iter().filter(is_untried);
+        let times: Option<Vec<_>> = untried
             .map(|target| target.admits_from(self.cold_share, self.now))
-            .min()
+            .collect();
+        times?.into_iter().min()
     }
 
     /// Whether `target` admits the request; counts the request if the target's rate is limited.
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -1,5 +1,6 @@
-//! Control state and decisions of a gateway: route table, target registry, load balancing, retry
-//! budgets, stall detection of rank groups and event stream framing.
+//! Control state and decisions of a gateway: route table, target registry, roster of gateways, load
+//! balancing, shares of cold targets' rates, retry budgets, stall detection of rank groups and event
+//! stream framing.
 //!
 //! A gateway accepts callers' requests and forwards them directly to the targets that the
 //! platform's registry lists; no sidecar is involved. It has its own policies and retry budgets
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -281,17 +281,19 @@
     }
 
     /// Earliest time from `now` at which the target admits a request, with `share` of a cold target's
-    /// rate while it is limited.
+    /// rate while it is limited. `None` if it is not known: the share isn't yet, or the target is
+    /// displaced and the registry is about to list its successor.
     #[must_use]
-    pub fn admits_from(&self, share: Option<ColdShare>, now: Instant) -> Instant {
+    pub fn admits_from(&self, share: Option<ColdShare>, now: Instant) -> Option<Instant> {
+        if self.gauge.is_displaced(now) {
+            return None;
+        }
         let at = now.max(self.gauge.backoff_until());
         if !self.is_limited(at) {
-            return at;
+            return Some(at);
         }
-        let opens_at = share.map(|share| now + self.gauge.cold_opens_in(share, now));
-        opens_at.map_or(self.limited_until, |opens_at| {
-            at.max(opens_at.min(self.limited_until))
-        })
+        let opens_at = now + self.gauge.cold_opens_in(share?, now);
+        Some(at.max(opens_at.min(self.limited_until)))
     }
 
     /// Returns whether its rank group is considered stalled at `now`; suspects the group if its
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -99,6 +99,7 @@
 /// Fraction of the retry ratio that is granted: less than 1, since a window can contain a retry but
 /// not the earlier request that allowed it.
 const RATIO_SAFETY_FACTOR: f64 = 0.85;
+
 /// A change of a target's registration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TargetTransition {
@@ -106,8 +107,8 @@
     Seen(TargetRecord),
     /// It began to drain and accepts no new requests.
     Draining(TargetId),
-    /// It is in slow start, for the given time.
-    Cold(TargetId, MilliSpan),
+    /// It entered its slow start, in which it is cold.
+    Cold(TargetId),
     /// Removed: its entry is gone or another target has its address.
     Gone(TargetId),
 }
@@ -155,8 +156,8 @@
     /// Replaces the failure domains that are out of service with those read at revision `as_of`,
     /// unless a later revision is known; returns whether the set changed.
     ///
-    /// Targets of a domain that returns get the rate of cold ones at first: their entries are read less often
-    /// than the domain's state, and not at all by a gateway that the store turns away.
+    /// Targets of a domain that returns get the rate of cold ones at first: their entries are read
+    /// less often than the domain's state, and not at all by a gateway that the store turns away.
     pub fn adopt_evacuated(
         &mut self,
         evacuated: BTreeSet<DomainId>,
@@ -262,7 +263,7 @@
         let cold_until = now + record.cold_left.duration();
         let (was_cold, is_cold) = (row.cold_until > now, cold_until > now);
         if is_cold && !was_cold {
-            transitions.push(TargetTransition::Cold(target, record.cold_left));
+            transitions.push(TargetTransition::Cold(target));
         }
         self.is_changed |= row.record != record || was_cold != is_cold;
         row.record = record;
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -137,6 +137,8 @@
     let chosen = chosen.map(|target| target.record.target.as_str());
     assert_eq!(chosen, Some("b"));
     assert!(LeastLoadedPolicy.choose(&targets[..1], &input).is_none());
+    // The share may be known any moment.
+    assert_eq!(input.next_admission(&targets[..1]), None);
 }
 
 #[test]
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -217,10 +217,7 @@
     cold.record.cold_left = MilliSpan::new(3_000);
     let transitions = world.adopt_registry(vec![cold.clone()], now);
     let target = "a".parse().expect("target");
-    assert_eq!(
-        transitions,
-        [TargetTransition::Cold(target, MilliSpan::new(3_000))]
-    );
+    assert_eq!(transitions, [TargetTransition::Cold(target)]);
     assert!(world.adopt_registry(vec![cold], now).is_empty());
 }
 
