Tests keep the ports they hand to processes

What callers saw: nothing.

Cause: the test looked up a free port, released it and let the agent bind it later. In between the stand-in of rank 0 binds port 0 on the same address, the only other socket on it, and the system may give it the released port.

Ruled out: outgoing connections of other tests, which leave from 127.0.0.1 and don't conflict with another loopback address.

Change: ReservedPort keeps the port on all hosts that need it until the test ends; servers bind beside it with SO_REUSEADDR, as they do already. The same lookup stood in three more places, now mended: the gateway's test of rank groups, the test of exhausted descriptors and the soak, where the ports of restarted processes were free while they were down. Stand-ins and metrics listeners of the soak take port 0 directly.

--- a/crates/amaranthgw/tests/it/agents.rs
+++ b/crates/amaranthgw/tests/it/agents.rs
@@ -9,7 +9,7 @@
 use amaranthgw::telemetry::EventLog;
 use amaranthgw_fleet::settings::AgentSettings;
 use amaranthgw_standins::site::{SiteGroup, SiteStore, StoreFault};
-use amaranthgw_standins::{RunningStandin, Standin};
+use amaranthgw_standins::{ReservedPort, RunningStandin, Standin};
 use serde_json::json;
 
 use crate::env::eventually;
@@ -27,6 +27,7 @@
     group: SiteGroup,
     agents: Vec<Option<AgentProcess>>,
     _running: Vec<RunningStandin>,
+    _port: ReservedPort,
     _steps: tokio::task::JoinHandle<()>,
 }
 
@@ -53,9 +54,8 @@
         );
         let group = SiteGroup::new(RANK_COUNT, SET_COUNT, EXPERT_COUNT);
         // All agents listen on the same port, each on its own address.
-        let probe = std::net::TcpListener::bind(address_of(0)).expect("free port");
-        let port = probe.local_addr().expect("address").port();
-        drop(probe);
+        let hosts: Vec<_> = (0..RANK_COUNT).map(|rank| address_of(rank).ip()).collect();
+        let port = ReservedPort::new(&hosts).expect("free port");
         let mut agents = Vec::new();
         for rank in 0..RANK_COUNT {
             let started = group
@@ -74,7 +74,7 @@
                 "domain": "domain-a",
                 "service": "llm",
                 "rank": address,
-                "node_listen": SocketAddr::new(address.ip(), port),
+                "node_listen": port.address(address.ip()),
                 "metrics_listen": address_of(rank),
                 "store": store_address,
                 "grace": "2s",
@@ -92,6 +92,7 @@
             group,
             agents,
             _running: running,
+            _port: port,
             _steps: tokio::spawn(async move { stepping_group.run().await }),
         }
     }
--- a/crates/amaranthgw/tests/it/gateway/descriptors.rs
+++ b/crates/amaranthgw/tests/it/gateway/descriptors.rs
@@ -1,9 +1,10 @@
 //! A gateway that runs out of file descriptors must serve again once some are free.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use amaranthgw_standins::ReservedPort;
 use amaranthgw_standins::site::TargetBehaviour;
 use serde_json::json;
 
@@ -14,12 +15,6 @@
 /// and fewer than the connections that the test opens.
 const DESCRIPTORS: usize = 48;
 
-/// Distinct addresses with free ports; all probes are open at once, so no port repeats.
-fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
-    let probes = [(); COUNT].map(|()| TcpListener::bind(ANY_PORT).expect("a free port"));
-    probes.map(|probe| probe.local_addr().expect("an address"))
-}
-
 /// A process that is killed when it is dropped.
 struct LimitedGateway(Child);
 
@@ -47,7 +42,8 @@
 async fn accept_each_descriptors_exhausted() {
     let mut site = TestSite::with_routes();
     site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
-    let [caller, ready, node, metrics] = free_addresses();
+    let ports = [(); 4].map(|()| ReservedPort::new(&[ANY_PORT.ip()]).expect("a free port"));
+    let [caller, ready, node, metrics] = ports.each_ref().map(|port| port.address(ANY_PORT.ip()));
     let file = std::env::temp_dir().join(format!(
         "amaranthgw-descriptors-{}.json",
         std::process::id()
--- a/crates/amaranthgw/tests/it/gateway/groups.rs
+++ b/crates/amaranthgw/tests/it/gateway/groups.rs
@@ -1,8 +1,9 @@
 //! Stalled rank groups: their streams are resumed in another group.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use amaranthgw_standins::ReservedPort;
 use amaranthgw_standins::site::TargetBehaviour;
 use futures_util::future::join_all;
 use serde_json::{Value, json};
@@ -54,9 +55,9 @@
 async fn stream_response_leaves_stalled_group() {
     let mut site = TestSite::with_routes();
     site.store.put("op/config", &grouped_config());
-    let probe = TcpListener::bind(address(1, 0)).expect("free port");
-    let agent_port = probe.local_addr().expect("address").port();
-    drop(probe);
+    let hosts = [1, 2].map(|last| address(last, 0).ip());
+    let reserved = ReservedPort::new(&hosts).expect("free port");
+    let agent_port = reserved.port();
     let stall = TargetBehaviour::Stall { events: 3 };
     let stalled = site.add_target_at(address(1, 0), "i-1", "draft", stall);
     let healthy = TargetBehaviour::Stream {
--- a/crates/amaranthgw/tests/soak/processes.rs
+++ b/crates/amaranthgw/tests/soak/processes.rs
@@ -1,7 +1,5 @@
 //! Processes of the binary under test, each signalled by its own process id only.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, PoisonError};
@@ -108,20 +106,3 @@
         }
     }
 }
-
-/// Addresses returned so far: the system may assign the port of a closed probe again.
-static ASSIGNED_ADDRESSES: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
-
-/// An address of `ip` with a free port that was not returned before.
-pub(super) fn free_address(ip: std::net::IpAddr) -> SocketAddr {
-    loop {
-        let probe = std::net::TcpListener::bind((ip, 0)).expect("a free port");
-        let address = probe.local_addr().expect("an address");
-        let mut assigned = ASSIGNED_ADDRESSES
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if assigned.insert(address) {
-            return address;
-        }
-    }
-}
--- a/crates/amaranthgw/tests/soak/site.rs
+++ b/crates/amaranthgw/tests/soak/site.rs
@@ -7,13 +7,13 @@
 
 use amaranthgw_net::{DialSettings, PooledClient};
 use amaranthgw_standins::site::{SiteGroup, SiteStore, SiteTarget, TargetBehaviour, site_config};
-use amaranthgw_standins::{ProxySettings, ProxyStandin, RunningStandin, Standin};
+use amaranthgw_standins::{ProxySettings, ProxyStandin, ReservedPort, RunningStandin, Standin};
 use http::Method;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use super::options::SoakOptions;
-use super::processes::{SoakProcess, free_address};
+use super::processes::SoakProcess;
 
 /// Callers' keys: the first is always valid, the second is removed and added again by operators.
 pub(super) const KEYS: [&str; 2] = ["key-of-school", "key-of-club"];
@@ -93,6 +93,8 @@
     /// Addresses that serve `/readyz`, one per gateway.
     ready_addresses: Vec<SocketAddr>,
     running: Vec<RunningStandin>,
+    /// Ports of processes, reserved while they are restarted.
+    reserved: Vec<ReservedPort>,
     steps: tokio::task::JoinHandle<()>,
     folder: PathBuf,
     pub(super) options: SoakOptions,
@@ -115,13 +117,14 @@
             configs: Mutex::new(Vec::new()),
             ready_addresses: Vec::new(),
             running: Vec::new(),
+            reserved: Vec::new(),
             steps: tokio::spawn(async move { steps.run().await }),
             folder,
             options: options.clone(),
         };
         let store = site
             .store
-            .start(free_address(loopback(1)))
+            .start(any_port(loopback(1)))
             .expect("store starts");
         let store_address = store.address();
         site.running.push(store);
@@ -173,9 +176,7 @@
     fn add_target(&mut self, service: &'static str, number: usize) {
         let id = format!("i-{service}-{number}");
         let target = SiteTarget::new(&id, Self::healthy_behaviour(service));
-        let started = target
-            .start(free_address(loopback(1)))
-            .expect("target starts");
+        let started = target.start(any_port(loopback(1))).expect("target starts");
         let address = self.add_proxy(started.address(), loopback(1));
         let mut entry = target.entry(service, address, "domain-a");
         let is_cold = number == COLD_TARGET && PLAIN_SERVICES.contains(&service);
@@ -198,7 +199,7 @@
     /// Starts a proxy in front of `upstream` and returns its address.
     fn add_proxy(&mut self, upstream: SocketAddr, ip: IpAddr) -> SocketAddr {
         let proxy = ProxyStandin::new(ProxySettings::new().with_upstream(Some(upstream)));
-        let running = proxy.start(free_address(ip)).expect("proxy starts");
+        let running = proxy.start(any_port(ip)).expect("proxy starts");
         let control = running.control_address().expect("a control port");
         let address = running.address();
         self.running.push(running);
@@ -208,11 +209,25 @@
         address
     }
 
+    /// Reserves a port that is free on all `hosts`.
+    fn reserve(&mut self, hosts: &[IpAddr]) -> u16 {
+        let reserved = ReservedPort::new(hosts).expect("a free port");
+        let port = reserved.port();
+        self.reserved.push(reserved);
+        port
+    }
+
+    fn reserve_address(&mut self) -> SocketAddr {
+        let host = loopback(1);
+        SocketAddr::new(host, self.reserve(&[host]))
+    }
+
     fn start_agents(&mut self, store: SocketAddr, ranks: u16) {
-        let port = free_address(loopback(20)).port();
-        for rank in 0..ranks {
-            let ip = loopback(20 + u8::try_from(rank % 200).expect("a rank"));
-            let started = self.group.rank(rank.into()).start(free_address(ip));
+        let hosts: Vec<_> = (0..ranks).map(rank_host).collect();
+        let nodes = self.reserve(&hosts);
+        for (rank, ip) in hosts.into_iter().enumerate() {
+            let rank = u16::try_from(rank).expect("a rank");
+            let started = self.group.rank(rank.into()).start(any_port(ip));
             let started = started.expect("rank starts");
             let (address, name) = (started.address(), format!("agent-{rank}"));
             self.running.push(started);
@@ -224,7 +239,7 @@
             let store = self.add_proxy(store, loopback(1));
             let settings = json!({
                 "vm": name, "domain": "domain-a", "service": "llm", "rank": address,
-                "node_listen": SocketAddr::new(ip, port), "metrics_listen": free_address(ip),
+                "node_listen": SocketAddr::new(ip, nodes), "metrics_listen": any_port(ip),
                 "store": store, "grace": "2s", "fenced_orders": true,
             });
             let agent = SoakProcess::start("agent", &self.folder, &settings, &self.options);
@@ -233,15 +248,15 @@
     }
 
     fn start_gateways(&mut self, store: SocketAddr, gateways: usize) {
-        let nodes: Vec<_> = (0..gateways).map(|_| free_address(loopback(1))).collect();
+        let nodes: Vec<_> = (0..gateways).map(|_| self.reserve_address()).collect();
         for (number, node) in nodes.iter().enumerate() {
-            let (callers, ready) = (free_address(loopback(1)), free_address(loopback(1)));
+            let (callers, ready) = (self.reserve_address(), self.reserve_address());
             let name = format!("gateway-{number}");
             let store = self.add_proxy(store, loopback(1));
             let settings = json!({
                 "vm": name, "domain": "domain-a", "caller_listen": callers,
                 "ready_listen": ready, "node_listen": node,
-                "metrics_listen": free_address(loopback(1)), "store": store,
+                "metrics_listen": any_port(loopback(1)), "store": store,
                 "seeds": nodes.iter().take(3).collect::<Vec<_>>(), "grace": "8s",
                 "retry_ratio": 0.2, "retry_slack": 94, "retry_window": "10s",
             });
@@ -292,6 +307,16 @@
     IpAddr::V4(Ipv4Addr::new(127, 20 + network, 90, last))
 }
 
+/// Address of the machine of a rank; 200 machines at most.
+fn rank_host(rank: u16) -> IpAddr {
+    loopback(20 + u8::try_from(rank % 200).expect("a rank"))
+}
+
+/// An address of `ip` whose port the system chooses when it is bound.
+const fn any_port(ip: IpAddr) -> SocketAddr {
+    SocketAddr::new(ip, 0)
+}
+
 fn config(version: u64, desk: &str, keys: &[&str]) -> Value {
     let mut config = site_config(version, desk, WORKSPACE, keys);
     let plain = |name: &str| json!({ "name": name, "cold_s": 3.0, "cold_per_s": COLD_RATE });
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -9,12 +9,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::{Call, ReplyFuture, ReplyResult};
 use crate::error::{Result, StandinError};
+use crate::reserved::new_socket;
 
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -55,11 +56,7 @@
 }
 
 fn try_bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    }?;
-    socket.set_reuseaddr(true)?;
+    let socket = new_socket(address)?;
     socket.bind(address)?;
     let listener = socket.listen(LISTEN_BACKLOG)?;
     let address = listener.local_addr()?;
--- a/crates/standins/tests/it/main.rs
+++ b/crates/standins/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod kind;
 mod plain;
 mod proxy;
+mod reserved;
 mod store;
 mod vms;
 mod weights;
