--- a/crates/groups/src/rebalance/driver/mod.rs
+++ b/crates/groups/src/rebalance/driver/mod.rs
@@ -579,21 +579,7 @@
     }
 
     fn enter(&mut self, phase: SwitchPhase, now: Instant, cause: &'static str) {
-        let (version, step) = match &phase {
-            SwitchPhase::Preparing { version, .. } | SwitchPhase::Settling { version } => {
-                (*version, StepNumber::default())
-            }
-            SwitchPhase::Holding { armed, .. }
-            | SwitchPhase::Arming { armed, .. }
-            | SwitchPhase::Releasing { armed, .. } => (armed.version, armed.step),
-            _ => (MapVersion::default(), StepNumber::default()),
-        };
-        self.events.push(DriverEvent {
-            phase: phase.name(),
-            version,
-            step,
-            cause,
-        });
+        self.events.push(DriverEvent::new(&phase, cause));
         self.phase = phase;
         self.phase_since = now;
         self.phase_number += 1;
--- a/crates/groups/src/rebalance/driver/phase.rs
+++ b/crates/groups/src/rebalance/driver/phase.rs
@@ -93,3 +93,27 @@
     /// Reason for the change.
     pub cause: &'static str,
 }
+
+impl DriverEvent {
+    /// Creates the event of entering `phase`.
+    pub(super) const fn new(phase: &SwitchPhase, cause: &'static str) -> Self {
+        let (version, step) = match phase {
+            SwitchPhase::Preparing { version, .. } | SwitchPhase::Settling { version } => {
+                (*version, StepNumber::new(0))
+            }
+            SwitchPhase::Holding { armed, .. }
+            | SwitchPhase::Arming { armed, .. }
+            | SwitchPhase::Releasing { armed, .. } => (armed.version, armed.step),
+            SwitchPhase::Idle
+            | SwitchPhase::Fencing
+            | SwitchPhase::Clearing { .. }
+            | SwitchPhase::ReleasingUnarmed { .. } => (MapVersion::new(0), StepNumber::new(0)),
+        };
+        Self {
+            phase: phase.name(),
+            version,
+            step,
+            cause,
+        }
+    }
+}
