Entry: a target that left the subset takes requests before a full one

What callers saw: an entry could send a request to a target known to be full, which refuses it, while another open target had room.

Cause: LocalityPolicy looked outside the entry's subset only after all targets of the subset had been tried. A target that has just left the subset still has its report, but was not considered.

Change: the subset's table keeps open targets outside it that have a report; one of them is used if no target of the subset fits and its report says that it does. Targets without a report are left alone as before, so entries don't open connections beyond their subsets.

--- a/crates/fleet/src/routing/locality.rs
+++ b/crates/fleet/src/routing/locality.rs
@@ -70,7 +70,9 @@
             return Some(self.route(row));
         }
         let chosen = self.draw_or_scan().or_else(|| self.scan_subset());
-        match chosen {
+        let is_fit = |scored: &ScoredRow<'_>| scored.score.class == FitClass::Fit;
+        let fitting = chosen.filter(is_fit).or_else(|| self.fitting_spare());
+        match fitting.or(chosen) {
             Some(scored) => Some(self.route(scored.row)),
             None => self.any_open(),
         }
@@ -177,6 +179,20 @@
         best
     }
 
+    /// A target outside the subset that fits by its last report, from a random start.
+    fn fitting_spare(&self) -> Option<ScoredRow<'a>> {
+        let spares = self.routes.table().spares();
+        if spares.is_empty() {
+            return None;
+        }
+        let start = fastrand::usize(..spares.len());
+        let mut from_start = spares[start..].iter().chain(&spares[..start]);
+        from_start.find_map(|row| {
+            let scored = self.score_row(row)?;
+            (scored.score.class == FitClass::Fit).then_some(scored)
+        })
+    }
+
     /// A random open target of the service, after those of the subset have been tried.
     fn any_open(&self) -> Option<&'a TargetRoute> {
         let targets = self.routes.targets();
--- a/crates/fleet/src/routing/table.rs
+++ b/crates/fleet/src/routing/table.rs
@@ -48,6 +48,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct SubsetTable {
     tiers: Vec<TierTable>,
+    spares: Vec<CandidateRow>,
     load: SubsetLoad,
 }
 
@@ -66,10 +67,18 @@
             tiers.push(picked.into_iter().map(make_row).collect());
         }
         tiers.retain(|rows| !rows.is_empty());
-        set_subset_values(&mut tiers, now);
+        let is_spare = |index: &usize| {
+            let route = &targets[*index];
+            let mut subset = tiers.iter().flatten();
+            route.is_open() && route.load.is_some() && subset.all(|row| row.index != *index)
+        };
+        let spares = (0..targets.len()).filter(is_spare);
+        let mut spares: Vec<CandidateRow> = spares.map(make_row).collect();
+        set_subset_values(&mut tiers, &mut spares, now);
         let tiers: Vec<TierTable> = tiers.into_iter().map(make_tier).collect();
         let mut table = Self {
             tiers,
+            spares,
             load: SubsetLoad::default(),
         };
         table.load = table.sum_load(targets, now);
@@ -86,6 +95,11 @@
         self.tiers.iter().flat_map(TierTable::candidates)
     }
 
+    /// Open targets outside the subset with a load report, from when they were part of it.
+    pub fn spares(&self) -> &[CandidateRow] {
+        &self.spares
+    }
+
     /// Estimated load of the subset.
     pub fn load(&self) -> SubsetLoad {
         self.load
@@ -103,8 +117,8 @@
 }
 
 /// Computes the subset's load from other entries per slot and its median time to first chunk, and
-/// sets them on every row.
-fn set_subset_values(tiers: &mut [Vec<CandidateRow>], now: Instant) {
+/// sets them on every row and on the `spares`.
+fn set_subset_values(tiers: &mut [Vec<CandidateRow>], spares: &mut [CandidateRow], now: Instant) {
     let (mut others, mut limit) = (0.0, 0.0);
     let mut first_chunks = Vec::new();
     for row in tiers.iter().flatten() {
@@ -116,7 +130,7 @@
     }
     let others_per_slot = others / f32::max(limit, 1.0);
     let median = median(&mut first_chunks);
-    for row in tiers.iter_mut().flatten() {
+    for row in tiers.iter_mut().flatten().chain(spares) {
         row.set_subset_values(others_per_slot, median, now);
     }
 }
--- a/crates/fleet/tests/it/routing/choices.rs
+++ b/crates/fleet/tests/it/routing/choices.rs
@@ -212,6 +212,24 @@
     }
 }
 
+// A full target was chosen while the only one with room had just left the subset.
+#[test]
+fn choose_subset_full() {
+    let now = base();
+    let full = loaded(DomainDistance::OtherRegion, 10);
+    let mut cases = vec![full; settings().other_region + 1];
+    let targets = cases.len();
+    let subset = routes(ServiceKind::Plain, &cases, now);
+    let subset: Vec<_> = subset.subset().map(|route| route.target.clone()).collect();
+    let index_of = |index: usize| target_route(index, full.spec).target;
+    let outside = (0..targets).find(|index| !subset.contains(&index_of(*index)));
+    let outside = outside.expect("one target is outside the subset");
+    cases[outside].others = 0;
+    let routes = routes(ServiceKind::Plain, &cases, now);
+    let chosen = LocalityPolicy::new().choose(&routes, &input(None, now, &[]), now);
+    assert_eq!(chosen.expect("open").route.target, index_of(outside));
+}
+
 /// Independent decisions per count.
 const CHOICES: u32 = 20_000;
 
