Entry: targets that report themselves closed are probed every 250 ms

What callers saw: 503 no_capacity, not run, for up to two seconds although all targets of the service were open again. Known red as promises::lost_answer_of_booking_is_unknown_and_runs_once.

Cause: a sidecar reports its target as closed while its gate settles, after a start and after a lost answer. The entry probed such a target like an open one, when its report was 2 s old; only one without a report or without contact was probed every 250 ms. If all three targets of a service reported just before they opened, the entry knew no open target until the next probe.

A trial that printed the routes showed all three closed with reports of 0.4 s and 1.4 s. Ruled out: an expired claim (not reached) and lost capacity of the plan (not reached); the refusal's "not run" was true.

Change: the stage in the last report decides the interval.

--- a/crates/fleet/src/entry/systems/probe.rs
+++ b/crates/fleet/src/entry/systems/probe.rs
@@ -1,12 +1,13 @@
-//! Probes of targets that are unreachable or whose last report is too old.
+//! Probes of targets that are unreachable or closed, or whose last report is too old.
 
 use amaranthgw_core::TickSystem;
 use tokio::time::Instant;
 
 use crate::entry::{EntryOutput, EntryWorld, ProbeIntervals, ProbeState, TargetRow};
+use crate::routing::TargetStage;
 
-/// Outputs a probe for each target that is unreachable, or whose last report is missing or too old,
-/// unless it was probed recently.
+/// Outputs a probe for each target that is unreachable or closed, or whose last report is missing
+/// or too old, unless it was probed recently.
 #[derive(Debug)]
 pub struct ProbeSystem;
 
@@ -36,16 +37,22 @@
 }
 
 fn is_due(row: &TargetRow, intervals: &ProbeIntervals, now: Instant) -> bool {
-    let is_reachable = row.reported_at.is_some() && row.unreachable_since.is_none();
-    let interval = if is_reachable {
-        intervals.probe_after
-    } else {
+    let is_unreachable = row.unreachable_since.is_some();
+    let interval = if is_unreachable || is_closed(row) {
         intervals.retry_unreachable_after
+    } else {
+        intervals.probe_after
     };
-    let is_report_old = !is_reachable || row.reported_at.is_none_or(|at| now >= at + interval);
+    let is_report_old = is_unreachable || row.reported_at.is_none_or(|at| now >= at + interval);
     let is_probe_old = match row.probe {
         ProbeState::NeverSent => true,
         ProbeState::SentAt(at) => now >= at + interval,
     };
     is_report_old && is_probe_old
 }
+
+/// Whether the target has not reported, or its sidecar reports that it admits nothing yet.
+fn is_closed(row: &TargetRow) -> bool {
+    let status = row.status.as_ref();
+    status.is_none_or(|status| status.stage == TargetStage::Unreachable)
+}
--- a/crates/fleet/src/entry/world.rs
+++ b/crates/fleet/src/entry/world.rs
@@ -17,9 +17,9 @@
 /// Probe intervals of an entry.
 #[derive(Clone, Debug)]
 pub struct ProbeIntervals {
-    /// Age of the last report after which a reachable target is probed.
+    /// Age of the last report after which an open or leaving target is probed.
     pub probe_after: Duration,
-    /// Interval between probes of an unreachable target.
+    /// Interval between probes of a target that is unreachable or admits nothing yet.
     pub retry_unreachable_after: Duration,
 }
 
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod config;
 mod drain;
+mod entry;
 mod gate;
 mod gateway;
 mod limits;
