Gateway: a window of unanswered requests to each target

What callers saw: requests that waited for a target were sent to the first one that became eligible, far more than it bears; nearly all were rejected, and the callers got their answers no sooner. A server that becomes cold in that second is flooded (FAILBACK): gateways learn it a second later.

Cause: a rejection kept all requests back for 150 ms, then admitted all of them. A target that was not used before had no limit at all. If all healthy targets rejected, every waiting request called the ejected ones each 25 ms. Class: a backoff without a bound on what follows it.

Change: a target has a window of requests that it has neither accepted nor rejected: two at first, one more with each accepted request while half of it is used. A rejection sets it to one and starts a backoff of 150 ms, then 300 and 600. A healthy target whose window is full is waited for before an ejected one is tried, and an ejected one gets one request in 250 ms.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -91,7 +91,7 @@
     /// Unread body of the answer.
     pub(super) body: Incoming,
     connection: HttpConnection,
-    _flight: FlightGuard,
+    flight: FlightGuard,
     _stream: Option<StreamGuard>,
 }
 
@@ -103,7 +103,7 @@
     basis: Option<&ChoiceBasis>,
     deadline: Instant,
 ) -> Result<OpenAttempt, AttemptFailure> {
-    let flight = TargetGauge::begin_request(&target.gauge);
+    let flight = TargetGauge::begin_request(&target.gauge, Instant::now());
     let opening = send(thread, target, request, basis);
     let opened = timeout_at(deadline, opening).await;
     let now = Instant::now();
@@ -123,17 +123,20 @@
         target.gauge.record_load(load.in_flight, now);
     }
     let group = target.group.as_ref().filter(|_| head.is_event_stream);
-    let attempt = OpenAttempt {
+    let mut attempt = OpenAttempt {
         target: target.clone(),
         head,
         headers: parts.headers,
         body,
         connection,
-        _flight: flight,
+        flight,
         _stream: group.map(|group| GroupGauge::begin_stream(group, now)),
     };
     match head.kind {
-        AnswerKind::Own => Ok(attempt),
+        AnswerKind::Own => {
+            attempt.flight.record_acceptance();
+            Ok(attempt)
+        }
         AnswerKind::NotRun => {
             // Reading a short body allows the connection to be reused; any other is reset.
             let reading = attempt.collect(thread, MAX_REJECTION_BYTES);
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -94,7 +94,7 @@
         loaded
             .into_iter()
             .map(|(_load, target)| target)
-            .find(|target| input.is_admitted(target))
+            .find(|target| input.is_admitted(target) && target.gauge.try_admit_ejected(input.now))
     }
 }
 
@@ -108,25 +108,26 @@
         targets: &'a [TargetCandidate],
         input: &ChoiceInput<'_>,
     ) -> Option<&'a TargetCandidate> {
-        let eligible = |target: &&TargetCandidate| {
-            !input.tried.contains(&target.record.target)
-                && !target.gauge.is_displaced(input.now)
-                && !target.gauge.is_rejecting(input.now)
+        let untried = |target: &&TargetCandidate| {
+            !input.tried.contains(&target.record.target) && !target.gauge.is_displaced(input.now)
         };
+        let open = |target: &&TargetCandidate| target.gauge.is_open(input.now);
         let running = |target: &&TargetCandidate| !target.check_group_stalled(input.now);
         let healthy = |target: &&TargetCandidate| {
             !target.gauge.is_ejected(input.now) && !target.gauge.is_slow(input.now)
         };
-        let preferred = targets
-            .iter()
-            .filter(eligible)
-            .filter(running)
-            .filter(healthy);
-        // If no healthy target admits the request, ejected and slow ones are considered, then those
-        // of stalled groups.
-        Self::best(preferred, input)
-            .or_else(|| Self::best(targets.iter().filter(eligible).filter(running), input))
-            .or_else(|| Self::best(targets.iter().filter(eligible), input))
+        let untried = || targets.iter().filter(untried);
+        let preferred = || untried().filter(running).filter(healthy);
+        if let Some(target) = Self::best(preferred().filter(open), input) {
+            return Some(target);
+        }
+        // A healthy target is about to answer requests, and to admit this one.
+        if preferred().any(|target| target.gauge.is_busy(input.now)) {
+            return None;
+        }
+        // Ejected and slow targets are considered next, then those of stalled groups.
+        Self::best(untried().filter(running).filter(open), input)
+            .or_else(|| Self::best(untried().filter(open), input))
     }
 }
 
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod routes;
 mod systems;
 mod targets;
+mod window;
 mod world;
 
 pub use budget::{WindowBudget, WindowSettings};
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -10,6 +10,7 @@
 
 use super::cold::{ColdCounter, ColdShare};
 use super::groups::GroupGauge;
+use super::window::SendWindow;
 
 /// What a target publishes about itself in the platform's registry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,8 +50,10 @@
     reported_at_ms: AtomicU64,
     failures: AtomicU32,
     ejected_until_ms: AtomicU64,
+    /// When an ejected target may be tried again if no other target admits a request.
+    ejected_retry_ms: AtomicU64,
     displaced_until_ms: AtomicU64,
-    rejecting_until_ms: AtomicU64,
+    window: SendWindow,
     slow_until_ms: AtomicU64,
     cold_sends: ColdCounter,
     /// Revision of the registry entry in force.
@@ -62,12 +65,11 @@
 const BASE_EJECTION: Duration = Duration::from_millis(250);
 /// Longest ejection; a recovered target is used again no later than a restarted one would be.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
+/// Least time between two requests to an ejected target.
+const EJECTED_RETRY_INTERVAL: Duration = BASE_EJECTION;
 /// Time for which a target is skipped after another one answered at its address. The entry of the
 /// displaced target expires within this time, after about three heartbeat intervals.
 const DISPLACEMENT_BACKOFF: Duration = Duration::from_secs(4);
-/// Time for which a target is skipped after it rejected a request: it is full, or its rank group is
-/// re-forming.
-const REJECTION_BACKOFF: Duration = Duration::from_millis(150);
 /// Time for which a report that a target is slow is valid; spans several report intervals.
 const SLOW_REPORT_TTL: Duration = Duration::from_millis(1_500);
 /// Half-life of the weight of a load report; between the durations of a plain request (about ten
@@ -85,8 +87,9 @@
             reported_at_ms: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             ejected_until_ms: AtomicU64::new(0),
+            ejected_retry_ms: AtomicU64::new(0),
             displaced_until_ms: AtomicU64::new(0),
-            rejecting_until_ms: AtomicU64::new(0),
+            window: SendWindow::new(),
             slow_until_ms: AtomicU64::new(0),
             cold_sends: ColdCounter::new(),
             entry_written: AtomicU64::new(0),
@@ -117,12 +120,14 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Counts a request in flight until the returned guard is dropped.
+    /// Counts a request sent at `now` as in flight until the returned guard is dropped.
     #[must_use]
-    pub fn begin_request(gauge: &Arc<Self>) -> FlightGuard {
+    pub fn begin_request(gauge: &Arc<Self>, now: Instant) -> FlightGuard {
         gauge.in_flight.fetch_add(1, Ordering::Relaxed);
+        gauge.window.begin(gauge.age(now));
         FlightGuard {
             gauge: Arc::clone(gauge),
+            is_answered: false,
         }
     }
 
@@ -179,14 +184,38 @@
 
     /// Records that the target rejected a request.
     pub fn record_rejection(&self, now: Instant) {
-        let until = self.millis(now + REJECTION_BACKOFF);
-        self.rejecting_until_ms.store(until, Ordering::Relaxed);
+        self.window.record_rejection(self.age(now));
     }
 
-    /// Whether the target rejected a request recently.
+    /// Whether the target may get another request at `now`: its window is open, and if it is
+    /// ejected, none was sent to it in the last interval.
     #[must_use]
-    pub fn is_rejecting(&self, now: Instant) -> bool {
-        self.rejecting_until_ms.load(Ordering::Relaxed) > self.millis(now)
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.window.is_open(self.age(now)) && self.ejected_retry_at(now) <= now
+    }
+
+    /// Whether the target gets no request at `now` because too many have no answer yet.
+    #[must_use]
+    pub fn is_busy(&self, now: Instant) -> bool {
+        self.backoff_until(now) <= now && !self.is_open(now)
+    }
+
+    /// Counts a request offered to the target while it is ejected; returns whether it may get one.
+    /// Always `true` if it is not ejected.
+    #[must_use]
+    pub fn try_admit_ejected(&self, now: Instant) -> bool {
+        if !self.is_ejected(now) {
+            return true;
+        }
+        let retry_ms = self.ejected_retry_ms.load(Ordering::Relaxed);
+        if self.millis(now) < retry_ms {
+            return false;
+        }
+        let next_ms = self.millis(now + EJECTED_RETRY_INTERVAL);
+        let (success, failure) = (Ordering::Relaxed, Ordering::Relaxed);
+        self.ejected_retry_ms
+            .compare_exchange(retry_ms, next_ms, success, failure)
+            .is_ok()
     }
 
     /// Records a report that the target is much slower than usual.
@@ -216,24 +245,36 @@
     /// Counts a request offered to a cold target; returns whether `share` admits it.
     #[must_use]
     pub fn try_admit_cold(&self, share: ColdShare, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.started_at);
-        self.cold_sends.try_admit(share, age)
+        self.cold_sends.try_admit(share, self.age(now))
     }
 
     /// Time until `share` admits a request to the target while it is cold.
     fn cold_opens_in(&self, share: ColdShare, now: Instant) -> Duration {
-        let age = now.saturating_duration_since(self.started_at);
-        self.cold_sends.opens_in(share, age)
+        self.cold_sends.opens_in(share, self.age(now))
+    }
+
+    /// When the target may be tried again after it rejected a request or while it is ejected.
+    fn backoff_until(&self, now: Instant) -> Instant {
+        let rejected = self.started_at + self.window.backoff_until();
+        rejected.max(self.ejected_retry_at(now))
     }
 
-    /// When the target may be tried again after it rejected a request.
-    fn backoff_until(&self) -> Instant {
-        let until_ms = self.rejecting_until_ms.load(Ordering::Relaxed);
-        self.started_at + Duration::from_millis(until_ms)
+    /// When the target may be tried again although it is ejected; `now` if it isn't.
+    fn ejected_retry_at(&self, now: Instant) -> Instant {
+        if !self.is_ejected(now) {
+            return now;
+        }
+        let retry_ms = self.ejected_retry_ms.load(Ordering::Relaxed);
+        // One less than stored, since 0 means never.
+        self.started_at + Duration::from_millis(retry_ms.saturating_sub(1))
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
     }
 
     fn millis(&self, at: Instant) -> u64 {
-        let since = at.saturating_duration_since(self.started_at).as_millis();
+        let since = self.age(at).as_millis();
         // Adds one, since 0 means never.
         u64::try_from(since).unwrap_or(u64::MAX).saturating_add(1)
     }
@@ -243,10 +284,24 @@
 #[derive(Debug)]
 pub struct FlightGuard {
     gauge: Arc<TargetGauge>,
+    is_answered: bool,
+}
+
+impl FlightGuard {
+    /// Records that the target accepted the request.
+    pub fn record_acceptance(&mut self) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            self.gauge.window.record_acceptance();
+            self.gauge.window.end();
+        }
+    }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
+        if !self.is_answered {
+            self.gauge.window.end();
+        }
         self.gauge.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -288,7 +343,7 @@
         if self.gauge.is_displaced(now) {
             return None;
         }
-        let at = now.max(self.gauge.backoff_until());
+        let at = now.max(self.gauge.backoff_until(now));
         if !self.is_limited(at) {
             return Some(at);
         }
--- /dev/null
+++ b/crates/fleet/src/gateway/window.rs
@@ -0,0 +1,103 @@
+//! Window of requests that wait for a target's answer.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Size of the window of a target that was not used lately.
+const INITIAL_SIZE: u32 = 2;
+/// Time without a request after which a window has at most its initial size again.
+const IDLE_TIME: Duration = Duration::from_secs(1);
+/// Backoff after a first rejection; doubles with each rejection after a backoff.
+const BASE_BACKOFF: Duration = Duration::from_millis(150);
+/// Doublings of the backoff at most; a target's slots become free several times a second.
+const MAX_DOUBLINGS: u32 = 2;
+
+/// Limits the requests of this process that a target has neither accepted nor rejected.
+///
+/// The window grows with accepted requests. A rejection, as by a target that is full or whose
+/// rank group is re-forming, reduces it to one request and starts a backoff. Without it, all
+/// requests that wait for a target would be sent to the first one that becomes eligible.
+///
+/// Times are given as the time since the owner of the window was created. Concurrent updates may
+/// let a few more requests through.
+#[derive(Debug)]
+pub(super) struct SendWindow {
+    size: AtomicU32,
+    unanswered: AtomicU32,
+    /// Rejections in a row, not counting those during a backoff.
+    rejections: AtomicU32,
+    /// End of the current backoff, in milliseconds.
+    backoff_until_ms: AtomicU64,
+    /// Time of the last request, in milliseconds.
+    sent_ms: AtomicU64,
+}
+
+impl SendWindow {
+    pub(super) const fn new() -> Self {
+        Self {
+            size: AtomicU32::new(INITIAL_SIZE),
+            unanswered: AtomicU32::new(0),
+            rejections: AtomicU32::new(0),
+            backoff_until_ms: AtomicU64::new(0),
+            sent_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// End of the current backoff.
+    pub(super) fn backoff_until(&self) -> Duration {
+        Duration::from_millis(self.backoff_until_ms.load(Ordering::Relaxed))
+    }
+
+    /// Whether a request may be sent at `age`.
+    pub(super) fn is_open(&self, age: Duration) -> bool {
+        age >= self.backoff_until() && self.unanswered.load(Ordering::Relaxed) < self.size(age)
+    }
+
+    /// Counts a request sent at `age` as unanswered.
+    pub(super) fn begin(&self, age: Duration) {
+        self.size.store(self.size(age), Ordering::Relaxed);
+        self.sent_ms.store(millis(age), Ordering::Relaxed);
+        self.unanswered.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request as answered or given up.
+    pub(super) fn end(&self) {
+        self.unanswered.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Records that the target accepted a request; the window grows if at least half of it is used.
+    pub(super) fn record_acceptance(&self) {
+        let unanswered = self.unanswered.load(Ordering::Relaxed);
+        if unanswered.saturating_mul(2) >= self.size.load(Ordering::Relaxed) {
+            self.size.fetch_add(1, Ordering::Relaxed);
+        }
+        self.rejections.store(0, Ordering::Relaxed);
+    }
+
+    /// Records that the target rejected a request, as known at `age`.
+    pub(super) fn record_rejection(&self, age: Duration) {
+        self.size.store(1, Ordering::Relaxed);
+        // Requests that were sent together count once.
+        if age < self.backoff_until() {
+            return;
+        }
+        let doublings = self.rejections.fetch_add(1, Ordering::Relaxed);
+        let backoff = BASE_BACKOFF.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
+        self.backoff_until_ms
+            .store(millis(age + backoff), Ordering::Relaxed);
+    }
+
+    fn size(&self, age: Duration) -> u32 {
+        let size = self.size.load(Ordering::Relaxed);
+        let sent = Duration::from_millis(self.sent_ms.load(Ordering::Relaxed));
+        if age > sent + IDLE_TIME {
+            size.min(INITIAL_SIZE)
+        } else {
+            size
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -5,8 +5,8 @@
 
 use amaranthgw_core::{DomainId, RequestRate, TargetId};
 use amaranthgw_fleet::gateway::{
-    ChoiceInput, ChoicePolicy, ColdShare, GroupGauge, LeastLoadedPolicy, RoundRobinPolicy,
-    TargetCandidate, TargetGauge,
+    ChoiceInput, ChoicePolicy, ColdShare, FlightGuard, GroupGauge, LeastLoadedPolicy,
+    RoundRobinPolicy, TargetCandidate, TargetGauge,
 };
 use tokio::time::Instant;
 
@@ -22,6 +22,13 @@
     }
 }
 
+/// Begins a request that the target accepts.
+fn begin_accepted(target: &TargetCandidate, now: Instant) -> FlightGuard {
+    let mut flight = TargetGauge::begin_request(&target.gauge, now);
+    flight.record_acceptance();
+    flight
+}
+
 fn set_cold(target: &mut TargetCandidate, until: Instant) {
     target.cold_until = until;
     target.limited_until = until;
@@ -50,9 +57,7 @@
 fn choose_least_loaded() {
     let now = Instant::now();
     let targets = [candidate("a", now), candidate("b", now)];
-    let _busy: Vec<_> = (0..3)
-        .map(|_| TargetGauge::begin_request(&targets[0].gauge))
-        .collect();
+    let _busy: Vec<_> = (0..3).map(|_| begin_accepted(&targets[0], now)).collect();
     for _ in 0..20 {
         assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
     }
@@ -63,7 +68,7 @@
     let now = Instant::now();
     let targets = [candidate("a", now), candidate("b", now)];
     targets[0].gauge.record_load(8, now);
-    let _one = TargetGauge::begin_request(&targets[1].gauge);
+    let _one = begin_accepted(&targets[1], now);
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
     let later = now + Duration::from_secs(10);
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("a"));
@@ -74,9 +79,7 @@
     let now = Instant::now();
     let targets = [candidate("a", now), candidate("b", now)];
     let ejection = targets[0].gauge.record_failure(now);
-    let _busy: Vec<_> = (0..6)
-        .map(|_| TargetGauge::begin_request(&targets[1].gauge))
-        .collect();
+    let _busy: Vec<_> = (0..6).map(|_| begin_accepted(&targets[1], now)).collect();
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
     assert_eq!(
         choose(&LeastLoadedPolicy, &targets, &[], now + ejection),
@@ -92,6 +95,25 @@
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("a"));
 }
 
+// Every request that waited at a gateway called all crashed targets once in 25 ms.
+#[test]
+fn choose_all_ejected_one_per_interval() {
+    let now = Instant::now();
+    let targets = [candidate("a", now)];
+    for _ in 0..6 {
+        targets[0].gauge.record_failure(now);
+    }
+    let chosen_at = |poll| {
+        let at = now + Duration::from_millis(25) * poll;
+        (0..30)
+            .filter(|_| choose(&LeastLoadedPolicy, &targets, &[], at).is_some())
+            .count()
+    };
+    assert_eq!((0..40).map(chosen_at).sum::<usize>(), 4);
+    targets[0].gauge.record_success();
+    assert_eq!(chosen_at(41), 30);
+}
+
 #[test]
 fn choose_displaced_never() {
     let now = Instant::now();
@@ -110,6 +132,86 @@
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], later), Some("a"));
 }
 
+/// Lets all of `waiting` requests choose every 25 ms for three seconds; returns the number of sends,
+/// each rejected 5 ms later.
+fn count_rejected_sends(targets: &[TargetCandidate], waiting: usize, start: Instant) -> usize {
+    let mut sends = 0;
+    for poll in 0..120 {
+        let now = start + Duration::from_millis(25) * poll;
+        let sent: Vec<_> = (0..waiting)
+            .filter_map(|_| choose(&LeastLoadedPolicy, targets, &[], now))
+            .map(|_| TargetGauge::begin_request(&targets[0].gauge, now))
+            .collect();
+        for _ in &sent {
+            targets[0]
+                .gauge
+                .record_rejection(now + Duration::from_millis(5));
+        }
+        sends += sent.len();
+    }
+    sends
+}
+
+// All requests that waited at a gateway were sent to a full target after each backoff, over 200 in a
+// second from all gateways, also while the target became cold.
+#[test]
+fn choose_rejecting_one_per_backoff() {
+    let now = Instant::now();
+    let targets = [candidate("a", now)];
+    let sends = count_rejected_sends(&targets, 30, now);
+    // Two at first, then one after each backoff of 150, 300 and 600 ms.
+    assert!((7..=9).contains(&sends), "{sends}");
+}
+
+#[test]
+fn choose_rejecting_opens_again() {
+    let now = Instant::now();
+    let targets = [candidate("a", now)];
+    let _sends = count_rejected_sends(&targets, 30, now);
+    let mut now = now + Duration::from_millis(3_600);
+    let mut accepted = Vec::new();
+    for size in 1..10 {
+        let mut sent = Vec::new();
+        while choose(&LeastLoadedPolicy, &targets, &[], now).is_some() {
+            sent.push(TargetGauge::begin_request(&targets[0].gauge, now));
+        }
+        assert!(sent.len() >= size, "{} of {size}", sent.len());
+        now += Duration::from_millis(50);
+        for flight in &mut sent {
+            flight.record_acceptance();
+        }
+        accepted.extend(sent);
+    }
+}
+
+#[test]
+fn choose_busy_before_ejected() {
+    let now = Instant::now();
+    let targets = [candidate("a", now), candidate("b", now)];
+    targets[0].gauge.record_failure(now);
+    let begin = |_| TargetGauge::begin_request(&targets[1].gauge, now);
+    let mut sent: Vec<_> = (0..2).map(begin).collect();
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), None);
+    sent[0].record_acceptance();
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
+}
+
+// All requests that waited at a gateway were sent to the first target that returned.
+#[test]
+fn choose_unused_two_at_once() {
+    let now = Instant::now();
+    let targets = [candidate("a", now)];
+    let mut sent = Vec::new();
+    for _ in 0..30 {
+        if choose(&LeastLoadedPolicy, &targets, &[], now).is_some() {
+            sent.push(TargetGauge::begin_request(&targets[0].gauge, now));
+        }
+    }
+    assert_eq!(sent.len(), 2);
+    drop(sent);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("a"));
+}
+
 #[test]
 fn choose_cold_within_limit() {
     let now = Instant::now();
@@ -146,7 +248,7 @@
     let now = Instant::now();
     let mut targets = [candidate("a", now), candidate("b", now)];
     targets[0].limited_until = now + Duration::from_secs(3);
-    let _busy = TargetGauge::begin_request(&targets[1].gauge);
+    let _busy = begin_accepted(&targets[1], now);
     let chosen: Vec<_> = (0..3)
         .filter_map(|_| choose(&LeastLoadedPolicy, &targets, &[], now))
         .collect();
@@ -180,9 +282,7 @@
     let group = |name: &str| Some(Arc::new(GroupGauge::new(name.parse().expect("group"), now)));
     let mut targets = [candidate("a", now), candidate("b", now)];
     (targets[0].group, targets[1].group) = (group("g-1"), group("g-2"));
-    let _busy: Vec<_> = (0..3)
-        .map(|_| TargetGauge::begin_request(&targets[1].gauge))
-        .collect();
+    let _busy: Vec<_> = (0..3).map(|_| begin_accepted(&targets[1], now)).collect();
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("a"));
     for target in &targets[..1] {
         target.group.as_ref().expect("group").suspect(now);
@@ -196,9 +296,7 @@
 fn choose_other_than_slow() {
     let now = Instant::now();
     let targets = [candidate("a", now), candidate("b", now)];
-    let _busy: Vec<_> = (0..3)
-        .map(|_| TargetGauge::begin_request(&targets[1].gauge))
-        .collect();
+    let _busy: Vec<_> = (0..3).map(|_| begin_accepted(&targets[1], now)).collect();
     targets[0].gauge.record_slow(now);
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
     let later = now + Duration::from_secs(2);
