Gateway: requests are refused at once if too many wait already

What callers saw: streams waited up to a second, plain requests 250 ms, for targets that had rejected everything for half a second, and got 503 then.

Cause: a request checked only whether the next admission comes in time, not how many other requests wait for it.

Evidence: run_call_queue_too_long_refused_at_once failed on the old code: 0 of 60 requests refused at once, all after a second.

Change: requests that wait for a target of a service are counted. One joins or stays only if no more wait than the targets are expected to admit before it gives up: one per backoff of a target that rejected all requests for half a second or is ejected, the share of a cold one, any number otherwise.

Result: 55 or more of the 60 are refused within 300 ms.

--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -6,7 +6,8 @@
 
 use amaranthgw_core::TargetId;
 use amaranthgw_fleet::gateway::{
-    ChoiceInput, EventId, GatewaySnapshot, RouteKind, TargetCandidate, WindowBudget,
+    ChoiceInput, EventId, GatewaySnapshot, RouteKind, TargetCandidate, WaitPlace, WaitQueue,
+    WindowBudget,
 };
 use amaranthgw_platform::answer::caller_headers;
 use amaranthgw_platform::request::{ForwardTerms, forward_headers};
@@ -72,6 +73,8 @@
     basis: Option<Arc<ChoiceBasis>>,
     /// When the next target is known to admit the request, if none did at the last choice.
     next_admission: Option<Instant>,
+    /// Place among the requests that wait for a target.
+    place: Option<WaitPlace>,
 }
 
 /// Runs `call` and returns the response.
@@ -91,6 +94,7 @@
         is_retry_granted: false,
         basis: None,
         next_admission: None,
+        place: None,
     };
     match run.first_answer().await {
         Ok(FirstAnswer::Stream(attempt)) => stream_response(run, *attempt),
@@ -294,11 +298,29 @@
         if self.sends >= MAX_SENDS || left.is_zero() || is_futile {
             return false;
         }
+        if !self.keep_place(gives_up_at) {
+            return false;
+        }
         self.waited += CAPACITY_POLL_INTERVAL;
         sleep(CAPACITY_POLL_INTERVAL).await;
         true
     }
 
+    /// Joins the requests that wait for a target, or stays among them; `false` if more of them wait
+    /// than the targets are expected to admit until `gives_up_at`.
+    fn keep_place(&mut self, gives_up_at: Instant) -> bool {
+        let snapshot = self.thread.shared.snapshot.load();
+        let targets = snapshot.targets.get(&self.call.service);
+        let input = self.choice_input(&snapshot, Instant::now());
+        let limit = targets.and_then(|targets| input.admissions_until(targets, gives_up_at));
+        if let Some(place) = &self.place {
+            return place.is_within(limit);
+        }
+        let queue = snapshot.queues.get(&self.call.service);
+        self.place = queue.and_then(|queue| WaitQueue::try_join(queue, limit));
+        self.place.is_some()
+    }
+
     /// Records that a target of the service sent data.
     pub(super) fn record_progress(&self) {
         if let Some(budget) = self.budget() {
@@ -342,6 +364,7 @@
         let (target, next_admission) = self.choose(&snapshot, now);
         self.next_admission = next_admission;
         let target = target.ok_or_else(|| self.final_refusal())?;
+        self.place = None;
         match &budget {
             Some(budget) if self.sends == 0 => budget.record_first(now),
             Some(_) if std::mem::take(&mut self.is_retry_granted) => {}
@@ -362,16 +385,20 @@
         let Some(targets) = snapshot.targets.get(&self.call.service) else {
             return (None, None);
         };
+        let input = self.choice_input(snapshot, now);
+        match self.thread.shared.policy.choose(targets, &input) {
+            Some(target) => (Some(target.clone()), None),
+            None => (None, input.next_admission(targets)),
+        }
+    }
+
+    fn choice_input(&self, snapshot: &GatewaySnapshot, now: Instant) -> ChoiceInput<'_> {
         let service = snapshot.routes.services.get(&self.call.service);
-        let input = ChoiceInput {
+        ChoiceInput {
             tried: &self.tried,
             domain: &self.thread.shared.domain,
             cold_share: service.and_then(|service| snapshot.cold_share(service.cold_rate)),
             now,
-        };
-        match self.thread.shared.policy.choose(targets, &input) {
-            Some(target) => (Some(target.clone()), None),
-            None => (None, input.next_admission(targets)),
         }
     }
 
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -7,5 +7,6 @@
 mod env;
 mod feeds;
 mod groups;
+mod queue;
 mod stops;
 mod streams;
--- a/crates/fleet/src/gateway/choice.rs
+++ b/crates/fleet/src/gateway/choice.rs
@@ -23,14 +23,27 @@
     /// is no such target or the time of one is not known.
     #[must_use]
     pub fn next_admission(&self, targets: &[TargetCandidate]) -> Option<Instant> {
-        let is_untried = |target: &&TargetCandidate| !self.tried.contains(&target.record.target);
-        let untried = targets.iter().filter(is_untried);
+        let untried = targets.iter().filter(|it| self.is_untried(it));
         let times: Option<Vec<_>> = untried
             .map(|target| target.admits_from(self.cold_share, self.now))
             .collect();
         times?.into_iter().min()
     }
 
+    /// Number of requests that those of `targets` that weren't tried are expected to admit until
+    /// `until`; `None` if one of them may admit any number, or there is none.
+    #[must_use]
+    pub fn admissions_until(&self, targets: &[TargetCandidate], until: Instant) -> Option<u32> {
+        let mut untried = targets.iter().filter(|it| self.is_untried(it)).peekable();
+        untried.peek()?;
+        let counts = untried.map(|it| it.admissions_until(self.cold_share, self.now, until));
+        counts.sum()
+    }
+
+    fn is_untried(&self, target: &TargetCandidate) -> bool {
+        !self.tried.contains(&target.record.target)
+    }
+
     /// Whether `target` admits the request; counts the request if the target's rate is limited.
     fn is_admitted(&self, target: &TargetCandidate) -> bool {
         let admit = |share| target.gauge.try_admit_cold(share, self.now);
@@ -109,7 +122,7 @@
         input: &ChoiceInput<'_>,
     ) -> Option<&'a TargetCandidate> {
         let untried = |target: &&TargetCandidate| {
-            !input.tried.contains(&target.record.target) && !target.gauge.is_displaced(input.now)
+            input.is_untried(target) && !target.gauge.is_displaced(input.now)
         };
         let open = |target: &&TargetCandidate| target.gauge.is_open(input.now);
         let running = |target: &&TargetCandidate| !target.check_group_stalled(input.now);
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod cold;
 mod events;
 mod groups;
+mod queue;
 mod roster;
 mod routes;
 mod systems;
@@ -23,6 +24,7 @@
 pub use cold::ColdShare;
 pub use events::{EventId, EventScanner, OversizedEvent};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
+pub use queue::{WaitPlace, WaitQueue};
 pub use roster::{GatewayRoster, RosterEntry, RosterReading};
 pub use routes::{
     CallLimits, ExpertShape, KeyHolder, LookupError, RouteKind, RouteRow, RouteTable, ServiceRow,
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -253,6 +253,16 @@
         self.cold_sends.opens_in(share, self.age(now))
     }
 
+    /// Least time between two requests from `now` until `until`, if the target is not expected to
+    /// admit more: it rejects all, or is ejected.
+    fn retry_interval(&self, now: Instant, until: Instant) -> Option<Duration> {
+        if let Some(backoff) = self.window.longest_backoff(self.age(now)) {
+            return Some(backoff);
+        }
+        let is_ejected = self.is_ejected(now) && self.is_ejected(until);
+        is_ejected.then_some(EJECTED_RETRY_INTERVAL)
+    }
+
     /// When the target may be tried again after it rejected a request or while it is ejected.
     fn backoff_until(&self, now: Instant) -> Instant {
         let rejected = self.started_at + self.window.backoff_until();
@@ -351,6 +361,28 @@
         Some(at.max(opens_at.min(self.limited_until)))
     }
 
+    /// Number of requests that the target is expected to admit from `now` until `until`, with `share`
+    /// of a cold target's rate while it is limited; `None` if it may admit any number.
+    #[must_use]
+    pub fn admissions_until(
+        &self,
+        share: Option<ColdShare>,
+        now: Instant,
+        until: Instant,
+    ) -> Option<u32> {
+        let from = self.admits_from(share, now)?;
+        let left = until.saturating_duration_since(from);
+        if left.is_zero() {
+            return Some(0);
+        }
+        let (interval, requests) = match share.filter(|_| self.limited_until >= until) {
+            Some(share) => (share.slot(), share.sends()),
+            None => (self.gauge.retry_interval(now, until)?, 1),
+        };
+        let intervals = left.as_millis() / interval.as_millis().max(1) + 1;
+        Some(requests.saturating_mul(u32::try_from(intervals).unwrap_or(u32::MAX)))
+    }
+
     /// Returns whether its rank group is considered stalled at `now`; suspects the group if its
     /// streams are silent.
     #[must_use]
--- a/crates/fleet/src/gateway/window.rs
+++ b/crates/fleet/src/gateway/window.rs
@@ -48,6 +48,19 @@
         Duration::from_millis(self.backoff_until_ms.load(Ordering::Relaxed))
     }
 
+    /// Length of the current backoff, or of the next one.
+    fn backoff(&self) -> Duration {
+        let doublings = self.rejections.load(Ordering::Relaxed).saturating_sub(1);
+        BASE_BACKOFF.saturating_mul(1 << doublings.min(MAX_DOUBLINGS))
+    }
+
+    /// Length of the current backoff if it is the longest: the target has rejected all requests for
+    /// about half a second and probably goes on to do so.
+    pub(super) fn longest_backoff(&self, age: Duration) -> Option<Duration> {
+        let is_longest = self.rejections.load(Ordering::Relaxed) > MAX_DOUBLINGS;
+        (is_longest && age < self.backoff_until()).then(|| self.backoff())
+    }
+
     /// Whether a request may be sent at `age`.
     pub(super) fn is_open(&self, age: Duration) -> bool {
         age >= self.backoff_until() && self.unanswered.load(Ordering::Relaxed) < self.size(age)
@@ -81,10 +94,9 @@
         if age < self.backoff_until() {
             return;
         }
-        let doublings = self.rejections.fetch_add(1, Ordering::Relaxed);
-        let backoff = BASE_BACKOFF.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
+        self.rejections.fetch_add(1, Ordering::Relaxed);
         self.backoff_until_ms
-            .store(millis(age + backoff), Ordering::Relaxed);
+            .store(millis(age + self.backoff()), Ordering::Relaxed);
     }
 
     fn size(&self, age: Duration) -> u32 {
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -13,7 +13,7 @@
 
 use super::{
     ColdShare, GroupGauge, RegistryEntry, RosterReading, RouteTable, TargetCandidate, TargetGauge,
-    TargetRecord, WindowBudget, WindowSettings,
+    TargetRecord, WaitQueue, WindowBudget, WindowSettings,
 };
 
 /// Settings that are the same at all gateways; the gateways divide the retry slack among
@@ -86,6 +86,7 @@
     /// Whether the published snapshot is out of date.
     pub is_changed: bool,
     budgets: HashMap<ServiceId, Arc<WindowBudget>>,
+    queues: HashMap<ServiceId, Arc<WaitQueue>>,
     snapshot_gateway_count: u32,
     outage_ended_at: Option<Instant>,
     is_registry_failing: bool,
@@ -129,6 +130,7 @@
             is_registry_known: false,
             is_changed: true,
             budgets: HashMap::new(),
+            queues: HashMap::new(),
             snapshot_gateway_count: DEFAULT_GATEWAY_COUNT,
             outage_ended_at: None,
             is_registry_failing: false,
@@ -358,6 +360,7 @@
         }
         let services: Vec<_> = self.routes.services.ids().cloned().collect();
         for service in services {
+            self.queues.entry(service.clone()).or_default();
             self.budgets
                 .entry(service)
                 .or_insert_with(|| Arc::new(WindowBudget::new(settings, now)));
@@ -366,6 +369,7 @@
             routes: Arc::clone(&self.routes),
             targets,
             budgets: self.budgets.clone(),
+            queues: self.queues.clone(),
             gateway_count,
             is_roster_settled: self.roster.is_settled,
             is_ready: self.is_ready(),
@@ -392,6 +396,8 @@
     pub targets: HashMap<ServiceId, Vec<TargetCandidate>>,
     /// Retry budgets, by service.
     pub budgets: HashMap<ServiceId, Arc<WindowBudget>>,
+    /// Requests that wait for a target, by service.
+    pub queues: HashMap<ServiceId, Arc<WaitQueue>>,
     /// Number of gateways that share the retry slack and the rates of cold targets.
     pub gateway_count: u32,
     /// Whether that number is complete; cold targets get no requests before.
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -6,7 +6,7 @@
 use amaranthgw_core::{DomainId, RequestRate, TargetId};
 use amaranthgw_fleet::gateway::{
     ChoiceInput, ChoicePolicy, ColdShare, FlightGuard, GroupGauge, LeastLoadedPolicy,
-    RoundRobinPolicy, TargetCandidate, TargetGauge,
+    RoundRobinPolicy, TargetCandidate, TargetGauge, WaitQueue,
 };
 use tokio::time::Instant;
 
@@ -359,3 +359,43 @@
     assert!(input.next_admission(&targets[..1]).is_some());
     assert_eq!(input.next_admission(&targets), None);
 }
+
+#[test]
+fn admissions_until_longest_backoff() {
+    let now = Instant::now();
+    let targets = [candidate("a", now), candidate("b", now)];
+    let domain: DomainId = "domain-a".parse().expect("domain");
+    let input = |now| ChoiceInput {
+        tried: &[],
+        domain: &domain,
+        cold_share: None,
+        now,
+    };
+    let mut at = now;
+    for backoff_ms in [150, 300, 600] {
+        let later = at + Duration::from_secs(1);
+        assert_eq!(input(at).admissions_until(&targets[..1], later), None);
+        targets[0].gauge.record_rejection(at);
+        at += Duration::from_millis(backoff_ms);
+    }
+    let before = at.checked_sub(Duration::from_millis(100)).expect("a time");
+    // After 100 ms and 700 ms.
+    let until = before + Duration::from_secs(1);
+    assert_eq!(
+        input(before).admissions_until(&targets[..1], until),
+        Some(2)
+    );
+    assert_eq!(input(before).admissions_until(&targets, until), None);
+    assert_eq!(input(before).admissions_until(&[], until), None);
+}
+
+#[test]
+fn try_join_limit() {
+    let queue = Arc::new(WaitQueue::new());
+    let first = WaitQueue::try_join(&queue, Some(1)).expect("a place");
+    assert!(WaitQueue::try_join(&queue, Some(1)).is_none());
+    let second = WaitQueue::try_join(&queue, None).expect("a place");
+    assert!(!first.is_within(Some(1)) && first.is_within(Some(2)) && first.is_within(None));
+    drop(second);
+    assert!(first.is_within(Some(1)));
+}
