Gateway: earlier rejections of a target are forgotten when it is idle

What callers saw: after one rejection a target was left alone for 600 ms, and requests could be refused at once, because it had rejected requests long ago.

Cause: found in reading the change; the rejections in a row were only reset by an accepted request.

Change: a request after a second without any starts the count anew.

--- a/crates/fleet/src/gateway/window.rs
+++ b/crates/fleet/src/gateway/window.rs
@@ -5,7 +5,8 @@
 
 /// Size of the window of a target that was not used lately.
 const INITIAL_SIZE: u32 = 2;
-/// Time without a request after which a window has at most its initial size again.
+/// Time without a request after which a window has at most its initial size again and earlier
+/// rejections no longer count; longer than the longest backoff.
 const IDLE_TIME: Duration = Duration::from_secs(1);
 /// Backoff after a first rejection; doubles with each rejection after a backoff.
 const BASE_BACKOFF: Duration = Duration::from_millis(150);
@@ -68,7 +69,10 @@
 
     /// Counts a request sent at `age` as unanswered.
     pub(super) fn begin(&self, age: Duration) {
-        self.size.store(self.size(age), Ordering::Relaxed);
+        if self.is_idle(age) {
+            self.size.fetch_min(INITIAL_SIZE, Ordering::Relaxed);
+            self.rejections.store(0, Ordering::Relaxed);
+        }
         self.sent_ms.store(millis(age), Ordering::Relaxed);
         self.unanswered.fetch_add(1, Ordering::Relaxed);
     }
@@ -101,13 +105,16 @@
 
     fn size(&self, age: Duration) -> u32 {
         let size = self.size.load(Ordering::Relaxed);
-        let sent = Duration::from_millis(self.sent_ms.load(Ordering::Relaxed));
-        if age > sent + IDLE_TIME {
+        if self.is_idle(age) {
             size.min(INITIAL_SIZE)
         } else {
             size
         }
     }
+
+    fn is_idle(&self, age: Duration) -> bool {
+        age > Duration::from_millis(self.sent_ms.load(Ordering::Relaxed)) + IDLE_TIME
+    }
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/fleet/tests/it/gateway/choice.rs
+++ b/crates/fleet/tests/it/gateway/choice.rs
@@ -196,6 +196,19 @@
     assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], now), Some("b"));
 }
 
+#[test]
+fn choose_rejecting_forgotten_when_idle() {
+    let now = Instant::now();
+    let targets = [candidate("a", now)];
+    let _sends = count_rejected_sends(&targets, 30, now);
+    let later = now + Duration::from_secs(6);
+    let flight = TargetGauge::begin_request(&targets[0].gauge, later);
+    targets[0].gauge.record_rejection(later);
+    drop(flight);
+    let at = later + Duration::from_millis(151);
+    assert_eq!(choose(&LeastLoadedPolicy, &targets, &[], at), Some("a"));
+}
+
 // All requests that waited at a gateway were sent to the first target that returned.
 #[test]
 fn choose_unused_two_at_once() {
