Test fleet: plan limits above what tests ask for at once

Cause: the plan of the test fleet admits 1000 requests a second, its comment says above what any test asks for. An entry without a lease has a quarter of it, which admits about 25 calls at once; this test sends 24 to each entry after its warm-up. The answer was true and given before any target was chosen. Same cause as of cut_connections_resume_the_answer.

Change: the plan admits 10,000 a second. The test stays as strict: no refusal at all.

The older code was not run with this load.

--- a/crates/amaranthgw/tests/it/env/fleet.rs
+++ b/crates/amaranthgw/tests/it/env/fleet.rs
@@ -75,8 +75,8 @@
     "plan": "gold", "deadline": "30s", "first_token": "10s", "token_gap": "10s",
     "objective": 9900, "refund_weight": 5,
     "uses": [
-      {"service": "draft-llm", "rate": "1000/s", "in_flight": 1000},
-      {"service": "booking-desk", "rate": "1000/s", "in_flight": 1000}
+      {"service": "draft-llm", "rate": "10000/s", "in_flight": 1000},
+      {"service": "booking-desk", "rate": "10000/s", "in_flight": 1000}
     ]
   }]
 }"#;
