--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use amaranthgw_core::{
-    GroupGeneration, MapVersion, RankId, ServiceId, StoreRevision, saturating_whole,
+    GroupGeneration, GroupId, MapVersion, RankId, ServiceId, StoreRevision, saturating_whole,
 };
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::rebalance::{
-    ExpertDemand, GroupPlacement, OrderReply, PendingOrder, PlannerInput, PlannerLimits, RankOrder,
-    RankView, SwitchDriver, SwitchPhase, plan_change,
+    ExpertDemand, GroupPlacement, OrderReply, PendingOrder, PlacementDelta, PlannerInput,
+    PlannerLimits, RankOrder, RankView, SelectionSample, SwitchDriver, SwitchPhase, plan_change,
 };
 use amaranthgw_platform::store::PlatformStore;
 use compact_str::ToCompactString;
@@ -20,30 +20,29 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::AgentError;
+use super::dispatch::{GroupDispatcher, GroupMember, MemberOrder};
 use super::election::HeldLease;
-use super::link::{ForwardedOrder, SharedLink, ViewQuery};
+use super::link::{RankReading, SharedLink};
+use super::message::{ViewQuery, add_selections};
 use super::roster::{RankRoster, list_targets, read_shape};
-use crate::telemetry::{EventLog, NodeEvent};
+use super::switch_report::SwitchReport;
+use crate::telemetry::{EventLog, NodeEvent, record_switch};
 
 /// Interval between polls of all ranks while no switch is in progress.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between polls while weights are copied or a switch settles.
 const SWITCH_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between polls that read the selections of experts.
+const SELECTION_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest wait for the replies to a poll, several usual round trips; then a plan is made from those
 /// that arrived.
-const POLL_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time per rank of the group that the poll interval during a switch must at least allow, so that
-/// polls leave most of an 8 Mbit/s link free.
-const POLL_INTERVAL_PER_RANK: Duration = Duration::from_millis(4);
+const POLL_REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Age from which the demand is too old to plan for it.
+const DEMAND_MAX_AGE: Duration = Duration::from_millis(600);
 /// Interval between reads of the registry while ranks are missing.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between reads of the registry once all ranks are found.
 const ROSTER_REFRESH_INTERVAL: Duration = Duration::from_secs(5);
-/// Largest number of expert counts read in one poll of all ranks: at about five bytes each, 60 KB,
-/// which an 8 Mbit/s link carries in 60 ms.
-const COUNTS_PER_POLL: usize = 12_000;
-/// Expert counts read per second: about 300 KB, which leaves most of an 8 Mbit/s link free.
-const COUNTS_PER_SECOND: u32 = 60_000;
 /// Imbalance (largest over mean load) below which an expert set is left as it is.
 const TOLERATED_IMBALANCE: f64 = 1.08;
 /// A replica is added only if it reduces the largest load by at least this share of the mean load.
@@ -54,18 +53,17 @@
 /// few seconds, and steps take longer while weights are copied.
 const COPY_TIME_BUDGET: Duration = Duration::from_millis(570);
 
-/// The state of a rank and the time of the query for it.
-struct RankObservation {
-    view: RankView,
-    queried_at: Instant,
-}
-
 /// Result of a call that the coordinator started.
-enum CoordinatorEvent {
-    /// The rank at the address replied over the link.
-    Observed(SocketAddr, SharedLink, RankObservation),
+#[derive(Debug)]
+pub(super) enum CoordinatorEvent {
+    /// The rank replied to the query made at the time.
+    Observed(GroupMember, RankReading, Instant),
     /// The rank at the address did not reply.
     Unanswered(SocketAddr, AgentError),
+    /// The tree of agents didn't reach the rank at the address, which is then called directly.
+    Bypassed(SocketAddr),
+    /// Selections of some ranks since they were last read.
+    Counted(SelectionSample),
     /// The registered targets and the expert shape; `None` for what was not read or could not be.
     Listed(
         Option<(Vec<TargetRecord>, StoreRevision)>,
@@ -75,26 +73,43 @@
     Replied(PendingOrder, OrderReply),
 }
 
+/// A map that the coordinator knows in full.
+#[derive(Clone, Debug)]
+struct KnownMap {
+    generation: GroupGeneration,
+    version: MapVersion,
+    placement: Arc<GroupPlacement>,
+}
+
+/// The switch that was started last.
+#[derive(Clone, Debug)]
+struct StartedSwitch {
+    map: KnownMap,
+    delta: Arc<PlacementDelta>,
+    report: Option<SwitchReport>,
+}
+
 /// Coordinator of a group, for one term of its lease.
 pub(super) struct GroupCoordinator {
     store: Arc<PlatformStore>,
     service: ServiceId,
     roster: RankRoster,
     driver: SwitchDriver,
+    dispatcher: GroupDispatcher,
     /// Expert shape of the service: its expert sets and how many experts a rank can hold.
     shape: Option<ExpertShape>,
     demand: Option<ExpertDemand>,
+    /// Selections that the demand doesn't contain yet.
+    selections: Option<SelectionSample>,
     /// Last known address of each rank of this group, and the link to it.
     rank_links: HashMap<RankId, (SocketAddr, SharedLink)>,
-    /// Addresses of the ranks of this group.
-    members: HashSet<SocketAddr>,
+    /// Addresses of the ranks of this group, each with its rank.
+    members: HashMap<SocketAddr, RankId>,
     /// Addresses of the ranks of the service's other groups.
     other_group_ranks: HashSet<SocketAddr>,
     last_discovery_at: Option<Instant>,
-    /// Time of the last poll that read expert counts.
+    /// Time of the last poll that read the selections of experts.
     counted_at: Option<Instant>,
-    /// Number of polls that read expert counts.
-    counting_polls: usize,
     /// Ranks of the group that did not reply to their last query.
     silent: HashSet<SocketAddr>,
     /// Ranks whose reply to a query is outstanding.
@@ -105,10 +120,12 @@
     /// query, so that the next coordinator can check in the store whether another one held the
     /// lease since.
     known_revision: StoreRevision,
-    placement: Option<(GroupGeneration, MapVersion, GroupPlacement)>,
+    /// The map in use.
+    known_map: Option<KnownMap>,
+    started: Option<StartedSwitch>,
     /// End of the lease; `None` if orders are fenced, as ranks then refuse late orders themselves.
     lease_end: Option<watch::Receiver<Instant>>,
-    group: amaranthgw_core::GroupId,
+    group: GroupId,
     log: EventLog,
     events: UnboundedSender<CoordinatorEvent>,
     inbox: UnboundedReceiver<CoordinatorEvent>,
@@ -129,22 +146,24 @@
         Self {
             driver: SwitchDriver::new(held.rank, held.fence, Instant::now())
                 .with_previous(held.previous),
+            dispatcher: GroupDispatcher::new(Arc::clone(roster.relay()), events.clone()),
             store,
             service,
             roster,
             shape: None,
             demand: None,
+            selections: None,
             rank_links: HashMap::new(),
-            members: HashSet::new(),
+            members: HashMap::new(),
             other_group_ranks: HashSet::new(),
             last_discovery_at: None,
             counted_at: None,
-            counting_polls: 0,
             silent: HashSet::new(),
             awaiting_reply: HashSet::new(),
             plan_deadline: None,
             known_revision: StoreRevision::new(held.fence.get()),
-            placement: None,
+            known_map: None,
+            started: None,
             lease_end,
             group: held.group.clone(),
             log,
@@ -169,6 +188,10 @@
                 Some(event) = self.inbox.recv() => self.handle_event(event),
                 () = sleep_until(wake_at) => {}
             }
+            // Replies arrive in batches; they are applied together.
+            while let Ok(event) = self.inbox.try_recv() {
+                self.handle_event(event);
+            }
             self.advance();
             poll_at = poll_at.min(Instant::now() + self.poll_interval());
         }
@@ -200,13 +223,15 @@
             self.shape = Some(shape);
             self.demand = Some(ExpertDemand::new(shape.sets, shape.experts));
         }
+        let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
         if let Some((ranks, as_of)) = ranks {
             self.known_revision = self.known_revision.max(as_of);
             self.roster.adopt(&ranks);
-            // Ranks may have joined another group since.
-            self.other_group_ranks.clear();
+            if !is_complete {
+                // A missing rank may be one that was in another group before.
+                self.other_group_ranks.clear();
+            }
         }
-        let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
         self.refresh(if is_complete {
             ROSTER_REFRESH_INTERVAL
         } else {
@@ -217,63 +242,67 @@
     fn poll_interval(&self) -> Duration {
         match self.driver.phase() {
             SwitchPhase::Idle => IDLE_POLL_INTERVAL,
-            _ => SWITCH_POLL_INTERVAL
-                .max(POLL_INTERVAL_PER_RANK * u32::try_from(self.members.len()).unwrap_or(1)),
+            _ => SWITCH_POLL_INTERVAL,
         }
     }
 
     /// Queries the state of the group's ranks and, once per discovery interval, of ranks whose group
     /// is unknown.
     fn poll_ranks(&mut self, now: Instant) {
-        let count_interval = self.count_interval();
-        let is_counting = self.counted_at.is_none_or(|at| now >= at + count_interval);
+        let is_counting = is_due(self.counted_at, SELECTION_INTERVAL, now);
         if is_counting {
             self.counted_at = Some(now);
-            self.counting_polls += 1;
         }
-        let is_discovery = self
-            .last_discovery_at
-            .is_none_or(|at| now >= at + DISCOVERY_INTERVAL);
+        let is_discovery = is_due(self.last_discovery_at, DISCOVERY_INTERVAL, now);
         if is_discovery {
             self.last_discovery_at = Some(now);
         }
         self.plan_deadline = Some(now + POLL_REPLY_TIMEOUT);
-        let stride = self.count_stride();
         let query = ViewQuery {
+            group: self.group.clone(),
             mark: self.driver.mark(self.known_revision),
-            with_counts: false,
+            with_selections: is_counting,
+            with_experts: !self.is_map_known(),
             slow: self.slow_ranks(),
         };
-        for (index, (rank, link)) in self.roster.links().enumerate() {
-            let is_other = self.other_group_ranks.contains(rank);
-            let is_known = self.members.contains(rank);
-            if is_other || !(is_known || is_discovery) || !self.awaiting_reply.insert(*rank) {
+        let (mut members, mut strangers) = (Vec::new(), Vec::new());
+        for (address, link) in self.roster.links() {
+            let member = GroupMember {
+                address: *address,
+                link: Arc::clone(link),
+            };
+            let rank = self.members.get(address).copied();
+            let is_skipped =
+                rank.is_none() && (!is_discovery || self.other_group_ranks.contains(address));
+            if is_skipped || !self.awaiting_reply.insert(*address) {
                 continue;
             }
-            let with_counts =
-                is_counting && is_known && (index + self.counting_polls).is_multiple_of(stride);
-            let (rank, link, events) = (*rank, Arc::clone(link), self.events.clone());
-            let query = ViewQuery {
-                with_counts,
-                ..query.clone()
-            };
-            tokio::spawn(async move {
-                let event = match link.view(query).await {
-                    Ok(view) => {
-                        let observation = RankObservation {
-                            view,
-                            queried_at: now,
-                        };
-                        CoordinatorEvent::Observed(rank, Arc::clone(&link), observation)
-                    }
-                    Err(error) => CoordinatorEvent::Unanswered(rank, error),
-                };
-                // Fails only once the coordinator has ended.
-                drop(events.send(event));
-            });
+            match rank {
+                _ if *address == self.roster.local_address() => {
+                    self.dispatcher.query_directly(member, query.clone(), now);
+                }
+                Some(rank) => members.push((rank, member)),
+                None => strangers.push(member),
+            }
+        }
+        members.sort_by_key(|(rank, _)| *rank);
+        strangers.sort_by_key(|member| member.address);
+        let members = members.into_iter().map(|(_, member)| member).collect();
+        for members in [members, strangers] {
+            for left_out in self.dispatcher.query(members, &query, now) {
+                self.awaiting_reply.remove(&left_out);
+            }
         }
     }
 
+    /// Whether the placement of the map in use is known.
+    fn is_map_known(&self) -> bool {
+        let view = self.driver.views().next();
+        let known = |it: &KnownMap| view.map(|view| (view.generation, view.map)) == Some(it.key());
+        self.known_map.as_ref().is_some_and(known)
+            || self.started.as_ref().is_some_and(|it| known(&it.map))
+    }
+
     /// Addresses of the ranks above the slowdown threshold.
     fn slow_ranks(&self) -> Vec<SocketAddr> {
         let slow = self.driver.views().filter(|view| view.is_slow());
@@ -282,53 +311,50 @@
             .collect()
     }
 
-    /// Interval between polls that read expert counts.
-    fn count_interval(&self) -> Duration {
-        let counts_per_rank = self.shape.map_or(0, |shape| shape.sets * shape.experts);
-        let counts_per_poll = counts_per_rank * self.members.len() / self.count_stride();
-        Duration::from_secs(1) * u32::try_from(counts_per_poll).unwrap_or(u32::MAX)
-            / COUNTS_PER_SECOND
-    }
-
-    /// Number of polls over which the counts of all ranks are spread.
-    fn count_stride(&self) -> usize {
-        let counts_per_rank = self.shape.map_or(0, |shape| shape.sets * shape.experts);
-        (counts_per_rank * self.members.len())
-            .div_ceil(COUNTS_PER_POLL)
-            .max(1)
-    }
-
     fn handle_event(&mut self, event: CoordinatorEvent) {
         let now = Instant::now();
-        if let CoordinatorEvent::Observed(address, ..) | CoordinatorEvent::Unanswered(address, _) =
-            &event
-        {
-            self.awaiting_reply.remove(address);
-        }
         match event {
-            CoordinatorEvent::Observed(address, link, observation)
-                if observation.view.group == self.group =>
-            {
-                self.record_reachability(address, None);
-                self.members.insert(address);
-                self.rank_links
-                    .insert(observation.view.rank, (address, link));
-                self.driver
-                    .observe(observation.view, observation.queried_at, now);
+            CoordinatorEvent::Observed(member, reading, queried_at) => {
+                self.awaiting_reply.remove(&member.address);
+                self.observe(member, reading, queried_at, now);
             }
-            CoordinatorEvent::Observed(address, ..) => {
-                self.other_group_ranks.insert(address);
+            CoordinatorEvent::Unanswered(address, error) => {
+                self.awaiting_reply.remove(&address);
+                // The group of a rank that never replied is unknown.
+                if self.members.contains_key(&address) {
+                    self.record_reachability(address, Some(&error));
+                }
             }
-            CoordinatorEvent::Unanswered(address, error) if self.members.contains(&address) => {
-                self.record_reachability(address, Some(&error));
+            CoordinatorEvent::Bypassed(address) => self.dispatcher.record_bypass(address, now),
+            CoordinatorEvent::Counted(selections) => {
+                add_selections(&mut self.selections, Some(&selections));
             }
-            // The group of a rank that never replied is unknown.
-            CoordinatorEvent::Unanswered(..) => {}
             CoordinatorEvent::Listed(ranks, shape) => self.apply_listing(ranks, shape),
             CoordinatorEvent::Replied(order, reply) => self.driver.reply(&order, reply, now),
         }
     }
 
+    fn observe(
+        &mut self,
+        member: GroupMember,
+        reading: RankReading,
+        queried_at: Instant,
+        now: Instant,
+    ) {
+        let RankReading { view, selections } = reading;
+        if view.group != self.group {
+            self.members.remove(&member.address);
+            self.other_group_ranks.insert(member.address);
+            return;
+        }
+        self.record_reachability(member.address, None);
+        add_selections(&mut self.selections, selections.as_ref());
+        self.members.insert(member.address, view.rank);
+        self.rank_links
+            .insert(view.rank, (member.address, member.link));
+        self.driver.observe(view, queried_at, now);
+    }
+
     /// Logs when a rank stops or resumes replying.
     fn record_reachability(&mut self, rank: SocketAddr, error: Option<&AgentError>) {
         let is_change = match error {
@@ -360,11 +386,15 @@
         let is_due = |by: Instant| self.awaiting_reply.is_empty() || by <= now;
         if self.plan_deadline.is_some_and(is_due) {
             self.plan_deadline = None;
+            self.observe_demand(now);
             self.plan(now);
         }
-        for pending in self.driver.pending_orders(now) {
-            self.send(pending);
-        }
+        let pending = self.driver.pending_orders(now);
+        self.send(pending, now);
+        self.record_events(now);
+    }
+
+    fn record_events(&mut self, now: Instant) {
         for event in self.driver.take_events() {
             self.log.record(NodeEvent::SwitchShifted {
                 group: self.group.clone(),
@@ -373,6 +403,33 @@
                 step: event.step,
                 cause: event.cause,
             });
+            let Some(started) = self.started.as_mut() else {
+                continue;
+            };
+            let outcome = started
+                .report
+                .as_mut()
+                .and_then(|report| report.record(&event, now));
+            if let Some(outcome) = outcome {
+                started.report = None;
+                record_switch(outcome.cause, outcome.total, outcome.held);
+                self.log.record(NodeEvent::SwitchEnded {
+                    group: self.group.clone(),
+                    version: started.map.version,
+                    cause: outcome.cause,
+                    total_ms: millis(outcome.total),
+                    preparing_ms: millis(outcome.preparing),
+                    held_ms: millis(outcome.held),
+                    settling_ms: millis(outcome.settling),
+                });
+            }
+        }
+    }
+
+    /// Brings the demand up to date with the selections that arrived.
+    fn observe_demand(&mut self, now: Instant) {
+        if let Some((demand, selections)) = self.demand.as_mut().zip(self.selections.take()) {
+            demand.observe(&selections, now);
         }
     }
 
@@ -381,14 +438,15 @@
         let Some(version) = self.driver.common_map(now) else {
             return;
         };
-        self.refresh_placement(version);
-        let (Some(shape), Some(demand)) = (self.shape, self.demand.as_mut()) else {
+        self.refresh_known_map(version);
+        let (Some(shape), Some(demand)) = (self.shape, self.demand.as_ref()) else {
             return;
         };
-        if !demand.observe(self.driver.views(), now) {
+        let observed_at = demand.observed_at();
+        if observed_at.is_none_or(|at| now.saturating_duration_since(at) > DEMAND_MAX_AGE) {
             return;
         }
-        let Some((_, _, placement)) = &self.placement else {
+        let Some(known) = self.known_map.clone() else {
             return;
         };
         let limits = PlannerLimits {
@@ -400,7 +458,7 @@
         };
         let slowdown: Vec<f64> = self.driver.views().map(RankView::slowdown).collect();
         let input = PlannerInput {
-            placement,
+            placement: &known.placement,
             demand: demand.recent(),
             long_term: demand.long_term(),
             slowdown: &slowdown,
@@ -418,46 +476,123 @@
             after_percent: percent(change.after),
         });
         let copy_time = shape.copy_time(change.most_copies);
-        self.driver
-            .start(Arc::new(change.placement), copy_time, now);
+        self.start(&known, &change.placement, copy_time, now);
     }
 
-    /// Caches the placement of the common map, as views that were read during a switch may lack the
-    /// experts.
-    fn refresh_placement(&mut self, version: MapVersion) {
-        let generation = self.driver.views().next().map(|view| view.generation);
-        let known = self.placement.as_ref();
-        let is_known = known.is_some_and(|known| Some(known.0) == generation && known.1 == version);
-        if is_known {
+    /// Starts the switch from the map in use to `target`.
+    fn start(
+        &mut self,
+        known: &KnownMap,
+        target: &GroupPlacement,
+        copy_time: Duration,
+        now: Instant,
+    ) {
+        let delta = PlacementDelta::new(known.version, &known.placement, target);
+        let Some(delta) = delta else {
+            return;
+        };
+        // The placement in the order in which agents will have it.
+        let Ok(placement) = delta.apply(&known.placement) else {
+            return;
+        };
+        let placement = Arc::new(placement);
+        if !self.driver.start(Arc::clone(&placement), copy_time, now) {
             return;
         }
-        let common = self.driver.common_placement();
-        let Some((generation, placement)) = generation.zip(common) else {
+        let SwitchPhase::Preparing { version, .. } = self.driver.phase() else {
             return;
         };
-        self.placement = Some((generation, version, placement));
+        self.started = Some(StartedSwitch {
+            map: KnownMap {
+                generation: known.generation,
+                version: *version,
+                placement,
+            },
+            delta: Arc::new(delta),
+            report: Some(SwitchReport::new(now)),
+        });
     }
 
-    fn send(&self, pending: PendingOrder) {
-        let Some((_address, link)) = self.rank_links.get(&pending.rank).cloned() else {
+    /// Learns the placement of the common map: from the switch that led to it, or from the experts
+    /// that the ranks report.
+    fn refresh_known_map(&mut self, version: MapVersion) {
+        let Some(generation) = self.driver.views().next().map(|view| view.generation) else {
             return;
         };
-        let events = self.events.clone();
-        let forwarded = ForwardedOrder {
-            order: pending.order.clone(),
-            fence: pending.fencing,
-            generation: pending.generation,
-        };
-        tokio::spawn(async move {
-            let reply = match pending.order {
-                RankOrder::Hold { .. } | RankOrder::Go { .. } => {
-                    link.order_directly(forwarded).await
-                }
-                _ => link.order(forwarded).await,
-            };
-            drop(events.send(CoordinatorEvent::Replied(pending, reply)));
+        let is_common = |map: &KnownMap| map.key() == (generation, version);
+        if self.known_map.as_ref().is_some_and(is_common) {
+            return;
+        }
+        let started = self.started.as_ref().map(|started| &started.map);
+        self.known_map = started.filter(|map| is_common(map)).cloned().or_else(|| {
+            Some(KnownMap {
+                generation,
+                version,
+                placement: Arc::new(self.driver.common_placement()?),
+            })
         });
     }
+
+    /// Sends orders, those that are alike over the tree of agents.
+    fn send(&self, pending: Vec<PendingOrder>, now: Instant) {
+        let mut batches: Vec<Vec<MemberOrder>> = Vec::new();
+        for pending in pending {
+            let Some((address, link)) = self.rank_links.get(&pending.rank).cloned() else {
+                continue;
+            };
+            let order = MemberOrder {
+                pending,
+                member: GroupMember { address, link },
+            };
+            let is_urgent = matches!(
+                order.pending.order,
+                RankOrder::Hold { .. } | RankOrder::Go { .. }
+            );
+            if is_urgent || address == self.roster.local_address() {
+                self.dispatcher.order_directly(order);
+                continue;
+            }
+            let is_alike = |batch: &&mut Vec<MemberOrder>| {
+                let first = batch.first().map(|first| &first.pending);
+                first.is_some_and(|first| {
+                    (&first.order, first.generation)
+                        == (&order.pending.order, order.pending.generation)
+                })
+            };
+            match batches.iter_mut().find(is_alike) {
+                Some(batch) => batch.push(order),
+                None => batches.push(vec![order]),
+            }
+        }
+        for batch in batches {
+            let delta = self.delta_for(&batch);
+            self.dispatcher.order(batch, delta, now);
+        }
+    }
+
+    /// The difference by which a batch of orders can carry its placement.
+    fn delta_for(&self, batch: &[MemberOrder]) -> Option<&Arc<PlacementDelta>> {
+        let started = self.started.as_ref()?;
+        let pending = &batch.first()?.pending;
+        let RankOrder::Prepare { version, .. } = pending.order else {
+            return None;
+        };
+        (started.map.key() == (pending.generation, version)).then_some(&started.delta)
+    }
+}
+
+impl KnownMap {
+    const fn key(&self) -> (GroupGeneration, MapVersion) {
+        (self.generation, self.version)
+    }
+}
+
+fn is_due(last: Option<Instant>, interval: Duration, now: Instant) -> bool {
+    last.is_none_or(|at| now >= at + interval)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn percent(ratio: f64) -> u64 {
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -71,7 +71,7 @@
                 continue;
             }
             // A rank that is not up yet has no group to coordinate.
-            let Ok(view) = self.rank.read(false).await else {
+            let Ok(view) = self.rank.report().await else {
                 continue;
             };
             sleep(RANK_STAGGER_DELAY * u32::from(view.rank.get() % 16)).await;
--- a/crates/amaranthgw/src/agent/error.rs
+++ b/crates/amaranthgw/src/agent/error.rs
@@ -10,8 +10,8 @@
     Platform(PlatformError),
     /// A call to another agent failed.
     Net(NetError),
-    /// The reply of another agent could not be decoded.
-    Malformed(serde_json::Error),
+    /// A message could not be encoded, or the reply of another agent not be decoded.
+    Malformed(postcard::Error),
     /// The rank reports no group.
     NoGroup,
     /// Another agent answered with a status other than 200, mostly since its rank is unavailable.
@@ -26,7 +26,7 @@
         match self {
             Self::Platform(error) => error.fmt(f),
             Self::Net(error) => error.fmt(f),
-            Self::Malformed(error) => write!(f, "malformed reply from agent: {error}"),
+            Self::Malformed(error) => write!(f, "malformed message between agents: {error}"),
             Self::NoGroup => f.write_str("rank is in no group"),
             Self::RankUnavailable => f.write_str("rank is unavailable to its agent"),
         }
@@ -56,8 +56,8 @@
     }
 }
 
-impl From<serde_json::Error> for AgentError {
-    fn from(error: serde_json::Error) -> Self {
+impl From<postcard::Error> for AgentError {
+    fn from(error: postcard::Error) -> Self {
         Self::Malformed(error)
     }
 }
--- a/crates/amaranthgw/src/agent/local_rank.rs
+++ b/crates/amaranthgw/src/agent/local_rank.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use amaranthgw_fleet::gateway::GroupStatus;
-use amaranthgw_groups::rebalance::{CoordinatorMark, OrderReply, RankView};
+use amaranthgw_groups::rebalance::{
+    BaseError, CoordinatorMark, MapHistory, OrderReply, RankView, SelectionCounter, SelectionSample,
+};
 use amaranthgw_platform::rank::RankClient;
 use tokio::time::Instant;
 
 use super::experts::ExpertCache;
-use super::link::{ForwardedOrder, LOCAL_RANK_TIMEOUT, ORDER_TIMEOUT};
+use super::link::{LOCAL_RANK_TIMEOUT, ORDER_TIMEOUT, RankReading};
+use super::message::{ForwardedOrder, GroupCall, MemberReply, ViewQuery};
 use super::{AgentError, Result};
 use crate::telemetry::{EventLog, NodeEvent};
 
@@ -18,7 +21,7 @@
 #[derive(Clone, Debug)]
 struct CoordinatorQuery {
     queried_at: Instant,
-    mark: Option<CoordinatorMark>,
+    mark: CoordinatorMark,
     slow: Vec<SocketAddr>,
 }
 
@@ -28,8 +31,11 @@
 /// The rank on this VM, with its cached experts and the last query of its coordinator.
 #[derive(Debug)]
 pub(super) struct LocalRank {
+    address: SocketAddr,
     client: RankClient,
     experts: ExpertCache,
+    maps: MapHistory,
+    selections: Mutex<SelectionCounter>,
     last_query: Mutex<Option<CoordinatorQuery>>,
     log: EventLog,
 }
@@ -38,32 +44,69 @@
     /// Creates the client for the rank at `address`; opens no connection yet.
     pub(super) fn new(address: SocketAddr, log: EventLog) -> Self {
         Self {
+            address,
             client: RankClient::new(address),
             experts: ExpertCache::default(),
+            maps: MapHistory::default(),
+            selections: Mutex::default(),
             last_query: Mutex::default(),
             log,
         }
     }
 
-    /// Reads the state of the rank with its experts and, if `with_counts`, its expert counts.
-    pub(super) async fn read(&self, with_counts: bool) -> Result<RankView> {
+    /// Address of the rank.
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Answers a call for this rank alone.
+    pub(super) async fn answer(&self, call: &GroupCall) -> (MemberReply, Option<SelectionSample>) {
+        match call {
+            GroupCall::View(query) => match self.read(query).await {
+                Ok(reading) => {
+                    if reading.view.group == query.group {
+                        self.record_query(query);
+                    }
+                    let view = MemberReply::View(Box::new(reading.view));
+                    (view, reading.selections)
+                }
+                Err(_unavailable) => (MemberReply::Unavailable, None),
+            },
+            GroupCall::Order(order) => (self.forward_order(order.clone()).await, None),
+        }
+    }
+
+    /// Reads the state of the rank, with what the query asks for.
+    pub(super) async fn read(&self, query: &ViewQuery) -> Result<RankReading> {
         let mut view = self.report().await?;
-        if with_counts {
-            let counts = self
-                .client
-                .counts(view.generation, LOCAL_RANK_TIMEOUT)
-                .await?;
-            view.counts = counts.unwrap_or_default();
+        let selections = if query.with_selections {
+            self.read_selections(&view).await
+        } else {
+            None
+        };
+        if query.with_experts {
+            self.experts.fill(&self.client, &mut view).await?;
         }
-        self.experts.fill(&self.client, &mut view).await?;
-        Ok(view)
+        Ok(RankReading { view, selections })
     }
 
-    async fn report(&self) -> Result<RankView> {
+    /// Reads the state of the rank alone.
+    pub(super) async fn report(&self) -> Result<RankView> {
         let report = self.client.report(LOCAL_RANK_TIMEOUT).await?;
         report.ok_or(AgentError::NoGroup)
     }
 
+    /// Selections since the last reading. A failed reading is made up for by the next one.
+    async fn read_selections(&self, view: &RankView) -> Option<SelectionSample> {
+        let counts = self.client.counts(view.generation, LOCAL_RANK_TIMEOUT);
+        let counts = counts.await.ok()??;
+        let mut counter = self
+            .selections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        counter.advance(view.born, view.generation, counts)
+    }
+
     /// Reads the state of the rank's group.
     pub(super) async fn group_status(&self) -> Result<GroupStatus> {
         let view = self.report().await?;
@@ -77,23 +120,27 @@
     }
 
     /// Forwards an order to the rank and logs the reply.
-    pub(super) async fn forward_order(&self, forwarded: ForwardedOrder) -> OrderReply {
+    pub(super) async fn forward_order(&self, forwarded: ForwardedOrder) -> MemberReply {
         let ForwardedOrder {
             order,
             fence,
             generation,
         } = forwarded;
-        let reply = self
-            .client
-            .order(&order, fence, generation, ORDER_TIMEOUT)
-            .await;
+        let name = order.name();
+        let reply = match self.maps.resolve(order, generation) {
+            Ok(order) => Ok(self
+                .client
+                .order(&order, fence, generation, ORDER_TIMEOUT)
+                .await),
+            Err(error) => Err(error),
+        };
         self.log.record(NodeEvent::OrderPassed {
-            order: order.name(),
+            order: name,
             fence,
             generation,
-            reply: reply.name(),
+            reply: reply.map_or_else(BaseError::name, OrderReply::name),
         });
-        reply
+        reply.map_or(MemberReply::UnknownBase, MemberReply::Order)
     }
 
     /// Slow ranks of the group, from the coordinator's last query; none once that is too old.
@@ -106,11 +153,11 @@
     }
 
     /// Records a coordinator's query for the state of the rank.
-    pub(super) fn record_query(&self, mark: Option<CoordinatorMark>, slow: Vec<SocketAddr>) {
+    fn record_query(&self, query: &ViewQuery) {
         *self.last_query() = Some(CoordinatorQuery {
             queried_at: Instant::now(),
-            mark,
-            slow,
+            mark: query.mark,
+            slow: query.slow.clone(),
         });
     }
 
@@ -121,7 +168,7 @@
 
     /// The coordinator that sent the last query.
     pub(super) fn coordinator(&self) -> Option<CoordinatorMark> {
-        self.last_query().as_ref().and_then(|query| query.mark)
+        self.last_query().as_ref().map(|query| query.mark)
     }
 
     fn last_query(&self) -> MutexGuard<'_, Option<CoordinatorQuery>> {
--- a/crates/amaranthgw/src/agent/mod.rs
+++ b/crates/amaranthgw/src/agent/mod.rs
@@ -3,14 +3,18 @@
 //! the group.
 
 mod coordinator;
+mod dispatch;
 mod election;
 mod error;
 mod experts;
 mod link;
 mod local_rank;
+mod message;
 mod process;
+mod relay;
 mod roster;
 mod service;
+mod switch_report;
 
 pub use error::{AgentError, Result};
 pub(crate) use link::GROUP_PATH;
--- a/crates/amaranthgw/src/agent/process.rs
+++ b/crates/amaranthgw/src/agent/process.rs
@@ -9,8 +9,9 @@
 use super::coordinator::GroupCoordinator;
 use super::election::LeaseElection;
 use super::local_rank::LocalRank;
+use super::relay::AgentRelay;
 use super::roster::RankRoster;
-use super::service::serve_agent;
+use super::service::{AgentService, serve_agent};
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_health_and_metrics};
 
@@ -65,7 +66,13 @@
     let (Ok(coordinators), Ok(observers)) = (node.handle(), metrics.handle()) else {
         return;
     };
-    tokio::spawn(serve_agent(coordinators, Arc::clone(&rank), log.clone()));
+    let relay = Arc::new(AgentRelay::new(settings.node_listen.port()));
+    let service = AgentService {
+        rank: Arc::clone(&rank),
+        relay: Arc::clone(&relay),
+        log: log.clone(),
+    };
+    tokio::spawn(serve_agent(coordinators, service));
     tokio::spawn(serve_health_and_metrics(
         observers,
         MetricsHandle::new(),
@@ -78,7 +85,7 @@
         domain: settings.domain.clone(),
         address: compact_str::format_compact!("{}", settings.node_listen),
     });
-    coordinate(&settings, rank, &log, &stop).await;
+    coordinate(&settings, rank, relay, &log, &stop).await;
     log.record(NodeEvent::ProcessStopping { in_flight: 0 });
     log.record(NodeEvent::ProcessStopped { cut_off: 0 });
     stop.advance(StopPhase::Ending);
@@ -88,6 +95,7 @@
 async fn coordinate(
     settings: &AgentSettings,
     rank: Arc<LocalRank>,
+    relay: Arc<AgentRelay>,
     log: &EventLog,
     stop: &StopSignal,
 ) {
@@ -107,9 +115,8 @@
         };
         let (lease_end, end_receiver) = watch::channel(held.expires_at);
         let end_receiver = (!settings.fenced_orders).then_some(end_receiver);
-        let port = settings.node_listen.port();
-        let (service, local_rank) = (settings.service.clone(), Arc::clone(&rank));
-        let roster = RankRoster::new(service.clone(), settings.rank, port, local_rank);
+        let service = settings.service.clone();
+        let roster = RankRoster::new(service.clone(), Arc::clone(&relay), Arc::clone(&rank));
         // A separate client, so that lease renewals never queue behind the coordinator's reads.
         let reads = Arc::new(PlatformStore::new(settings.store));
         let coordinator =
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -14,6 +14,7 @@
 
 use super::link::{RemoteRank, SharedLink};
 use super::local_rank::LocalRank;
+use super::relay::AgentRelay;
 use crate::telemetry::count_store_call;
 
 /// Time limit of one store call.
@@ -24,23 +25,23 @@
 pub(super) struct RankRoster {
     service: ServiceId,
     local_address: SocketAddr,
-    agent_port: u16,
+    relay: Arc<AgentRelay>,
     links: HashMap<SocketAddr, SharedLink>,
 }
 
 impl RankRoster {
-    /// Creates a roster with only the rank on this VM, at `local_address`.
+    /// Creates a roster with only the rank on this VM.
     pub(super) fn new(
         service: ServiceId,
-        local_address: SocketAddr,
-        agent_port: u16,
+        relay: Arc<AgentRelay>,
         local_rank: Arc<LocalRank>,
     ) -> Self {
+        let local_address = local_rank.address();
         let links = HashMap::from([(local_address, local_rank as SharedLink)]);
         Self {
             service,
             local_address,
-            agent_port,
+            relay,
             links,
         }
     }
@@ -56,12 +57,21 @@
         self.links
             .retain(|rank, _| *rank == self.local_address || ranks.contains(rank));
         for rank in ranks {
-            let agent = SocketAddr::new(rank.ip(), self.agent_port);
-            let make = || Arc::new(RemoteRank::new(agent, rank)) as SharedLink;
+            let make = || Arc::new(RemoteRank::new(Arc::clone(&self.relay), rank)) as SharedLink;
             self.links.entry(rank).or_insert_with(make);
         }
     }
 
+    /// Address of the rank on this VM.
+    pub(super) const fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Client of the other agents.
+    pub(super) const fn relay(&self) -> &Arc<AgentRelay> {
+        &self.relay
+    }
+
     /// The address of each rank and the link to it.
     pub(super) fn links(&self) -> impl Iterator<Item = (&SocketAddr, &SharedLink)> {
         self.links.iter()
--- a/crates/amaranthgw/src/agent/service.rs
+++ b/crates/amaranthgw/src/agent/service.rs
@@ -1,9 +1,12 @@
-//! HTTP service of an agent: reports the state of its rank and group, and forwards orders.
+//! HTTP service of an agent: answers the calls of coordinators, passes them on to other agents, and
+//! reports the state of its group to gateways.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use compact_str::ToCompactString;
+use futures_util::future::join;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -13,63 +16,86 @@
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::link::{ForwardedOrder, GROUP_PATH, ORDER_PATH, RANK_PATH, ViewQuery};
+use super::link::GROUP_PATH;
 use super::local_rank::LocalRank;
+use super::message::{RELAY_PATH, RelayReply, RelayRequest};
+use super::relay::AgentRelay;
 use crate::runtime::accept_each;
-use crate::telemetry::EventLog;
+use crate::telemetry::{EventLog, NodeEvent};
 
-/// Size limit of an order: fits the map of a group with 256 ranks and 256 experts per set.
-const MAX_ORDER_BYTES: usize = 4 * 1024 * 1024;
+/// Size limit of a request: fits the map of a group with 256 ranks and 256 experts per set.
+const MAX_REQUEST_BYTES: usize = 1024 * 1024;
+
+/// What the connections of an agent share.
+#[derive(Debug)]
+pub(super) struct AgentService {
+    /// The rank on this VM.
+    pub(super) rank: Arc<LocalRank>,
+    /// Client of the other agents.
+    pub(super) relay: Arc<AgentRelay>,
+    /// Log of requests that can't be decoded.
+    pub(super) log: EventLog,
+}
 
 /// Serves coordinators and gateways until the process ends.
-pub(super) async fn serve_agent(listener: TcpListener, rank: Arc<LocalRank>, log: EventLog) {
+pub(super) async fn serve_agent(listener: TcpListener, service: AgentService) {
+    let (log, service) = (service.log.clone(), Arc::new(service));
     accept_each(listener, log, |stream| {
-        serve_client(stream, Arc::clone(&rank))
+        serve_client(stream, Arc::clone(&service))
     })
     .await;
 }
 
-async fn serve_client(stream: TcpStream, rank: Arc<LocalRank>) {
+async fn serve_client(stream: TcpStream, agent: Arc<AgentService>) {
     // The connection also works without TCP_NODELAY.
     drop(stream.set_nodelay(true));
     let service = service_fn(move |request| {
-        let rank = Arc::clone(&rank);
-        async move { Ok::<_, Infallible>(respond(&rank, request).await) }
+        let agent = Arc::clone(&agent);
+        async move { Ok::<_, Infallible>(agent.respond(request).await) }
     });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     // A broken connection needs no handling: the client sees it.
     drop(connection.await);
 }
 
-async fn respond(rank: &LocalRank, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    match (request.method(), request.uri().path()) {
-        (&Method::GET, RANK_PATH) => {
-            let query = request.uri().query();
-            let query = query.and_then(|query| query.parse::<ViewQuery>().ok());
-            let with_counts = query.as_ref().is_some_and(|query| query.with_counts);
-            let mark = query.as_ref().map(|query| query.mark);
-            rank.record_query(mark, query.map_or_else(Vec::new, |query| query.slow));
-            match rank.read(with_counts).await {
-                Ok(view) => json(&view),
+impl AgentService {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, RELAY_PATH) => self.relay(request.into_body()).await,
+            (&Method::GET, GROUP_PATH) => match self.rank.group_status().await {
+                Ok(status) => json(&status),
                 Err(_unavailable) => status(StatusCode::SERVICE_UNAVAILABLE),
-            }
+            },
+            _ => status(StatusCode::NOT_FOUND),
         }
-        (&Method::GET, GROUP_PATH) => match rank.group_status().await {
-            Ok(status) => json(&status),
-            Err(_unavailable) => status(StatusCode::SERVICE_UNAVAILABLE),
-        },
-        (&Method::POST, ORDER_PATH) => handle_order(rank, request.into_body()).await,
-        _ => status(StatusCode::NOT_FOUND),
     }
-}
 
-async fn handle_order(rank: &LocalRank, body: Incoming) -> Response<Full<Bytes>> {
-    let Ok(body) = Limited::new(body, MAX_ORDER_BYTES).collect().await else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    match serde_json::from_slice::<ForwardedOrder>(&body.to_bytes()) {
-        Ok(order) => json(&rank.forward_order(order).await),
-        Err(_malformed) => status(StatusCode::BAD_REQUEST),
+    async fn relay(&self, body: Incoming) -> Response<Full<Bytes>> {
+        let Ok(body) = Limited::new(body, MAX_REQUEST_BYTES).collect().await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let request = match postcard::from_bytes::<RelayRequest>(&body.to_bytes()) {
+            Ok(request) => request,
+            Err(error) => {
+                self.log.record(NodeEvent::RelayRefused {
+                    reason: error.to_compact_string(),
+                });
+                return status(StatusCode::BAD_REQUEST);
+            }
+        };
+        let (own, mut reply) = join(
+            self.rank.answer(&request.call),
+            self.relay.pass_on(&request),
+        )
+        .await;
+        reply.merge(RelayReply {
+            members: vec![(self.rank.address(), own.0)],
+            selections: own.1,
+        });
+        match postcard::to_allocvec(&reply) {
+            Ok(body) => Response::new(Full::new(body.into())),
+            Err(_unwritable) => status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
     }
 }
 
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -469,4 +469,26 @@
         /// Why the rank is considered unreachable.
         reason: CompactString,
     }
+    /// A map switch ended, with the time that each part of it took.
+    3208 Info SwitchEnded "map switch ended" {
+        /// The group.
+        group: GroupId,
+        /// Version of the new expert map.
+        version: MapVersion,
+        /// Why it ended; `switched` if the new map is in use.
+        cause: &'static str,
+        /// Time from the plan to the end, in milliseconds.
+        total_ms: u64,
+        /// Time in which the ranks copied weights, in milliseconds.
+        preparing_ms: u64,
+        /// Time from the order to hold a rank to its release, in milliseconds.
+        held_ms: u64,
+        /// Time from the release until all ranks used the map, in milliseconds.
+        settling_ms: u64,
+    }
+    /// An agent refused a message of another agent.
+    3209 Warning RelayRefused "message between agents refused" {
+        /// Why it could not be decoded.
+        reason: CompactString,
+    }
 }
--- a/crates/amaranthgw/src/telemetry/metrics.rs
+++ b/crates/amaranthgw/src/telemetry/metrics.rs
@@ -58,6 +58,12 @@
     counter!("amaranthgw_refusals_total", "code" => code).increment(1);
 }
 
+/// Counts a map switch that ended for `cause` after `total`, in which a rank was held for `held`.
+pub fn record_switch(cause: &'static str, total: Duration, held: Duration) {
+    histogram!("amaranthgw_map_switch_seconds", "cause" => cause).record(total.as_secs_f64());
+    histogram!("amaranthgw_map_switch_held_seconds", "cause" => cause).record(held.as_secs_f64());
+}
+
 /// Gauges of one target at its sidecar.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetGauges {
--- a/crates/amaranthgw/tests/it/agents.rs
+++ b/crates/amaranthgw/tests/it/agents.rs
@@ -8,14 +8,18 @@
 use amaranthgw::runtime::StopPhase;
 use amaranthgw::telemetry::EventLog;
 use amaranthgw_fleet::settings::AgentSettings;
+use amaranthgw_net::{DialSettings, PooledClient};
 use amaranthgw_standins::site::{SiteGroup, SiteStore, StoreFault};
 use amaranthgw_standins::{ReservedPort, RunningStandin, Standin};
+use http::{Method, StatusCode};
 use serde_json::json;
 
 use crate::env::eventually;
 
-/// Ranks of the group.
+/// Ranks of a small group, whose agents are all called by the coordinator.
 const RANK_COUNT: u16 = 3;
+/// Ranks of a group in which agents pass calls on to others.
+const LARGE_RANK_COUNT: u16 = 20;
 /// Expert sets of the group.
 const SET_COUNT: usize = 2;
 /// Experts in each set.
@@ -26,14 +30,20 @@
     store: SiteStore,
     group: SiteGroup,
     agents: Vec<Option<AgentProcess>>,
+    settings: Vec<AgentSettings>,
+    logs: Vec<EventLog>,
     _running: Vec<RunningStandin>,
-    _port: ReservedPort,
+    port: ReservedPort,
     _steps: tokio::task::JoinHandle<()>,
 }
 
 impl TestGroup {
     /// Starts the group on addresses `127.network.0.N`, so that parallel tests don't collide.
     fn start(network: u8) -> Self {
+        Self::start_with(network, RANK_COUNT)
+    }
+
+    fn start_with(network: u8, rank_count: u16) -> Self {
         let store = SiteStore::new();
         let address_of = |rank: u16| {
             let last = u8::try_from(rank + 1).expect("rank");
@@ -47,17 +57,21 @@
             &json!({
                 "version": 1,
                 "services": [{ "name": "llm", "engine": {
-                    "sets": SET_COUNT, "experts": EXPERT_COUNT, "places": 6, "spare": 4,
+                    "sets": SET_COUNT, "experts": EXPERT_COUNT * rank_count.div_ceil(RANK_COUNT), "places": 6, "spare": 4,
                     "expert_mb": 1.0, "link_mbps": 1000.0,
                 } }],
             }),
         );
-        let group = SiteGroup::new(RANK_COUNT, SET_COUNT, EXPERT_COUNT);
+        let group = SiteGroup::new(
+            rank_count,
+            SET_COUNT,
+            EXPERT_COUNT * rank_count.div_ceil(RANK_COUNT),
+        );
         // All agents listen on the same port, each on its own address.
-        let hosts: Vec<_> = (0..RANK_COUNT).map(|rank| address_of(rank).ip()).collect();
+        let hosts: Vec<_> = (0..rank_count).map(|rank| address_of(rank).ip()).collect();
         let port = ReservedPort::new(&hosts).expect("free port");
-        let mut agents = Vec::new();
-        for rank in 0..RANK_COUNT {
+        let (mut agents, mut all_settings, mut logs) = (Vec::new(), Vec::new(), Vec::new());
+        for rank in 0..rank_count {
             let started = group
                 .rank(rank.into())
                 .start(address_of(rank))
@@ -85,14 +99,18 @@
             agents.push(Some(
                 AgentProcess::start(&settings, &log).expect("agent starts"),
             ));
+            all_settings.push(settings);
+            logs.push(log);
         }
         let stepping_group = group.clone();
         Self {
             store,
             group,
             agents,
+            settings: all_settings,
+            logs,
             _running: running,
-            _port: port,
+            port,
             _steps: tokio::spawn(async move { stepping_group.run().await }),
         }
     }
@@ -113,10 +131,32 @@
             .expect("lease");
         let name = String::from_utf8(holder).expect("text");
         let rank: usize = name.trim_start_matches("vm-").parse().expect("rank");
+        self.stop_agent(rank);
+        name
+    }
+
+    /// Number of the rank whose agent holds the lease.
+    fn coordinator(&self) -> Option<usize> {
+        let holder = self.store.value("amaranthgw/groups/g-1/coordinator")?;
+        let name = String::from_utf8(holder).ok()?;
+        name.trim_start_matches("vm-").parse().ok()
+    }
+
+    fn stop_agent(&mut self, rank: usize) {
         let agent = self.agents[rank].take().expect("agent");
         agent.stop_signal().advance(StopPhase::Announcing);
         agent.join().expect("agent ends");
-        name
+    }
+
+    fn restart_agent(&mut self, rank: usize) {
+        self.stop_agent(rank);
+        let started = AgentProcess::start(&self.settings[rank], &self.logs[rank]);
+        self.agents[rank] = Some(started.expect("agent starts"));
+    }
+
+    /// Number of events with a field `value` that the agent of `rank` logged.
+    fn event_count(&self, rank: usize, value: &str) -> usize {
+        self.logs[rank].explain(value).len()
     }
 
     /// Checks that no step ran under two maps and that steps go on.
@@ -171,3 +211,65 @@
     group.trigger_switch(7).await;
     group.check_steps().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_rebalances_large_group() {
+    let group = TestGroup::start_with(75, LARGE_RANK_COUNT);
+    group.trigger_switch(0).await;
+    group.trigger_switch(7).await;
+    group.check_steps().await;
+    for rank in 0..usize::from(LARGE_RANK_COUNT) {
+        // The second change has the first map as its base.
+        assert_eq!(group.event_count(rank, "base_unknown"), 0, "rank {rank}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_silent_agents_of_large_group() {
+    let mut group = TestGroup::start_with(76, LARGE_RANK_COUNT);
+    group.trigger_switch(0).await;
+    let coordinator = group.coordinator().expect("coordinator");
+    // First agents of branches as well as others.
+    for rank in [0, 1, 3, 4, 8, 13]
+        .into_iter()
+        .filter(|rank| *rank != coordinator)
+    {
+        tokio::task::block_in_place(|| group.stop_agent(rank));
+    }
+    group.trigger_switch(7).await;
+    group.check_steps().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_restarted_agents_of_large_group() {
+    let mut group = TestGroup::start_with(77, LARGE_RANK_COUNT);
+    group.trigger_switch(0).await;
+    let coordinator = group.coordinator().expect("coordinator");
+    let restarted = if coordinator == 5 { 6 } else { 5 };
+    tokio::task::block_in_place(|| group.restart_agent(restarted));
+    group.trigger_switch(7).await;
+    group.check_steps().await;
+    // It doesn't know the map in use, and got the next one whole.
+    assert!(group.event_count(restarted, "base_unknown") > 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn relay_malformed_requests() {
+    let group = TestGroup::start_with(78, LARGE_RANK_COUNT);
+    group.trigger_switch(0).await;
+    let agent = group.port.address(group.settings[2].rank.ip());
+    let client = PooledClient::new(agent, DialSettings::new(Duration::from_secs(2)));
+    for length in 0..200_usize {
+        let bytes: Vec<u8> = (0..length).map(|_| fastrand::u8(..)).collect();
+        let path = "/relay";
+        let reply = client.call(Method::POST, path, bytes.into(), Duration::from_secs(5));
+        let status = reply.await.expect("reply").status;
+        assert!(
+            status == StatusCode::BAD_REQUEST || status == StatusCode::OK,
+            "{status}"
+        );
+    }
+    assert!(group.event_count(2, "Hit the end of buffer, expected more data") > 0);
+    group.trigger_switch(7).await;
+    group.check_steps().await;
+}
--- a/crates/groups/src/rebalance/demand.rs
+++ b/crates/groups/src/rebalance/demand.rs
@@ -1,12 +1,10 @@
 //! Demand for each expert, estimated from the selection counts that ranks report.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use amaranthgw_core::{RankId, StartMark};
 use tokio::time::Instant;
 
-use super::RankView;
+use super::SelectionSample;
 
 /// Half-life of the recent demand; shorter than the one to two seconds for which a request and its
 /// topic last.
@@ -21,7 +19,6 @@
 pub struct ExpertDemand {
     sets: usize,
     experts: usize,
-    last_counts: HashMap<RankId, (StartMark, Vec<u64>)>,
     observed_at: Option<Instant>,
     recent: Vec<Vec<f64>>,
     long_term: Vec<Vec<f64>>,
@@ -34,35 +31,23 @@
         Self {
             sets,
             experts,
-            last_counts: HashMap::new(),
             observed_at: None,
             recent: vec![vec![0.0; experts]; sets],
             long_term: vec![vec![0.0; experts]; sets],
         }
     }
 
-    /// Updates the demand from the counts in `views` as of `now`; returns `false` and drops
-    /// the new selections if they are too few.
-    pub fn observe<'a>(
-        &mut self,
-        views: impl IntoIterator<Item = &'a RankView>,
-        now: Instant,
-    ) -> bool {
-        let mut selected = vec![0.0; self.sets * self.experts];
-        for view in views {
-            if view.counts.len() != selected.len() {
-                continue;
-            }
-            let entry = (view.born, view.counts.clone());
-            let previous = self.last_counts.insert(view.rank, entry);
-            let Some((_, previous)) = previous.filter(|(born, _)| *born == view.born) else {
-                continue;
-            };
-            for (sum, (new, old)) in selected.iter_mut().zip(view.counts.iter().zip(&previous)) {
-                *sum += f64::from(u32::try_from(new.saturating_sub(*old)).unwrap_or(u32::MAX));
-            }
-        }
-        if selected.iter().sum::<f64>() < MIN_SELECTIONS {
+    /// Updates the demand from the selections that ranks made until `now`; returns `false` and drops
+    /// them if they are too few or of another group shape.
+    pub fn observe(&mut self, sample: &SelectionSample, now: Instant) -> bool {
+        let selected: Vec<f64> = sample
+            .counts()
+            .iter()
+            .map(|count| f64::from(u32::try_from(*count).unwrap_or(u32::MAX)))
+            .collect();
+        if selected.len() != self.sets * self.experts
+            || selected.iter().sum::<f64>() < MIN_SELECTIONS
+        {
             return false;
         }
         let elapsed = self.observed_at.map(|at| now.saturating_duration_since(at));
@@ -83,6 +68,12 @@
         true
     }
 
+    /// Time of the last observation.
+    #[must_use]
+    pub const fn observed_at(&self) -> Option<Instant> {
+        self.observed_at
+    }
+
     /// Recent average of the share of each set's selections that fell on each expert.
     #[must_use]
     pub fn recent(&self) -> &[Vec<f64>] {
--- a/crates/groups/src/rebalance/driver/mod.rs
+++ b/crates/groups/src/rebalance/driver/mod.rs
@@ -235,7 +235,7 @@
         self.ranks.values().all(is_quiescent).then_some(map)
     }
 
-    /// Placement that the latest views report; `None` if one of them lacks the experts. Meaningful
+    /// Placement that the latest views report, with the experts of each rank in order; `None` if one of them lacks the experts. Meaningful
     /// only while [`Self::common_map`] returns a map.
     #[must_use]
     pub fn common_placement(&self) -> Option<GroupPlacement> {
@@ -248,7 +248,9 @@
                 return None;
             }
             for (set, experts) in placement.sets.iter_mut().zip(&row.view.experts) {
-                set.ranks.push(experts.clone());
+                let mut experts = experts.clone();
+                experts.sort_unstable();
+                set.ranks.push(experts);
             }
         }
         Some(placement)
--- a/crates/groups/src/rebalance/mod.rs
+++ b/crates/groups/src/rebalance/mod.rs
@@ -1,7 +1,8 @@
 //! Expert rebalancing for rank groups that switch maps by order of a coordinator: rank reports,
 //! expert placement and map switches.
 //!
-//! [`ExpertDemand`] estimates the demand for each expert from the reports ([`RankView`]),
+//! [`ExpertDemand`] estimates the demand for each expert from the selections of all ranks
+//! ([`SelectionSample`]),
 //! [`plan_change`] plans a new placement for that demand, and [`SwitchDriver`] decides which orders
 //! ([`RankOrder`]) bring the group to the new placement. The rank agent of `amaranthgw` that holds
 //! a group's lease runs them. Ranks answer orders and don't vote; [`agreement`](crate::agreement),
@@ -14,14 +15,20 @@
 //! same step. [`SwitchDriver`] ensures this by holding one rank before that step until all ranks
 //! are armed.
 
+mod delta;
 mod demand;
 mod driver;
+mod history;
 mod placement;
 mod planner;
 mod rank;
+mod selections;
 
+pub use delta::{DeltaError, PlacementDelta};
 pub use demand::ExpertDemand;
 pub use driver::{DriverEvent, PendingOrder, SwitchDriver, SwitchPhase};
+pub use history::{BaseError, MapContent, MapHistory};
 pub use placement::{GroupPlacement, SetPlacement};
 pub use planner::{PlacementChange, PlannerInput, PlannerLimits, plan_change};
 pub use rank::{ArmedMap, CoordinatorMark, OrderReply, RankOrder, RankView, SLOWDOWN_THRESHOLD};
+pub use selections::{SelectionCounter, SelectionSample};
--- a/crates/groups/src/rebalance/rank.rs
+++ b/crates/groups/src/rebalance/rank.rs
@@ -44,8 +44,6 @@
     pub held: Option<StepNumber>,
     /// Slowdown factor in thousandths: 1,000 is normal, 2,000 is half as fast.
     pub pace_milli: u32,
-    /// Selections of each expert since the rank started, set after set; empty if not read.
-    pub counts: Vec<u64>,
     /// Experts of this rank by set, under the map in use; empty if not read.
     pub experts: Vec<Vec<u16>>,
 }
@@ -68,7 +66,7 @@
 }
 
 /// The coordinator that last queried a rank's agent, written as `RANK.REVISION[.GENERATION]`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CoordinatorMark {
     /// Local rank of the coordinator.
     pub rank: RankId,
@@ -105,15 +103,15 @@
     }
 }
 
-/// An order to one rank.
+/// An order to one rank; `M` is the form in which it carries a placement.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum RankOrder {
+pub enum RankOrder<M = Arc<GroupPlacement>> {
     /// Copy the weights that a map needs.
     Prepare {
         /// Version of the map.
         version: MapVersion,
         /// Placement under the map.
-        map: Arc<GroupPlacement>,
+        map: M,
     },
     /// Switch to a prepared map when a step begins.
     Arm(ArmedMap),
@@ -134,7 +132,28 @@
     },
 }
 
-impl RankOrder {
+impl<M> RankOrder<M> {
+    /// The order with its placement in another form.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of `convert`.
+    pub fn try_map<N, E>(
+        self,
+        convert: impl FnOnce(MapVersion, M) -> std::result::Result<N, E>,
+    ) -> std::result::Result<RankOrder<N>, E> {
+        Ok(match self {
+            Self::Prepare { version, map } => RankOrder::Prepare {
+                version,
+                map: convert(version, map)?,
+            },
+            Self::Arm(armed) => RankOrder::Arm(armed),
+            Self::Disarm { version } => RankOrder::Disarm { version },
+            Self::Hold { step } => RankOrder::Hold { step },
+            Self::Go { step } => RankOrder::Go { step },
+        })
+    }
+
     /// Name for logs and metrics.
     #[must_use]
     pub const fn name(&self) -> &'static str {
--- a/crates/groups/tests/it/rebalance/mod.rs
+++ b/crates/groups/tests/it/rebalance/mod.rs
@@ -1,6 +1,9 @@
 //! Tests of expert demand, rebalancing and map switches.
 
+mod delta;
 mod demand;
+mod history;
 mod model;
 mod planner;
+mod selections;
 mod switches;
--- a/crates/groups/tests/it/rebalance/model.rs
+++ b/crates/groups/tests/it/rebalance/model.rs
@@ -190,7 +190,6 @@
             armed: rank.armed,
             held: rank.held.map(StepNumber::new),
             pace_milli: 1_000,
-            counts: Vec::new(),
             experts: Vec::new(),
         }
     }
