--- a/crates/amaranthgw/tests/it/agents.rs
+++ b/crates/amaranthgw/tests/it/agents.rs
@@ -37,6 +37,27 @@
     _steps: tokio::task::JoinHandle<()>,
 }
 
+/// Settings of the agent of a rank at `address`, which listens for other agents at `listen`.
+fn settings_of(
+    rank: u16,
+    address: SocketAddr,
+    listen: SocketAddr,
+    store: SocketAddr,
+) -> AgentSettings {
+    let settings = json!({
+        "vm": format!("vm-{rank}"),
+        "domain": "domain-a",
+        "service": "llm",
+        "rank": address,
+        "node_listen": listen,
+        "metrics_listen": SocketAddr::new(address.ip(), 0),
+        "store": store,
+        "grace": "2s",
+        "fenced_orders": true,
+    });
+    AgentSettings::parse(&settings.to_string(), "test").expect("settings")
+}
+
 impl TestGroup {
     /// Starts the group on addresses `127.network.0.N`, so that parallel tests don't collide.
     fn start(network: u8) -> Self {
@@ -83,18 +104,7 @@
                 "state": "ready", "cold_left_ms": 0,
             });
             store.put(&format!("servers/i-{rank}"), &entry);
-            let settings = json!({
-                "vm": format!("vm-{rank}"),
-                "domain": "domain-a",
-                "service": "llm",
-                "rank": address,
-                "node_listen": port.address(address.ip()),
-                "metrics_listen": address_of(rank),
-                "store": store_address,
-                "grace": "2s",
-                "fenced_orders": true,
-            });
-            let settings = AgentSettings::parse(&settings.to_string(), "test").expect("settings");
+            let settings = settings_of(rank, address, port.address(address.ip()), store_address);
             let log = EventLog::with_journal_only();
             agents.push(Some(
                 AgentProcess::start(&settings, &log).expect("agent starts"),
