Gateways read the registry for each other

Cause: each of 53 gateways read the registry every 1.1 s and began a watch every 2.5 s, some 70 calls a second, although they tell each other what they read. Change: a gateway reads when what it knows is between 0.4 and 1.1 s old, at a time drawn such that few of any number read before they hear of it, and tells the others, who ask it for the changes. What a peer told counts from the time of the question, and from no time if it is only a part. The age at which a gateway reads by itself is as before. Watches wait longer the more gateways there are. Tests: read windows of 5 to 1,747 gateways; late and partial answers; a draining target is left by all six within two seconds.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -30,8 +30,8 @@
     Roster(RosterReading),
     /// A read of the registry.
     Registry(RegistryListing),
-    /// Changes of the registry that a peer told.
-    RegistryNews(RegistryNews),
+    /// Changes of the registry that a peer told, and when it was asked.
+    RegistryNews(RegistryNews, Instant),
     /// Bounds that hold for all gateways together.
     Bounds(FleetBounds),
     /// A target and its rank group.
@@ -84,8 +84,8 @@
                 let transitions = state.world.adopt_registry(listing, Instant::now());
                 state.record_transitions(transitions, "store");
             }
-            ControlMessage::RegistryNews(news) => {
-                let transitions = state.world.adopt_news(news, Instant::now());
+            ControlMessage::RegistryNews(news, asked_at) => {
+                let transitions = state.world.adopt_news(news, asked_at, Instant::now());
                 state.record_transitions(transitions, "peer");
             }
             ControlMessage::Bounds(bounds) => state.world.adopt_bounds(bounds),
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{DomainId, StoreRevision};
-use amaranthgw_fleet::gateway::{RegistryEntry, RegistryListing, RouteTable};
+use amaranthgw_fleet::gateway::{ReadWindow, RegistryEntry, RegistryListing, RouteTable};
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::registry::decode_entry;
 use amaranthgw_platform::store::{
@@ -17,25 +17,32 @@
 use compact_str::{CompactString, ToCompactString};
 use ractor::ActorRef;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::basis::whole_millis;
 use super::control::ControlMessage;
+use super::gossip::GossipLink;
 use super::shared::GatewayShared;
 use crate::telemetry::{EventLog, NodeEvent, count_store_call};
 
 /// Time limit of one store call; a watch adds its own wait.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Longest wait of one watch; bounds the time to detect a dead connection.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch of a single gateway; bounds the time to detect a dead connection.
+const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Addition to that wait for each gateway. Together they begin five watches a second, and a change
+/// that one of them sees reaches the others by gossip.
+const WATCH_TIME_PER_GATEWAY: Duration = Duration::from_millis(200);
+/// Longest wait of one watch.
+const MAX_WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay before a new list after a compaction; doubles with each failed call, so that the first
 /// failure is followed by twice this delay.
 const BASE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest retry delay: changes made during an outage are read soon after it.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Interval between reads of the registry: shorter than 2 s, the least time for which a draining
-/// target goes on serving.
-const REGISTRY_POLL_INTERVAL: Duration = Duration::from_millis(1_100);
+/// Age of what is known of the registry, from reads of any gateway, at which it is read again. The
+/// longest is shorter than 2 s, the least time for which a draining target goes on serving.
+const REGISTRY_WINDOW: ReadWindow =
+    ReadWindow::new(Duration::from_millis(400), Duration::from_millis(1_100));
 
 /// Interval between reads of the registry after an outage, and while it can't be read: short against
 /// the time within which expired entries return.
@@ -90,11 +97,13 @@
 /// Follows the keys that operators write, until the process ends.
 pub(super) async fn follow_operators(
     store: Arc<PlatformStore>,
+    shared: Arc<GatewayShared>,
     control: ActorRef<ControlMessage>,
     log: EventLog,
 ) {
     let mut feed = OperatorFeed {
         store,
+        shared,
         control,
         log,
         evacuated: BTreeSet::new(),
@@ -109,6 +118,7 @@
 
 struct OperatorFeed {
     store: Arc<PlatformStore>,
+    shared: Arc<GatewayShared>,
     control: ActorRef<ControlMessage>,
     log: EventLog,
     evacuated: BTreeSet<DomainId>,
@@ -139,7 +149,7 @@
     async fn watch(&mut self, after: StoreRevision) -> Result<StoreRevision> {
         let watched = self
             .store
-            .watch(OPERATOR_PREFIX, after, WATCH_TIMEOUT, STORE_TIMEOUT)
+            .watch(OPERATOR_PREFIX, after, self.watch_timeout(), STORE_TIMEOUT)
             .await;
         count_store_call("watch_operators", &watched);
         let (changes, as_of) = watched?;
@@ -160,6 +170,12 @@
         Ok(as_of)
     }
 
+    fn watch_timeout(&self) -> Duration {
+        let gateways = self.shared.snapshot.load().gateway_count;
+        let timeout = WATCH_TIME_PER_GATEWAY.saturating_mul(gateways);
+        timeout.clamp(MIN_WATCH_TIMEOUT, MAX_WATCH_TIMEOUT)
+    }
+
     fn apply(&mut self, item: StoreItem) {
         if let Some(domain) = evacuated_domain(&item.key) {
             self.evacuated.insert(domain);
@@ -209,17 +225,12 @@
     }
 }
 
-/// Polls the registry of targets until the process ends.
-pub(super) async fn follow_registry(
-    store: Arc<PlatformStore>,
-    shared: Arc<GatewayShared>,
-    control: ActorRef<ControlMessage>,
-    log: EventLog,
-) {
+/// Reads the registry of targets whenever no gateway has read it for a while, until the process
+/// ends.
+pub(super) async fn follow_registry(store: Arc<PlatformStore>, link: GossipLink, log: EventLog) {
     let mut feed = RegistryFeed {
         store,
-        shared,
-        control,
+        link,
         log,
         listed_at: None,
         failures: 0,
@@ -228,17 +239,22 @@
         recovers_until: Instant::now(),
     };
     loop {
-        let interval = feed.poll().await;
-        sleep(interval).await;
+        if let Some(interval) = feed.poll().await {
+            sleep(interval).await;
+            continue;
+        }
+        // The control thread has applied the listing by the time that peers ask for it.
+        let link = feed.link.clone();
+        tokio::spawn(async move { link.announce_read().await });
+        feed.wait_until_due().await;
     }
 }
 
 struct RegistryFeed {
     store: Arc<PlatformStore>,
-    shared: Arc<GatewayShared>,
-    control: ActorRef<ControlMessage>,
+    link: GossipLink,
     log: EventLog,
-    /// Time of the last listing.
+    /// When the last listing was asked for.
     listed_at: Option<Instant>,
     /// Failed calls in a row.
     failures: u32,
@@ -250,8 +266,30 @@
 }
 
 impl RegistryFeed {
-    /// Reads the registry once and returns the time until the next read.
-    async fn poll(&mut self) -> Duration {
+    /// Waits until what is known of the registry is too old.
+    async fn wait_until_due(&self) {
+        loop {
+            let known_at = self.known_at();
+            let gateways = self.link.shared.snapshot.load().gateway_count;
+            let delay = REGISTRY_WINDOW.delay(gateways, fastrand::f64());
+            let Some(known_at) = known_at else {
+                return;
+            };
+            sleep_until(known_at + delay).await;
+            if self.known_at() == Some(known_at) {
+                return;
+            }
+        }
+    }
+
+    /// When the registry was last known to be current, from the own reads or those of peers.
+    fn known_at(&self) -> Option<Instant> {
+        let told_at = self.link.peer_registry.registry_known_at();
+        self.listed_at.max(told_at)
+    }
+
+    /// Reads the registry once; returns the time until the next read in an outage and after it.
+    async fn poll(&mut self) -> Option<Duration> {
         let asked_at = Instant::now();
         let time_limit = if self.is_slow {
             STORE_TIMEOUT
@@ -266,11 +304,11 @@
         self.is_slow = listed.is_err() || asked_at.elapsed() > REGISTRY_TIMEOUT;
         match listed {
             Ok(listing) => self.adopt(&listing, asked_at),
-            Err(error) => self.record_failure(&error),
+            Err(error) => Some(self.record_failure(&error)),
         }
     }
 
-    fn adopt(&mut self, listing: &StoreListing, asked_at: Instant) -> Duration {
+    fn adopt(&mut self, listing: &StoreListing, asked_at: Instant) -> Option<Duration> {
         let now = Instant::now();
         if self.failures > 0 {
             self.log.record(NodeEvent::RegistryRecovered {
@@ -280,7 +318,7 @@
             self.recovers_until = now + REGISTRY_RECOVERY_TIME;
         }
         self.failures = 0;
-        self.listed_at = Some(now);
+        self.listed_at = Some(asked_at);
         let entries = self.decode(&listing.items);
         let listing = RegistryListing {
             entries,
@@ -288,17 +326,13 @@
             asked_at,
         };
         // Fails only while the process stops.
-        drop(self.control.cast(ControlMessage::Registry(listing)));
-        if now < self.recovers_until {
-            self.recovery_interval()
-        } else {
-            REGISTRY_POLL_INTERVAL
-        }
+        drop(self.link.control.cast(ControlMessage::Registry(listing)));
+        (now < self.recovers_until).then(|| self.recovery_interval())
     }
 
     fn record_failure(&mut self, error: &PlatformError) -> Duration {
         // Fails only while the process stops.
-        drop(self.control.cast(ControlMessage::RegistryFailed));
+        drop(self.link.control.cast(ControlMessage::RegistryFailed));
         self.failures += 1;
         if self.failures == 1 {
             self.log.record(NodeEvent::RegistryUnavailable {
@@ -317,7 +351,7 @@
     /// Interval between reads in an outage and after it, which leaves each of the gateways its share
     /// of `RECOVERY_READS_PER_SECOND`.
     fn recovery_interval(&self) -> Duration {
-        let gateways = self.shared.snapshot.load().gateway_count;
+        let gateways = self.link.shared.snapshot.load().gateway_count;
         let share = Duration::from_secs(1) * gateways / RECOVERY_READS_PER_SECOND;
         share.max(REGISTRY_RECOVERY_INTERVAL)
     }
--- a/crates/amaranthgw/src/gateway/gossip.rs
+++ b/crates/amaranthgw/src/gateway/gossip.rs
@@ -31,14 +31,22 @@
 
 /// Path of gossip queries.
 const GOSSIP_PATH: &str = "/news";
+/// Path at which a gateway is told that a peer, whose address is the body, has read the registry.
+const REGISTRY_READ_PATH: &str = "/registry-read";
 /// Interval between gossip rounds.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of peers queried per round.
 const PEERS_PER_ROUND: usize = 2;
 /// Number of peers that are told at once of a crash; they tell others.
 const PEERS_PER_ALARM: usize = 16;
+/// Number of peers that are told of a read of the registry, so that they needn't read it.
+const PEERS_PER_READ: usize = 64;
+/// Age of what is known of the registry below which a peer's read of it is of no use.
+const FRESH_AGE: Duration = Duration::from_millis(200);
 /// Longest query of a peer: all crashes that a quarantine holds.
 const MAX_QUERY_BYTES: usize = 256 * 1024;
+/// Longest text of an address.
+const MAX_ADDRESS_BYTES: usize = 64;
 /// Time limit of a query to a peer.
 pub(super) const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -126,6 +134,7 @@
     async fn query_peer(&self, client: &PooledClient, news: Option<QuarantineNews>) {
         let (peer_registry, control) = (&self.peer_registry, &self.control);
         let query = peer_registry.query(&self.shared.quarantine, news);
+        let asked_at = Instant::now();
         let called = client
             .call(Method::POST, GOSSIP_PATH, query, PEER_CALL_TIMEOUT)
             .await;
@@ -151,14 +160,53 @@
         if let Some(Ok(config)) = config {
             messages.push(ControlMessage::Config(config, "peer"));
         }
-        messages.extend(gossip.registry.map(ControlMessage::RegistryNews));
+        let registry = gossip.registry;
+        messages.extend(registry.map(|news| ControlMessage::RegistryNews(news, asked_at)));
         for message in messages {
             // Fails only while the process stops.
             drop(control.cast(message));
         }
     }
 
+    /// Tells peers that this gateway has read the registry; they ask for the changes.
+    pub(super) async fn announce_read(&self) {
+        let peer_registry = &self.peer_registry;
+        let clients = peer_registry.choose_peers(PEERS_PER_READ, Instant::now());
+        let body = Bytes::from(peer_registry.address().to_string());
+        let calls = clients.iter().map(|client| {
+            client.call(
+                Method::POST,
+                REGISTRY_READ_PATH,
+                body.clone(),
+                PEER_CALL_TIMEOUT,
+            )
+        });
+        // A peer that isn't reached asks others, or reads the registry itself.
+        drop(join_all(calls).await);
+    }
+
+    /// Asks a peer that has read the registry for its changes, unless they are known.
+    async fn handle_read(&self, body: &[u8]) {
+        let address = std::str::from_utf8(body).ok();
+        let Some(address) = address.and_then(|text| text.parse().ok()) else {
+            return;
+        };
+        let known_at = self.peer_registry.registry_known_at();
+        if known_at.is_some_and(|at| at.elapsed() < FRESH_AGE) {
+            return;
+        }
+        let client = self.peer_registry.client(address);
+        self.query_peer(&client, None).await;
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() == REGISTRY_READ_PATH {
+            if let Ok(body) = read_whole(request.into_body(), MAX_ADDRESS_BYTES).await {
+                let link = self.clone();
+                tokio::spawn(async move { link.handle_read(&body).await });
+            }
+            return Response::new(Full::default());
+        }
         let is_gossip = request.uri().path() == GOSSIP_PATH;
         let body = read_whole(request.into_body(), MAX_QUERY_BYTES).await;
         let query = body
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -94,6 +94,24 @@
         state.registry = registry;
     }
 
+    /// Address at which peers reach this gateway.
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// When the registry was last known to be current; `None` before the first listing.
+    pub(super) fn registry_known_at(&self) -> Option<Instant> {
+        self.state()
+            .registry
+            .as_ref()
+            .map(|(_log, known_at)| *known_at)
+    }
+
+    /// Client of the peer at `address`.
+    pub(super) fn client(&self, address: SocketAddr) -> Arc<PooledClient> {
+        Arc::clone(&self.state().row(address).client)
+    }
+
     fn state(&self) -> MutexGuard<'_, SharedState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -180,9 +180,9 @@
         control: control.clone(),
     };
     tokio::spawn(serve_peers(peers, link.clone(), log.clone()));
-    tokio::spawn(follow_peers(link));
+    tokio::spawn(follow_peers(link.clone()));
     tokio::spawn(follow_bounds(inputs.bounds, control.clone()));
-    follow_platform(&settings, &shared, &control, &log);
+    follow_platform(&settings, &link, &log);
     let handle = MetricsHandle::new();
     for listener in [&inputs.ready, &inputs.metrics] {
         let Ok(listener) = listener.handle() else {
@@ -207,21 +207,19 @@
 }
 
 /// Starts the feeds of the key-value service and of the rank groups.
-fn follow_platform(
-    settings: &GatewaySettings,
-    shared: &Arc<GatewayShared>,
-    control: &ActorRef<ControlMessage>,
-    log: &EventLog,
-) {
+fn follow_platform(settings: &GatewaySettings, link: &GossipLink, log: &EventLog) {
+    let GossipLink {
+        shared, control, ..
+    } = link;
     // Each feed has its own client, so that none waits for another's connection.
     let store = || Arc::new(PlatformStore::new(settings.store));
-    tokio::spawn(follow_operators(store(), control.clone(), log.clone()));
-    tokio::spawn(follow_registry(
+    tokio::spawn(follow_operators(
         store(),
         Arc::clone(shared),
         control.clone(),
         log.clone(),
     ));
+    tokio::spawn(follow_registry(store(), link.clone(), log.clone()));
     tokio::spawn(follow_roster(
         store(),
         settings.vm.clone(),
--- a/crates/amaranthgw/tests/it/gateway/feeds.rs
+++ b/crates/amaranthgw/tests/it/gateway/feeds.rs
@@ -203,3 +203,36 @@
     let registered = || async { site.store.value(key) };
     eventually("registration", registered).await;
 }
+
+// Six gateways that each read on their own would read 27 times in five seconds.
+#[tokio::test]
+async fn follow_registry_read_by_one_for_all() {
+    let mut site = TestSite::with_routes();
+    site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let first = site.start_process(&[], &json!({ "vm": "gateway-0" }));
+    let mut gateways = vec![first];
+    for number in 1..6 {
+        let seeds = [gateways[0].node_address()];
+        let vm = json!({ "vm": format!("gateway-{number}") });
+        gateways.push(site.start_process(&seeds, &vm));
+    }
+    for gateway in &gateways {
+        let ready = || async { is_ready(gateway.ready_address()).await.then_some(()) };
+        eventually("readiness", ready).await;
+    }
+    // The gateways learn of each other.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = site.store.listings("servers/");
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let read = site.store.listings("servers/") - before;
+    assert!(read < 18, "{read} reads");
+    assert!(read >= 4, "{read} reads");
+    let mut entry = site.entry("i-1");
+    entry["state"] = "draining".into();
+    site.store.put("servers/i-1", &entry);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for gateway in &gateways {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod registry_log;
 mod roster;
 mod routes;
+mod shared_read;
 mod systems;
 mod targets;
 mod window;
@@ -39,6 +40,7 @@
     CallLimits, ExpertShape, KeyHolder, LookupError, RouteKind, RouteRow, RouteTable, ServiceRow,
     SplitShare,
 };
+pub use shared_read::ReadWindow;
 pub use systems::{PEER_TIMEOUT, gateway_schedule};
 pub use targets::{FlightGuard, TargetCandidate, TargetGauge, TargetRecord};
 pub use world::{FleetBounds, GatewaySnapshot, GatewayWorld};
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{StoreRevision, TargetId};
+use amaranthgw_core::{MilliSpan, StoreRevision, TargetId};
 use tokio::time::Instant;
 
 use super::{
@@ -171,7 +171,8 @@
         now: Instant,
     ) -> Vec<TargetTransition> {
         let as_of = listing.as_of;
-        self.registry.record_known(now, self.bounds.return_time);
+        self.registry
+            .record_known(listing.asked_at, self.bounds.return_time);
         self.registry.is_failing = false;
         let holders = self.newest_by_address(listing.entries);
         for entry in holders.values() {
@@ -193,9 +194,14 @@
         self.take_transitions()
     }
 
-    /// Applies what a peer told at `now`; returns the target transitions. Ignored before the first
-    /// listing, as peers know recent changes only.
-    pub fn adopt_news(&mut self, news: RegistryNews, now: Instant) -> Vec<TargetTransition> {
+    /// Applies what a peer told at `now`, asked at `asked_at`; returns the target transitions.
+    /// Ignored before the first listing, as peers know recent changes only.
+    pub fn adopt_news(
+        &mut self,
+        news: RegistryNews,
+        asked_at: Instant,
+        now: Instant,
+    ) -> Vec<TargetTransition> {
         if !self.is_registry_known {
             return Vec::new();
         }
@@ -205,13 +211,26 @@
         let is_complete = news.after <= self.registry.as_of && news.as_of >= self.registry.as_of;
         if is_complete {
             self.registry.as_of = news.as_of;
-            let known_at = now.checked_sub(news.age.duration()).unwrap_or(now);
-            let return_time = self.bounds.return_time;
-            self.registry.record_known(known_at, return_time);
+            // The peer's answer is no older than the question; one of an unknown age tells nothing.
+            let age = news.age.map(MilliSpan::duration);
+            if let Some(known_at) = age.and_then(|age| asked_at.checked_sub(age)) {
+                self.record_listed(known_at);
+            }
         }
         self.take_transitions()
     }
 
+    /// Records that a peer knew the registry, and so the entries of all targets, at `known_at`.
+    fn record_listed(&mut self, known_at: Instant) {
+        let return_time = self.bounds.return_time;
+        self.registry.record_known(known_at, return_time);
+        for row in self.targets.rows() {
+            if row.missing_until.is_none() {
+                row.gauge.record_listed(known_at);
+            }
+        }
+    }
+
     /// Removes targets whose entries have not returned after an outage.
     pub(super) fn expire_missing(&mut self, now: Instant) {
         if !self.registry.is_current(now) {
--- a/crates/fleet/src/gateway/registry_log.rs
+++ b/crates/fleet/src/gateway/registry_log.rs
@@ -31,8 +31,8 @@
     pub after: StoreRevision,
     /// Revision up to which the changes are known.
     pub as_of: StoreRevision,
-    /// Time since the registry was known to have that revision.
-    pub age: MilliSpan,
+    /// Time since the registry was known to have that revision; `None` if it has a later one.
+    pub age: Option<MilliSpan>,
     /// The changes, oldest first.
     pub changes: Vec<RegistryChange>,
 }
@@ -96,7 +96,7 @@
         RegistryNews {
             after: self.complete_after.max(known),
             as_of: up_to,
-            age: MilliSpan::from_duration(age),
+            age: (up_to == as_of).then(|| MilliSpan::from_duration(age)),
             changes,
         }
     }
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Records that the registry still had the known entry at `known_at`.
+    pub fn record_listed(&self, known_at: Instant) {
+        self.entry_listed_ms
+            .fetch_max(self.millis(known_at), Ordering::Relaxed);
+    }
+
     /// Records that the registry entry read at `now` was last written at revision `written`.
     pub fn record_entry(&self, written: StoreRevision, now: Instant) {
         self.entry_listed_ms
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod registry;
 mod roster;
 mod routes;
+mod shared_read;
 mod world;
 
 use amaranthgw_core::{MilliSpan, SlotCount, StoreRevision};
--- a/crates/fleet/tests/it/gateway/registry.rs
+++ b/crates/fleet/tests/it/gateway/registry.rs
@@ -47,7 +47,7 @@
     RegistryNews {
         after: StoreRevision::new(100),
         as_of: StoreRevision::new(as_of),
-        age: MilliSpan::new(0),
+        age: Some(MilliSpan::new(0)),
         changes,
     }
 }
@@ -157,7 +157,7 @@
     let mut leaving = entry("a", 1, 104);
     leaving.record.is_draining = true;
     let changes = vec![writing(leaving), removal("b", 105)];
-    let transitions = world.adopt_news(news(changes, 106), now);
+    let transitions = world.adopt_news(news(changes, 106), now, now);
     let expected = [
         TargetTransition::Draining(target("a")),
         TargetTransition::Gone(target("b")),
@@ -171,7 +171,7 @@
     let (mut world, now) = listed_world();
     // The new target has the address of one that crashed.
     let changes = vec![writing(entry("c", 3, 104)), writing(entry("d", 1, 105))];
-    world.adopt_news(news(changes, 106), now);
+    world.adopt_news(news(changes, 106), now, now);
     assert_eq!(routed_targets(&mut world, now), ["b", "c", "d"]);
 }
 
@@ -182,7 +182,7 @@
     world.adopt_registry(listing(written, now), now);
     let mut leaving = entry("a", 1, 80);
     leaving.record.is_draining = true;
-    world.adopt_news(news(vec![writing(leaving), removal("a", 85)], 85), now);
+    world.adopt_news(news(vec![writing(leaving), removal("a", 85)], 85), now, now);
     assert_eq!(routed_targets(&mut world, now), ["a", "b"]);
 }
 
@@ -191,7 +191,7 @@
 fn adopt_registry_older_than_news() {
     let (mut world, now) = listed_world();
     let changes = vec![removal("b", 104), writing(entry("c", 3, 105))];
-    world.adopt_news(news(changes, 106), now);
+    world.adopt_news(news(changes, 106), now, now);
     let entries = vec![entry("a", 1, 1), entry("b", 2, 2)];
     world.adopt_registry(listing(entries, now), now);
     assert_eq!(routed_targets(&mut world, now), ["a", "c"]);
@@ -205,7 +205,7 @@
     let ended = now + LONG_OUTAGE;
     for second in 1..=12 {
         let at = now + Duration::from_secs(second);
-        world.adopt_news(news(Vec::new(), 100 + second), at);
+        world.adopt_news(news(Vec::new(), 100 + second), at, at);
     }
     let transitions = world.adopt_registry(listing(vec![entry("a", 1, 1)], ended), ended);
     assert_eq!(transitions, [TargetTransition::Gone(target("b"))]);
@@ -217,7 +217,7 @@
     let (mut world, now) = listed_world();
     world.record_registry_failure();
     let ended = now + LONG_OUTAGE;
-    world.adopt_news(news(Vec::new(), 120), ended);
+    world.adopt_news(news(Vec::new(), 120), ended, ended);
     let soon = ended + Duration::from_millis(300);
     world.adopt_registry(listing(vec![entry("a", 1, 1)], soon), soon);
     assert_eq!(routed_targets(&mut world, soon), ["a", "b"]);
@@ -227,7 +227,7 @@
 fn news_after_unknown_only() {
     let (mut world, now) = listed_world();
     let changes = vec![removal("b", 104), writing(entry("c", 3, 105))];
-    world.adopt_news(news(changes.clone(), 106), now);
+    world.adopt_news(news(changes.clone(), 106), now, now);
     let (log, _known_at) = world.registry_log().expect("log");
     let as_of = world.registry_as_of();
     let told = |known| {
@@ -250,7 +250,7 @@
         } = change;
         let mut written = entry(target.as_str(), 500, revision.get());
         written.record.is_draining = true;
-        world.adopt_news(news(vec![writing(written)], revision.get()), now);
+        world.adopt_news(news(vec![writing(written)], revision.get()), now, now);
     }
     let (log, _known_at) = world.registry_log().expect("log");
     let told = log.news_after(
@@ -263,7 +263,7 @@
     let last = told.changes.last().expect("change");
     assert_eq!(last.revision, told.as_of);
     let mut other = listed_world().0;
-    other.adopt_news(told, now);
+    other.adopt_news(told, now, now);
     assert_eq!(other.registry_as_of(), StoreRevision::new(100));
 }
 
@@ -282,7 +282,7 @@
         Duration::ZERO,
     );
     let mut peer = listed_world().0;
-    peer.adopt_news(told, now);
+    peer.adopt_news(told, now, now);
     assert_eq!(routed_targets(&mut peer, now), ["b"]);
 }
 
@@ -322,11 +322,41 @@
     world.adopt_registry(listing(entries, now), now);
     assert_eq!(routed_targets(&mut world, now), ["a", "b"]);
     odd.written = StoreRevision::new(104);
-    world.adopt_news(news(vec![writing(odd)], 105), now);
+    world.adopt_news(news(vec![writing(odd)], 105), now, now);
     let desk = "desk".parse().expect("service");
     assert_eq!(world.snapshot(now).targets[&desk].len(), 2);
 }
 
+// An answer that was long on its way says nothing of what happened meanwhile.
+#[test]
+fn adopt_news_late_answer() {
+    let (mut world, asked_at) = listed_world();
+    let now = asked_at + Duration::from_secs(5);
+    let mut told = news(Vec::new(), 120);
+    told.age = Some(MilliSpan::new(300));
+    let at = asked_at + Duration::from_secs(1);
+    world.adopt_news(told, at, now);
+    let (_log, known_at) = world.registry_log().expect("log");
+    assert_eq!(
+        known_at,
+        at.checked_sub(Duration::from_millis(300)).expect("time")
+    );
+}
+
+// News that end before the peer's revision are followed by others.
+#[test]
+fn adopt_news_truncated() {
+    let (mut world, start) = listed_world();
+    let now = start + Duration::from_secs(5);
+    let mut told = news(vec![removal("b", 104)], 104);
+    told.age = None;
+    let transitions = world.adopt_news(told, now, now);
+    assert_eq!(transitions, [TargetTransition::Gone(target("b"))]);
+    assert_eq!(world.registry_as_of(), StoreRevision::new(104));
+    let (_log, known_at) = world.registry_log().expect("log");
+    assert_eq!(known_at, start);
+}
+
 /// What happens to the registry, or is heard of it.
 #[derive(Clone, Copy, Debug)]
 enum RegistryStep {
@@ -426,7 +456,7 @@
                             left.insert(id, change.revision.get());
                         }
                     }
-                    second.adopt_news(told, now);
+                    second.adopt_news(told, now, now);
                 }
             }
             let routed = routed_targets(&mut second, now);
