Coordinators never give one version to two maps

What callers could see: a step under two maps (MAP). Around a hand-over, an order of the former coordinator to prepare version N that a rank carries out late comes before the new coordinator's order to prepare its own N; the rank takes the second as done and switches to the other map than its group. Change: the versions of a lease begin at its fencing token times 4,096.

--- a/crates/groups/src/rebalance/driver/mod.rs
+++ b/crates/groups/src/rebalance/driver/mod.rs
@@ -11,7 +11,7 @@
 mod phase;
 mod recovery;
 
-pub use phase::{DriverEvent, SwitchPhase};
+pub use phase::{DriverEvent, PendingOrder, SwitchPhase};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -33,6 +33,9 @@
 const UNANSWERED_WINDOW: Duration = Duration::from_secs(6);
 /// Fencing tokens reserved for each lease, as a driver raises its token during a lease.
 const FENCING_NUMBERS_PER_LEASE: u64 = 4_096;
+/// Map versions reserved for each lease. A rank takes an order to prepare a version that it has
+/// prepared already as done, so two coordinators must never give one version to different maps.
+const VERSIONS_PER_LEASE: u64 = 4_096;
 /// Added to the highest known version to get a version that no rank can be armed with, for orders
 /// that are sent only for their fencing token.
 const UNUSED_VERSION_OFFSET: u64 = 1_000_000;
@@ -51,22 +54,6 @@
 /// time for which a group may stall.
 const ARM_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// An order to send to a rank.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PendingOrder {
-    /// Receiver of the order.
-    pub rank: RankId,
-    /// The order.
-    pub order: RankOrder,
-    /// Fencing token to send with it.
-    pub fencing: FencingNumber,
-    /// Group generation for which the order is valid.
-    pub generation: GroupGeneration,
-    /// Number of the phase that sends the order; a reply to an order of an earlier phase is
-    /// ignored.
-    pub phase_number: u64,
-}
-
 #[derive(Clone, Debug)]
 struct RankRow {
     view: RankView,
@@ -92,7 +79,7 @@
     phase_since: Instant,
     /// Number of phases entered so far.
     phase_number: u64,
-    /// Highest version that this driver has assigned.
+    /// Highest version that this driver has assigned, or the one below its first.
     last_version: MapVersion,
     ranks: BTreeMap<RankId, RankRow>,
     /// Time since which views have shown an incomplete switch; see `after_skew`.
@@ -120,7 +107,7 @@
             phase: SwitchPhase::Idle,
             phase_since: now,
             phase_number: 0,
-            last_version: MapVersion::default(),
+            last_version: MapVersion::new(fencing.get().saturating_mul(VERSIONS_PER_LEASE)),
             ranks: BTreeMap::new(),
             inconsistent_since: None,
             unanswered_at: None,
--- a/crates/groups/src/rebalance/driver/phase.rs
+++ b/crates/groups/src/rebalance/driver/phase.rs
@@ -1,12 +1,12 @@
-//! Phases of a map switch, and the events that record their changes.
+//! Phases of a map switch, the orders that they send and the events that record their changes.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{MapVersion, RankId, StepNumber};
+use amaranthgw_core::{FencingNumber, GroupGeneration, MapVersion, RankId, StepNumber};
 
-use super::super::{ArmedMap, GroupPlacement};
+use super::super::{ArmedMap, GroupPlacement, RankOrder};
 
 /// Phase of a [`SwitchDriver`](super::SwitchDriver).
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -81,6 +81,22 @@
     }
 }
 
+/// An order to send to a rank.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PendingOrder {
+    /// Receiver of the order.
+    pub rank: RankId,
+    /// The order.
+    pub order: RankOrder,
+    /// Fencing token to send with it.
+    pub fencing: FencingNumber,
+    /// Group generation for which the order is valid.
+    pub generation: GroupGeneration,
+    /// Number of the phase that sends the order; a reply to an order of an earlier phase is
+    /// ignored.
+    pub phase_number: u64,
+}
+
 /// A phase change, for logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DriverEvent {
--- a/crates/groups/tests/it/rebalance/model.rs
+++ b/crates/groups/tests/it/rebalance/model.rs
@@ -30,10 +30,18 @@
     pub(super) has_hold: bool,
 }
 
+/// A map: coordinators give the same version to maps of different content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ModelMap {
+    version: u64,
+    /// Fencing token of the order to prepare it, which stands for its content.
+    content: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct ModelRank {
-    map: u64,
-    prepared: Option<u64>,
+    map: ModelMap,
+    prepared: Option<ModelMap>,
     armed: Option<ArmedMap>,
     held: Option<u64>,
     highest_version: u64,
@@ -164,8 +172,8 @@
         self.step = next;
         for rank in &mut self.ranks {
             if rank.armed.is_some_and(|armed| armed.step.get() == next) {
-                rank.map = rank.armed.take().expect("armed").version.get();
-                rank.prepared = None;
+                rank.armed = None;
+                rank.map = rank.prepared.take().expect("prepared");
                 self.switches += 1;
             }
         }
@@ -185,8 +193,8 @@
             is_open: true,
             born: StartMark::new(1),
             step: StepNumber::new(self.step),
-            map: MapVersion::new(rank.map),
-            prepared: rank.prepared.map(MapVersion::new),
+            map: MapVersion::new(rank.map.version),
+            prepared: rank.prepared.map(|map| MapVersion::new(map.version)),
             armed: rank.armed,
             held: rank.held.map(StepNumber::new),
             pace_milli: 1_000,
@@ -263,7 +271,7 @@
         if !is_current {
             return OrderReply::Conflict;
         }
-        if rank.apply(&pending.order, step, has_hold) {
+        if rank.apply(pending, step, has_hold) {
             OrderReply::Accepted
         } else {
             OrderReply::Conflict
@@ -277,31 +285,35 @@
 
 impl ModelRank {
     /// Executes an order; returns `false` if it does not fit the state.
-    fn apply(&mut self, order: &RankOrder, step: u64, has_hold: bool) -> bool {
-        match order {
+    fn apply(&mut self, pending: &PendingOrder, step: u64, has_hold: bool) -> bool {
+        match &pending.order {
             RankOrder::Prepare { version, .. } => {
                 let version = version.get();
-                if self.prepared == Some(version) {
+                if self.prepared.is_some_and(|map| map.version == version) {
                     return true;
                 }
                 if version <= self.highest_version || self.armed.is_some() {
                     return false;
                 }
                 self.highest_version = version;
-                self.prepared = Some(version);
+                self.prepared = Some(ModelMap {
+                    version,
+                    content: pending.fencing.get(),
+                });
             }
             RankOrder::Arm(armed) => {
                 if self.armed == Some(*armed) {
                     return true;
                 }
-                let is_prepared = self.prepared == Some(armed.version.get());
+                let version = armed.version.get();
+                let is_prepared = self.prepared.is_some_and(|map| map.version == version);
                 if !is_prepared || armed.step.get() <= step || self.armed.is_some() {
                     return false;
                 }
                 self.armed = Some(*armed);
             }
             RankOrder::Disarm { version } => {
-                if self.map == version.get() {
+                if self.map.version == version.get() {
                     return false;
                 }
                 if self.armed.is_some_and(|armed| armed.version == *version) {
