--- a/crates/amaranthgw/tests/it/gateway/stops.rs
+++ b/crates/amaranthgw/tests/it/gateway/stops.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use amaranthgw::runtime::StopPhase;
+use amaranthgw_net::{DialSettings, dial};
 use amaranthgw_standins::ReservedPort;
-use amaranthgw_standins::site::TargetBehaviour;
+use amaranthgw_standins::site::{SiteTarget, TargetBehaviour};
+use futures_util::future::{join, join_all};
 use http::StatusCode;
+use http_body_util::BodyExt;
 use serde_json::json;
 
 use super::env::{ANY_PORT, TestSite, call, is_ready, request};
@@ -42,6 +45,61 @@
         .expect("no panic");
 }
 
+/// Grace period of [`run_stop_requests_in_each_tenth`].
+const GRACE: Duration = Duration::from_secs(6);
+
+// Guards against LOST: requests that came late in the grace period were passed on and cut at its end.
+#[tokio::test]
+async fn run_stop_requests_in_each_tenth() {
+    let mut site = TestSite::with_routes();
+    let stream = TargetBehaviour::Stream {
+        events: 20,
+        gap: Duration::from_millis(50),
+        breaks_in: 0,
+    };
+    let targets = ["i-1", "i-2"].map(|id| site.add_target(id, "draft", stream.clone()));
+    let gateway = site.start_gateway_with(&json!({ "grace": "6s" })).await;
+    let address = gateway.address();
+    let kept = dial(address, DialSettings::new(Duration::from_secs(5))).await;
+    let mut kept = kept.expect("connects");
+    let answer = kept
+        .send(request("POST", "/draft/", ""))
+        .await
+        .expect("answers");
+    answer.into_body().collect().await.expect("whole answer");
+    assert!(kept.wait_ready().await);
+    let before: usize = targets.iter().map(SiteTarget::arrivals).sum();
+    gateway.stop_signal().advance(StopPhase::Announcing);
+    let calls = (0..10).map(|tenth| async move {
+        tokio::time::sleep(GRACE / 10 * tenth).await;
+        let settings = DialSettings::new(Duration::from_secs(1));
+        // The gateway no longer accepts connections late in the grace period.
+        let Ok(mut connection) = dial(address, settings).await else {
+            return 0;
+        };
+        let Ok(response) = connection.send(request("POST", "/draft/", "")).await else {
+            return 0;
+        };
+        let is_success = response.status().is_success();
+        let body = response.into_body().collect().await;
+        usize::from(is_success && body.is_ok())
+    });
+    let on_kept = async {
+        tokio::time::sleep(GRACE / 10).await;
+        let response = kept.send(request("POST", "/draft/", "")).await;
+        let body = response.expect("answers").into_body().collect().await;
+        body.expect("whole answer");
+    };
+    let (whole, ()) = join(join_all(calls), on_kept).await;
+    let whole: usize = whole.into_iter().sum();
+    let after: usize = targets.iter().map(SiteTarget::arrivals).sum();
+    // Whatever reached a target was answered whole.
+    assert_eq!(after - before, whole + 1);
+    assert!(whole >= 3, "{whole}");
+    let joined = tokio::task::spawn_blocking(move || gateway.join());
+    joined.await.expect("thread").expect("no panic");
+}
+
 // Guards against LOST: a SIGHUP ended a gateway that had begun to listen (soak, seed 316).
 #[test]
 fn run_gateway_hangup_at_start() {
