--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -48,7 +48,7 @@
 /// A replica is added only if it reduces the largest load by at least this share of the mean load.
 const MIN_REPLICA_GAIN: f64 = 0.02;
 /// Smallest reduction of the mean imbalance (largest over mean load) for which a switch is started.
-const MIN_SWITCH_GAIN: f64 = 0.15;
+const MIN_SWITCH_GAIN: f64 = 0.25;
 /// Time that one rank may spend on copies for one switch: the popularity of experts changes every
 /// few seconds, and steps take longer while weights are copied.
 const COPY_TIME_BUDGET: Duration = Duration::from_millis(570);
