--- a/crates/amaranthgw/tests/it/gateway/broken_heads.rs
+++ b/crates/amaranthgw/tests/it/gateway/broken_heads.rs
@@ -114,9 +114,8 @@
         target.length.store(length, Ordering::SeqCst);
         let settings = DialSettings::new(Duration::from_secs(5));
         let connection = dial(gateway.address(), settings).await;
-        let sent = connection
-            .expect("connects")
-            .send(request("POST", "/draft/", ""));
+        let mut connection = connection.expect("connects");
+        let sent = connection.send(request("POST", "/draft/", ""));
         // A connection that closes without an answer is a visible end, too.
         if let Ok(response) = sent.await {
             let is_success = response.status().is_success();
