--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,11 +1,14 @@
 //! Stand-ins, clients and cases of the review. Uses the standard library alone.
 
+mod clients;
 mod group;
 mod http;
 mod json;
 mod map_case;
 mod processes;
 mod record;
+mod revoke_case;
+mod servers;
 mod store;
 
 use std::path::PathBuf;
@@ -44,6 +47,7 @@
     });
     let verdict = match case.as_str() {
         "map" => map_case::run(&record, has_trouble),
+        "revoke" => revoke_case::run(&record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     finish(&record, verdict);
