--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod revoke_case;
 mod servers;
+mod stop_case;
 mod store;
 
 use std::path::PathBuf;
@@ -48,6 +49,7 @@
     let verdict = match case.as_str() {
         "map" => map_case::run(&record, has_trouble),
         "revoke" => revoke_case::run(&record, has_trouble),
+        "stop" => stop_case::run(&record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     finish(&record, verdict);
