--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, clients and cases of the review. Uses the standard library alone.
 
 mod clients;
+mod deadly_case;
 mod group;
 mod http;
 mod json;
@@ -49,6 +50,7 @@
     let verdict = match case.as_str() {
         "map" => map_case::run(&record, has_trouble),
         "revoke" => revoke_case::run(&record, has_trouble),
+        "deadly" => deadly_case::run(&record, has_trouble),
         "stop" => stop_case::run(&record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
