--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod revoke_case;
 mod servers;
+mod silence_case;
 mod stop_case;
 mod store;
 
@@ -51,6 +52,7 @@
         "map" => map_case::run(&record, has_trouble),
         "revoke" => revoke_case::run(&record, has_trouble),
         "deadly" => deadly_case::run(&record, has_trouble),
+        "silence" => silence_case::run(&record, has_trouble),
         "stop" => stop_case::run(&record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
