Review case 4: streams that may be resumed as well

Streams of a resumable route with two attempts, preempted in both runs, are cut in the second pause.

--- a/review/harness/clients.rs
+++ b/review/harness/clients.rs
@@ -15,15 +15,17 @@
 /// The tenant that holds them.
 pub const TENANT: &str = "hule930";
 
-/// A configuration with a route for streams and two for the desk service.
+/// A configuration with two routes for streams, one of which may be resumed, and two for the desk
+/// service.
 pub fn configuration(version: u64, keys: &[&str]) -> String {
     let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     let route = |name: &str, kind: &str, service: &str, timeout: u32, attempts: u32| {
+        let is_resumable = name == "note";
         format!(
             "{{\"name\":\"r-{name}\",\"hostname\":\"{HOST}\",\"prefix\":\"/{name}/\",\
              \"route_kind\":\"{kind}\",\"timeout_ms\":{timeout},\"goal_ms\":400,\"priority\":1,\
              \"service\":\"{service}\",\"attempts\":{attempts},\"public\":false,\"sticky\":false,\
-             \"resumable\":false,\"gap_aim_ms\":120}}"
+             \"resumable\":{is_resumable},\"gap_aim_ms\":120}}"
         )
     };
     let service = |name: &str| {
@@ -33,11 +35,12 @@
         )
     };
     format!(
-        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{},{}],\
+        "{{\"version\":{version},\"routes\":[{},{},{},{}],\"services\":[{},{}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"{TENANT}\",\"api_keys\":[{}],\"priority\":1}}]}}",
         route("advice", "streaming", "helper-llm", 8_000, 2),
+        route("note", "streaming", "helper-llm", 8_000, 2),
         route("booking", "non_idempotent", "lending-desk", 1_200, 1),
         route("shelf", "idempotent", "lending-desk", 1_200, 2),
         service("helper-llm"),
--- a/review/harness/silence_case.rs
+++ b/review/harness/silence_case.rs
@@ -18,13 +18,19 @@
 const GRACE: Duration = Duration::from_secs(8);
 const EVENTS: u32 = 28;
 const GAP: Duration = Duration::from_millis(60);
-/// Event before which a preempted stream pauses, and for how long: clients wait for 2 s.
-const PAUSE_BEFORE: u32 = 10;
+/// Events of the other streams, about the sheet's largest.
+const OTHER_EVENTS: u32 = 69;
+/// Events before which a preempted stream pauses, the second one only where it may be resumed, and for
+/// how long: clients wait for 2 s.
+const FIRST_PAUSE: u32 = 10;
+const SECOND_PAUSE: u32 = 20;
 const PAUSE: Duration = Duration::from_millis(1_850);
 /// When the streams that are preempted are sent, and when SIGTERM comes.
 const SENT_AT: Duration = Duration::from_millis(2_000);
 const STOP_AT: Duration = Duration::from_millis(2_300);
 const PREEMPTED: u32 = 4;
+/// Streams that may be resumed and are preempted in each of their two runs.
+const PREEMPTED_TWICE: u32 = 2;
 /// Other streams: one in each interval, until the platform sends no more connections.
 const OTHERS_INTERVAL: Duration = Duration::from_millis(150);
 const OTHERS_UNTIL: Duration = Duration::from_millis(3_200);
@@ -48,15 +54,23 @@
     let id = request
         .header("x-amaranthgw-request-id")
         .unwrap_or_default();
-    for event in 1..=EVENTS {
-        if event == PAUSE_BEFORE && request.path() == "/advice/preempted" {
-            record.line(&format!("server {name} preempts {id}"));
+    let last = request
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let is_resumable = request.path() == "/note/preempted";
+    let is_preempted = is_resumable || request.path() == "/advice/preempted";
+    let events = if is_preempted { EVENTS } else { OTHER_EVENTS };
+    for event in last + 1..=events {
+        let is_pause = event == FIRST_PAUSE || event == SECOND_PAUSE && is_resumable;
+        if is_pause && is_preempted && event > last + 1 {
+            record.line(&format!("server {name} preempts {id} before event {event}"));
             sleep(PAUSE);
             record.line(&format!("server {name} goes on with {id}"));
         }
         sleep(GAP);
-        let mark = if event == EVENTS { " (last)" } else { "" };
-        let text = format!("id: {event}\ndata: event {event} of {EVENTS}{mark}\n\n");
+        let mark = if event == events { " (last)" } else { "" };
+        let text = format!("id: {event}\ndata: event {event} of {events}{mark}\n\n");
         stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
     }
     stream.write_all(b"0\r\n\r\n")
@@ -126,6 +140,13 @@
             start + SENT_AT,
         );
     }
+    for number in 0..PREEMPTED_TWICE {
+        send(
+            format!("preempted-twice.{number}"),
+            "/note/preempted",
+            start + SENT_AT,
+        );
+    }
     let others = (OTHERS_UNTIL.as_millis() / OTHERS_INTERVAL.as_millis()) as u32;
     for number in 0..others {
         let at = start + OTHERS_INTERVAL * number;
