--- a/review/harness/group.rs
+++ b/review/harness/group.rs
@@ -66,10 +66,16 @@
     extra_answers: u32,
 }
 
+/// Answers what is no call to a rank: rank, request and connection.
+pub type Fallback =
+    Arc<dyn Fn(usize, &Request, &mut TcpStream) -> std::io::Result<()> + Send + Sync>;
+
 #[derive(Clone)]
 pub struct Group {
     world: Arc<Mutex<World>>,
     record: Record,
+    pub name: String,
+    pub fallback: Option<Fallback>,
 }
 
 impl World {
@@ -149,6 +155,8 @@
         Self {
             world: Arc::new(Mutex::new(world)),
             record: record.clone(),
+            name: "g-1".into(),
+            fallback: None,
         }
     }
 
@@ -256,6 +264,13 @@
                     return;
                 }
             }
+            let is_call = ["/report", "/picked", "/order"].contains(&request.path());
+            if let Some(fallback) = self.fallback.as_ref().filter(|_| !is_call) {
+                if fallback(rank, &request, reader.get_mut()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let Some((status, body)) = self.answer(rank, &request) else {
                 continue;
             };
@@ -360,9 +375,10 @@
             "{{\"stage\":\"mixed\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"seq\":{},\"waiting\":0,\"running\":8,\"kv_used\":41000,\
              \"kv_total\":372000,\"handles\":0,\"pace\":1.0,\"born\":1764936000000,\
-             \"group\":{{\"name\":\"g-1\",\"epoch\":{EPOCH},\"rank\":{rank},\"state\":\"open\"}},\
+             \"group\":{{\"name\":\"{}\",\"epoch\":{EPOCH},\"rank\":{rank},\"state\":\"open\"}},\
              \"size\":{},\"step\":{},\"map\":{},\"prepared\":{},\"armed\":{armed},\"held\":{}}}",
             row.sequence,
+            self.name,
             world.ranks.len(),
             world.step,
             row.map,
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod deadly_case;
 mod group;
+mod group_case;
 mod http;
 mod json;
 mod map_case;
@@ -25,6 +26,16 @@
     NotRun(String),
 }
 
+impl Verdict {
+    /// The worse one of the verdicts on two parts of a case.
+    fn worse(self, other: Self) -> Self {
+        match (&self, &other) {
+            (Self::Broken, _) | (Self::NotRun(_), Self::Held) => self,
+            _ => other,
+        }
+    }
+}
+
 /// Longest run of a case; what it started is ended then.
 const TIME_LIMIT: std::time::Duration = std::time::Duration::from_secs(116);
 
@@ -52,7 +63,9 @@
         "map" => map_case::run(&record, has_trouble),
         "revoke" => revoke_case::run(&record, has_trouble),
         "deadly" => deadly_case::run(&record, has_trouble),
-        "silence" => silence_case::run(&record, has_trouble),
+        "silence" => {
+            silence_case::run(&record, has_trouble).worse(group_case::run(&record, has_trouble))
+        }
         "stop" => stop_case::run(&record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/harness/processes.rs
+++ b/review/harness/processes.rs
@@ -98,10 +98,20 @@
 
 /// Starts a gateway with the template of the deploy file filled in.
 pub fn start_gateway(name: &str, zone: &str, store: SocketAddr) -> io::Result<Gateway> {
+    start_gateway_with(name, zone, store, None)
+}
+
+/// The same, with the port at which the agents of rank groups listen.
+pub fn start_gateway_with(
+    name: &str,
+    zone: &str,
+    store: SocketAddr,
+    agent_port: Option<u16>,
+) -> io::Result<Gateway> {
     let host = store.ip();
     let address = || SocketAddr::new(host, free_port(&[host]));
     let (front, ready, node, metrics) = (address(), address(), address(), address());
-    let agent_port = free_port(&[host]);
+    let agent_port = agent_port.unwrap_or_else(|| free_port(&[host]));
     let settings = format!(
         "{{\"vm\": \"{name}\", \"domain\": \"{zone}\", \"caller_listen\": \"{front}\", \
          \"ready_listen\": \"{ready}\", \"node_listen\": \"{node}\", \
