--- a/review/harness/processes.rs
+++ b/review/harness/processes.rs
@@ -44,11 +44,9 @@
         let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
         let id = started[self.0].id().to_string();
         drop(started);
-        drop(
-            Command::new("kill")
-                .args([&format!("-{signal}"), &id])
-                .status(),
-        );
+        // The shell has `kill` built in, so no other program is needed.
+        let command = format!("kill -{signal} {id}");
+        drop(Command::new("sh").args(["-c", &command]).status());
     }
 
     pub fn has_ended(self) -> bool {
