Whole requests that crash targets are recognised

A request without parts of a prompt crashed servers some 30 times in 40 s; bookings that these servers had begun ended with 502, others with 503.

Cause: suspects of a crash were known by the shared parts of their prompts alone. A request without any left no evidence. Told apart from a missed crash and from news that don't spread by the log: no line 3104 for it at all.

Change: each request has a mark, a hash of workspace, method, path and body. CallQuarantine holds a second table of crashes for marks, with a policy of its own: two crashes without an answer in between convict one, three if it was answered within a minute before; an answer clears it.

Refused that was served: a sound request under way in two crashes, unanswered in between; tried after 5 s where others share both. Tests on that side: run_call_beside_deadly_request_served, run_call_of_crashed_target_served, check_request_beside_deadly_one, check_request_rivals.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -49,8 +49,8 @@
     Foreign,
     /// The target's rank group is stalled; the target may run the request.
     GroupStalled,
-    /// Parts of the request's prompt have crashed other targets; the target may run the request.
-    PartsRefused,
+    /// The request or parts of its prompt have crashed other targets; the target may run it.
+    CrashesTargets,
 }
 
 impl AttemptFailure {
@@ -64,7 +64,7 @@
         match self {
             Self::Unsent(error) | Self::Broken(error) => error.to_compact_string(),
             Self::NotRun(status) => format_compact!("status {}", status.as_u16()),
-            Self::TimedOut | Self::Foreign | Self::GroupStalled | Self::PartsRefused => {
+            Self::TimedOut | Self::Foreign | Self::GroupStalled | Self::CrashesTargets => {
                 CompactString::default()
             }
         }
@@ -80,7 +80,7 @@
             Self::TimedOut => "no_answer",
             Self::Foreign => "foreign_answer",
             Self::GroupStalled => "group_stalled",
-            Self::PartsRefused => "parts_refused",
+            Self::CrashesTargets => "crashes_targets",
         }
     }
 }
--- a/crates/amaranthgw/src/gateway/gossip.rs
+++ b/crates/amaranthgw/src/gateway/gossip.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{ConfigVersion, StoreRevision, VmId};
-use amaranthgw_fleet::gateway::{QuarantineDigest, QuarantineNews, RegistryNews};
+use amaranthgw_fleet::gateway::{CallDigest, CallNews, RegistryNews};
 use amaranthgw_net::{PooledClient, read_whole};
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -61,10 +61,10 @@
     pub(super) registry: StoreRevision,
     /// Digest of the crashes that the gateway knows.
     #[serde(default)]
-    pub(super) quarantine: QuarantineDigest,
+    pub(super) quarantine: CallDigest,
     /// Crashes that the gateway has just learned of.
     #[serde(default)]
-    pub(super) crashes: Option<QuarantineNews>,
+    pub(super) crashes: Option<CallNews>,
 }
 
 /// Reply with the peers and the operators' settings that a gateway knows.
@@ -80,7 +80,7 @@
     pub(super) registry: Option<RegistryNews>,
     /// Crashes of targets, unless the querying gateway knows the same.
     #[serde(default)]
-    pub(super) crashes: Option<QuarantineNews>,
+    pub(super) crashes: Option<CallNews>,
 }
 
 /// Queries peers until the process ends; tells more of them at once what is new in the quarantine.
@@ -118,20 +118,20 @@
 
 impl GossipLink {
     /// All crashes of the quarantine; `None` if it has none.
-    fn all_crashes(&self) -> Option<QuarantineNews> {
-        let none = QuarantineDigest::default();
+    fn all_crashes(&self) -> Option<CallNews> {
+        let none = CallDigest::default();
         self.shared.quarantine.news_for(none, Instant::now())
     }
 
     /// Adopts crashes that a peer told; news go on to more peers.
-    fn adopt_crashes(&self, crashes: Option<QuarantineNews>) {
+    fn adopt_crashes(&self, crashes: Option<CallNews>) {
         let adopt = |crashes| self.shared.quarantine.adopt(&crashes, Instant::now());
         if crashes.is_some_and(adopt) {
             self.shared.announce_quarantine();
         }
     }
 
-    async fn query_peer(&self, client: &PooledClient, news: Option<QuarantineNews>) {
+    async fn query_peer(&self, client: &PooledClient, news: Option<CallNews>) {
         let (peer_registry, control) = (&self.peer_registry, &self.control);
         let query = peer_registry.query(&self.shared.quarantine, news);
         let asked_at = Instant::now();
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthgw_core::{ConfigVersion, StoreRevision, VmId};
-use amaranthgw_fleet::gateway::{PEER_TIMEOUT, PartQuarantine, QuarantineNews, RegistryLog};
+use amaranthgw_fleet::gateway::{CallNews, CallQuarantine, PEER_TIMEOUT, RegistryLog};
 use amaranthgw_net::{DialSettings, PooledClient};
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -155,11 +155,7 @@
     }
 
     /// The query of this gateway, with `crashes` that peers should know at once.
-    pub(super) fn query(
-        &self,
-        quarantine: &PartQuarantine,
-        crashes: Option<QuarantineNews>,
-    ) -> Bytes {
+    pub(super) fn query(&self, quarantine: &CallQuarantine, crashes: Option<CallNews>) -> Bytes {
         let state = self.state();
         let query = GossipQuery {
             vm: self.vm.clone(),
@@ -174,7 +170,7 @@
     }
 
     /// The reply to `query`.
-    pub(super) fn reply(&self, query: &GossipQuery, quarantine: &PartQuarantine) -> GossipReply {
+    pub(super) fn reply(&self, query: &GossipQuery, quarantine: &CallQuarantine) -> GossipReply {
         let state = self.state();
         let registry = state.registry.as_ref().map(|(log, known_at)| {
             log.news_after(query.registry, state.registry_as_of, known_at.elapsed())
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthgw_fleet::gateway::{
-    FleetBounds, GatewayWorld, LeastLoadedPolicy, PartQuarantine, gateway_schedule,
+    CallQuarantine, FleetBounds, GatewayWorld, LeastLoadedPolicy, gateway_schedule,
 };
 use amaranthgw_fleet::settings::GatewaySettings;
 use amaranthgw_net::ConnectionPool;
@@ -78,7 +78,7 @@
             domain: settings.domain.clone(),
             max_answer: usize::try_from(settings.max_answer.get()).unwrap_or(usize::MAX),
             in_flight: AtomicU32::new(0),
-            quarantine: PartQuarantine::new(Instant::now()),
+            quarantine: CallQuarantine::new(Instant::now()),
             quarantine_changes: watch::Sender::new(0),
             stop: stop.clone(),
         });
@@ -209,7 +209,9 @@
 /// Starts the feeds of the key-value service and of the rank groups.
 fn follow_platform(settings: &GatewaySettings, link: &GossipLink, log: &EventLog) {
     let GossipLink {
-        shared, control, ..
+        shared,
+        control,
+        peer_registry,
     } = link;
     // Each feed has its own client, so that none waits for another's connection.
     let store = || Arc::new(PlatformStore::new(settings.store));
@@ -223,6 +225,7 @@
     tokio::spawn(follow_roster(
         store(),
         settings.vm.clone(),
+        Arc::clone(peer_registry),
         control.clone(),
         log.clone(),
     ));
--- a/crates/amaranthgw/src/gateway/quarantine.rs
+++ b/crates/amaranthgw/src/gateway/quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{LeaseId, MilliSpan};
-use amaranthgw_fleet::gateway::{QuarantineNews, RefusedParts};
+use amaranthgw_fleet::gateway::{CallNews, CallVerdict};
 use amaranthgw_platform::Result;
 use amaranthgw_platform::store::{
     PlatformStore, QUARANTINE_PREFIX, ReadFreshness, quarantine_key, trial_key,
@@ -22,7 +22,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which crashes are kept in the key-value service; its longest lease.
 const RECORD_TTL: MilliSpan = MilliSpan::new(600_000);
-/// Time for which no other gateway may run a trial of the same parts.
+/// Time for which no other gateway may run a trial of the same parts or request.
 const TRIAL_TTL: MilliSpan = MilliSpan::new(60_000);
 /// Time within which a trial that was granted has to begin.
 const TRIAL_START_TIME: Duration = Duration::from_secs(30);
@@ -62,7 +62,7 @@
     store: Arc<PlatformStore>,
     shared: Arc<GatewayShared>,
     log: EventLog,
-    /// Verdicts in force, by the label of their parts.
+    /// Verdicts in force, by their labels.
     verdicts: HashMap<CompactString, KnownVerdict>,
     /// Whether the crashes that earlier processes recorded were read.
     is_read: bool,
@@ -90,7 +90,7 @@
         self.is_read = true;
         for item in &listing.items {
             // Values of other versions of the program are left out.
-            if let Ok(news) = serde_json::from_slice::<QuarantineNews>(&item.value) {
+            if let Ok(news) = serde_json::from_slice::<CallNews>(&item.value) {
                 self.shared.quarantine.adopt(&news, Instant::now());
             }
         }
@@ -99,7 +99,7 @@
     /// Logs and records verdicts that came into force or changed, and withdraws the others.
     async fn update(&mut self) {
         let current = self.shared.quarantine.verdicts();
-        let labels: Vec<_> = current.iter().map(RefusedParts::label).collect();
+        let labels: Vec<_> = current.iter().map(CallVerdict::label).collect();
         let is_over = |label: &&CompactString| !labels.contains(*label);
         let over: Vec<_> = self.verdicts.keys().filter(is_over).cloned().collect();
         for label in over {
@@ -118,36 +118,34 @@
         }
     }
 
-    async fn update_verdict(&mut self, verdict: &RefusedParts) {
+    async fn update_verdict(&mut self, verdict: &CallVerdict) {
         let label = verdict.label();
+        let refused = &verdict.refused;
         let known = self.verdicts.get(&label);
-        if known.is_some_and(|known| known.crashes == verdict.crashes) {
+        if known.is_some_and(|known| known.crashes == refused.crashes) {
             return;
         }
         self.log.record(NodeEvent::PartsRefused {
             parts: label.clone(),
-            workspace: verdict.workspace.clone(),
-            crashes: verdict.crashes,
-            trial_ms: millis_until(verdict.trial_at),
+            workspace: refused.workspace.clone(),
+            crashes: refused.crashes,
+            trial_ms: millis_until(refused.trial_at),
         });
         let mut lease = known.and_then(|known| known.lease);
-        let evidence = self
-            .shared
-            .quarantine
-            .own_evidence(&verdict.parts, Instant::now());
-        if !evidence.crashes.is_empty() {
+        let evidence = self.shared.quarantine.own_evidence(verdict, Instant::now());
+        if evidence != CallNews::default() {
             let written = self.write(verdict, &evidence).await;
             count_store_call("write_quarantine", &written);
             // Without the record, gateways that start learn the verdict from their peers.
             lease = written.ok().or(lease);
         }
-        let crashes = verdict.crashes;
+        let crashes = refused.crashes;
         self.verdicts.insert(label, KnownVerdict { crashes, lease });
     }
 
-    async fn write(&self, verdict: &RefusedParts, evidence: &QuarantineNews) -> Result<LeaseId> {
+    async fn write(&self, verdict: &CallVerdict, evidence: &CallNews) -> Result<LeaseId> {
         let granted = self.store.grant(RECORD_TTL, STORE_TIMEOUT).await?;
-        let key = quarantine_key(&verdict.key_label(), verdict.crashes);
+        let key = quarantine_key(&verdict.key_label(), verdict.refused.crashes);
         let value = serde_json::to_vec(evidence)?;
         self.store
             .create(&key, &value, granted.lease, STORE_TIMEOUT)
@@ -167,13 +165,13 @@
             let open_until = Instant::now() + TRIAL_START_TIME;
             self.log.record(NodeEvent::TrialOpened {
                 parts: verdict.label(),
-                crashes: verdict.crashes,
+                crashes: verdict.refused.crashes,
             });
-            self.shared.quarantine.open_trial(verdict.parts, open_until);
+            self.shared.quarantine.open_trial(&verdict, open_until);
         }
     }
 
-    async fn claim_trial(&self, verdict: &RefusedParts) -> Result<()> {
+    async fn claim_trial(&self, verdict: &CallVerdict) -> Result<()> {
         let granted = self.store.grant(TRIAL_TTL, STORE_TIMEOUT).await?;
         let key = trial_key(&verdict.key_label());
         let created = self.store.create(&key, b"{}", granted.lease, STORE_TIMEOUT);
--- a/crates/amaranthgw/src/gateway/refusal.rs
+++ b/crates/amaranthgw/src/gateway/refusal.rs
@@ -29,8 +29,9 @@
     NoCapacity,
     /// The deadline passed before any target could run the request.
     TooLate,
-    /// Requests with parts of this one's prompt crash targets; it was not run.
-    PartsRefused,
+    /// Earlier ones of this request, or requests with parts of its prompt, have crashed targets; it was
+    /// not run.
+    CrashesTargets,
     /// A target may have run the request but gave no usable answer.
     OutcomeUnknown,
     /// The deadline passed while a target may run the request.
@@ -45,7 +46,7 @@
             Self::Lookup(LookupError::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::Lookup(LookupError::NoConfig)
             | Self::NoCapacity
-            | Self::PartsRefused
+            | Self::CrashesTargets
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
@@ -61,7 +62,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
             Self::NoCapacity => "no_capacity",
-            Self::PartsRefused => "parts_refused",
+            Self::CrashesTargets => "crashes_targets",
             Self::TooLate => "too_late",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -71,7 +72,7 @@
     fn retry_after(self, admission: Option<Duration>) -> Option<Duration> {
         match self {
             Self::Lookup(LookupError::NoConfig) => Some(STARTUP_RETRY_DELAY),
-            Self::NoCapacity | Self::PartsRefused | Self::TooLate => {
+            Self::NoCapacity | Self::CrashesTargets | Self::TooLate => {
                 Some(CAPACITY_RETRY_DELAY.max(admission.unwrap_or_default()))
             }
             _ => None,
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -197,7 +197,7 @@
         last_event: Option<&EventId>,
     ) -> Result<OpenAttempt, CallRefusal> {
         loop {
-            if let Err(refusal) = self.check_parts() {
+            if let Err(refusal) = self.check_quarantine() {
                 return Err(self.refusal_or_unknown(refusal));
             }
             let target = match self.next_target() {
@@ -283,7 +283,7 @@
                 return opened;
             }
             if self.is_convicted() {
-                return Err(AttemptFailure::PartsRefused);
+                return Err(AttemptFailure::CrashesTargets);
             }
             // The current run counts as well.
             if self.may_leave_group(target, self.runs + 1, Instant::now()) {
--- a/crates/amaranthgw/src/gateway/serve.rs
+++ b/crates/amaranthgw/src/gateway/serve.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{CallerKey, MilliSpan, ServiceId, WorkspaceId};
-use amaranthgw_fleet::gateway::{GatewaySnapshot, RouteRow, RouteTable};
+use amaranthgw_core::{CallerKey, MilliSpan, PartId, ServiceId, WorkspaceId};
+use amaranthgw_fleet::gateway::{GatewaySnapshot, RouteRow, RouteTable, request_mark};
 use amaranthgw_platform::request::{CallTerms, decode_terms};
 use bytes::Bytes;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -32,6 +33,8 @@
     pub(super) terms: CallTerms,
     /// Body, read completely.
     pub(super) body: Bytes,
+    /// Mark by which the request is known again if it comes once more.
+    pub(super) mark: PartId,
     /// Route that matched.
     pub(super) route: Arc<RouteRow>,
     /// Service that the request is sent to.
@@ -113,11 +116,14 @@
         Err(_elapsed) => return Err(CallRefusal::TooLate),
     };
     let service = route.pick_service(fastrand::f64()).cloned();
+    let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let mark = request_mark(workspace.as_ref(), parts.method.as_str(), path, &body);
     Ok(AdmittedCall {
         service: service.ok_or(CallRefusal::NoCapacity)?,
         parts,
         terms,
         body,
+        mark,
         route,
         workspace,
         arrived_at,
--- a/crates/amaranthgw/src/gateway/shared.rs
+++ b/crates/amaranthgw/src/gateway/shared.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use amaranthgw_core::{DomainId, TargetId};
-use amaranthgw_fleet::gateway::{ChoicePolicy, GatewaySnapshot, PartQuarantine};
+use amaranthgw_fleet::gateway::{CallMarks, CallQuarantine, ChoicePolicy, GatewaySnapshot};
 use amaranthgw_net::ConnectionPool;
 use arc_swap::ArcSwap;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use crate::runtime::{StopPhase, StopSignal};
 use crate::telemetry::EventLog;
@@ -27,8 +28,8 @@
     pub(super) max_answer: usize,
     /// Number of requests in flight.
     pub(super) in_flight: AtomicU32,
-    /// Parts of prompts that crash targets.
-    pub(super) quarantine: PartQuarantine,
+    /// Requests and parts of prompts that crash targets.
+    pub(super) quarantine: CallQuarantine,
     /// Counts the changes of `quarantine`, to wake those who tell others of them.
     pub(super) quarantine_changes: watch::Sender<u64>,
     /// Stop signal, with the current phase of the process.
@@ -36,6 +37,14 @@
 }
 
 impl GatewayShared {
+    /// Records that `target` crashed at `at` with the request `marks` under way, and wakes those who tell
+    /// others if that is news.
+    pub(super) fn record_crash(&self, target: &TargetId, marks: &CallMarks<'_>, at: Instant) {
+        if self.quarantine.record_crash(target, marks, at) {
+            self.announce_quarantine();
+        }
+    }
+
     /// Wakes those who tell others of changes of the quarantine.
     pub(super) fn announce_quarantine(&self) {
         self.quarantine_changes.send_modify(|count| *count += 1);
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -52,8 +52,8 @@
     GroupStalled,
     /// The target sent nothing for too long.
     Silent,
-    /// Parts of the request's prompt have crashed other targets.
-    PartsRefused,
+    /// The request or parts of its prompt have crashed other targets.
+    CrashesTargets,
     /// There is no target.
     NoTarget,
 }
@@ -67,7 +67,7 @@
             Self::EventTooLong => "event_too_long",
             Self::GroupStalled => "group_stalled",
             Self::Silent => "silent",
-            Self::PartsRefused => "parts_refused",
+            Self::CrashesTargets => "crashes_targets",
             Self::NoTarget => "no_target",
         }
     }
@@ -136,7 +136,7 @@
             let Ok(frame) = timeout_at(poll_at, attempt.body.frame()).await else {
                 let now = Instant::now();
                 if !self.has_begun && self.run.is_convicted() {
-                    return ReadResult::Broken(BreakCause::PartsRefused);
+                    return ReadResult::Broken(BreakCause::CrashesTargets);
                 }
                 if self.run.may_leave_stalled_group(&attempt.target, now) {
                     return ReadResult::Broken(BreakCause::GroupStalled);
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -2,7 +2,7 @@
 
 use amaranthgw_core::{
     AttemptNumber, ChangeNumber, ConfigVersion, DomainId, FencingNumber, GroupGeneration, GroupId,
-    MapVersion, RankId, RequestId, RouteId, ServiceId, SlotCount, StartMark, StepNumber,
+    MapVersion, PartId, RankId, RequestId, RouteId, ServiceId, SlotCount, StartMark, StepNumber,
     StoreRevision, TargetId, VmId, WorkspaceId,
 };
 use compact_str::CompactString;
@@ -296,24 +296,25 @@
         failures: u32,
     }
     /// Requests with certain parts in their prompts are refused, as they crash targets.
-    3012 Warning PartsRefused "prompt parts refused" {
-        /// The parts, separated by commas; a request is refused if it has all of them.
+    3012 Warning PartsRefused "requests that crash targets refused" {
+        /// Parts of prompts, separated by commas, all of which a refused request has; or `request:` and
+        /// the mark of a whole request.
         parts: CompactString,
         /// Workspace whose requests are refused; `None` for all.
         workspace: Option<WorkspaceId>,
-        /// Crashes that the parts explain.
+        /// Crashes that the parts or the request explain.
         crashes: u32,
-        /// Time until a request with them is tried again, in milliseconds.
+        /// Time until one such request is tried again, in milliseconds.
         trial_ms: u64,
     }
-    /// Requests with certain parts are no longer refused.
-    3013 Info PartsReleased "prompt parts released" {
-        /// The parts, separated by commas.
+    /// Requests that were refused for crashes of targets may run again.
+    3013 Info PartsReleased "requests that crashed targets released" {
+        /// The parts or the request, as in `3012`.
         parts: CompactString,
     }
-    /// One request with refused parts may run, to find out whether they still crash targets.
-    3014 Info TrialOpened "trial of refused parts" {
-        /// The parts, separated by commas.
+    /// One refused request may run, to find out whether such requests still crash targets.
+    3014 Info TrialOpened "trial of refused requests" {
+        /// The parts or the request, as in `3012`.
         parts: CompactString,
         /// Crashes so far.
         crashes: u32,
@@ -391,6 +392,8 @@
         workspace: Option<WorkspaceId>,
         /// Parts of its prompt that other requests may share, separated by commas.
         parts: CompactString,
+        /// Mark of the whole request: its caller, method, path and body.
+        mark: PartId,
         /// Whether the target can't be connected to any more, so that it probably crashed.
         is_down: bool,
     }
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod odd_targets;
 mod quarantine;
+mod quarantined_requests;
 mod queue;
 mod stops;
 mod streams;
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -29,8 +29,9 @@
 pub use events::{EventId, EventScanner, OversizedEvent};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
 pub use quarantine::{
-    CrashReport, PartQuarantine, PartVerdict, QuarantineDigest, QuarantineNews, RefusedParts,
-    SuspectSet,
+    CallDigest, CallMarks, CallNews, CallQuarantine, CallVerdict, CrashReport, PartQuarantine,
+    PartVerdict, QuarantineDigest, QuarantineNews, RefusedParts, SuspectSet, VerdictSubject,
+    request_mark,
 };
 pub use queue::{WaitPlace, WaitQueue};
 pub use registry::{LeavingMark, RegistryEntry, RegistryListing, TargetRow, TargetTransition};
--- a/crates/fleet/src/gateway/quarantine/table.rs
+++ b/crates/fleet/src/gateway/quarantine/table.rs
@@ -11,7 +11,8 @@
 
 use super::begun::BegunTable;
 use super::crash::{CrashReport, CrashRow, SuspectSet};
-use super::verdict::{RefusedParts, convict};
+use super::policy::ConvictionPolicy;
+use super::verdict::{PartConviction, RefusedParts};
 
 /// Crashes that are kept.
 const MAX_CRASHES: usize = 32;
@@ -57,6 +58,7 @@
 
 #[derive(Debug)]
 struct QuarantineState {
+    policy: Box<dyn ConvictionPolicy>,
     begun: BegunTable,
     crashes: Vec<CrashRow>,
     verdicts: Vec<RefusedParts>,
@@ -74,10 +76,16 @@
 }
 
 impl PartQuarantine {
-    /// Creates a quarantine without crashes.
+    /// Creates a quarantine of parts of prompts, without crashes.
     #[must_use]
     pub fn new(now: Instant) -> Self {
+        Self::with_policy(now, Box::new(PartConviction))
+    }
+
+    /// Creates a quarantine without crashes whose verdicts `policy` derives.
+    pub(super) fn with_policy(now: Instant, policy: Box<dyn ConvictionPolicy>) -> Self {
         let state = QuarantineState {
+            policy,
             begun: BegunTable::new(now),
             crashes: Vec::new(),
             verdicts: Vec::new(),
@@ -338,7 +346,7 @@
 
     /// Derives the verdicts anew.
     fn judge(&mut self) {
-        self.verdicts = convict(&self.crashes);
+        self.verdicts = self.policy.convict(&self.crashes);
         let verdicts = &self.verdicts;
         let is_refused = |parts: &BTreeSet<PartId>| verdicts.iter().any(|it| it.parts == *parts);
         self.refusals.retain(|parts, _| is_refused(parts));
--- a/crates/fleet/src/gateway/quarantine/verdict.rs
+++ b/crates/fleet/src/gateway/quarantine/verdict.rs
@@ -8,13 +8,14 @@
 use tokio::time::Instant;
 
 use super::crash::CrashRow;
+use super::policy::ConvictionPolicy;
 
 /// Time from the last crash until refused parts are tried again; doubles with each further crash. A
 /// crash costs a rank group seconds.
 const BASE_TRIAL_DELAY: Duration = Duration::from_mins(1);
 /// Time from a crash with several suspects until those that are asked for least are tried; a rank group
 /// is back by then.
-const SHARED_TRIAL_DELAY: Duration = Duration::from_secs(5);
+pub(super) const SHARED_TRIAL_DELAY: Duration = Duration::from_secs(5);
 /// Suspects of a crash up to which all of them are refused until all but one have begun.
 const MAX_SHARED: usize = 4;
 /// Time within which crashes are one event.
@@ -71,15 +72,25 @@
     }
 }
 
+/// Convicts parts of prompts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PartConviction;
+
+impl ConvictionPolicy for PartConviction {
+    fn convict(&self, crashes: &[CrashRow]) -> Vec<RefusedParts> {
+        convict(crashes)
+    }
+}
+
 /// Crashes within a short time of each other, which may have one cause.
 #[derive(Clone, Debug, Default)]
-struct CrashEvent<'a> {
-    crashes: Vec<&'a CrashRow>,
+pub(super) struct CrashEvent<'a> {
+    pub(super) crashes: Vec<&'a CrashRow>,
 }
 
 impl CrashEvent<'_> {
     /// Whether so many targets crashed at once that the cause is probably not a request.
-    const fn is_outage(&self) -> bool {
+    pub(super) const fn is_outage(&self) -> bool {
         self.crashes.len() >= OUTAGE_CRASHES
     }
 
@@ -106,7 +117,7 @@
 }
 
 /// Groups `crashes` into events, in the order of time.
-fn events(crashes: &[CrashRow]) -> Vec<CrashEvent<'_>> {
+pub(super) fn events(crashes: &[CrashRow]) -> Vec<CrashEvent<'_>> {
     let mut sorted: Vec<_> = crashes.iter().collect();
     sorted.sort_by_key(|crash| crash.at);
     let mut events: Vec<CrashEvent<'_>> = Vec::new();
@@ -132,7 +143,7 @@
 /// two events have, if no request with it began in between; one that suspects of three events have is
 /// convicted in any case. An outage convicts parts not in use before that suspects of half of its crashes
 /// have, and counts as an event for such parts alone.
-pub(super) fn convict(crashes: &[CrashRow]) -> Vec<RefusedParts> {
+fn convict(crashes: &[CrashRow]) -> Vec<RefusedParts> {
     let events = events(crashes);
     let single = || {
         let of_requests = events.iter().filter(|event| !event.is_outage());
@@ -215,7 +226,7 @@
 }
 
 /// The verdict on `parts`; `None` if no crash supports it.
-fn verdict(parts: &BTreeSet<PartId>, crashes: &[CrashRow]) -> Option<RefusedParts> {
+pub(super) fn verdict(parts: &BTreeSet<PartId>, crashes: &[CrashRow]) -> Option<RefusedParts> {
     let supporting: Vec<_> = crashes
         .iter()
         .filter(|it| it.is_explained_by(parts))
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod groups;
 mod quarantine;
+mod quarantined_requests;
 mod registry;
 mod roster;
 mod routes;
--- a/crates/standins/src/site/target.rs
+++ b/crates/standins/src/site/target.rs
@@ -87,6 +87,8 @@
     arrivals: usize,
     /// Part of a prompt on which the target crashes; empty for none.
     deadly_part: CompactString,
+    /// Path and query of requests on which the target crashes without an answer; empty for none.
+    deadly_path: CompactString,
     /// Number of crashes.
     crashes: usize,
     /// Requests on which the target crashed.
@@ -117,6 +119,7 @@
             runs: Vec::new(),
             arrivals: 0,
             deadly_part: CompactString::default(),
+            deadly_path: CompactString::default(),
             crashes: 0,
             deadly_runs: Vec::new(),
         };
@@ -143,6 +146,12 @@
         lock(&self.world).deadly_part = part.into();
     }
 
+    /// Sets the path and query of requests on which the target crashes without an answer; empty for
+    /// none.
+    pub fn set_deadly_path(&self, path: &str) {
+        lock(&self.world).deadly_path = path.into();
+    }
+
     /// Number of crashes so far.
     #[must_use]
     pub fn crashes(&self) -> usize {
@@ -168,6 +177,12 @@
         !world.deadly_part.is_empty() && parts.any(|(part, _)| *part == *world.deadly_part)
     }
 
+    fn has_deadly_path(&self, line: &str) -> bool {
+        let world = lock(&self.world);
+        let path = line.split_once(' ').map_or("", |(_method, path)| path);
+        !world.deadly_path.is_empty() && path == world.deadly_path
+    }
+
     /// Serves until the target crashes.
     async fn serve_until_crash(&self, listener: TcpListener) {
         let handler = Arc::new(SiteTargetHandler {
@@ -231,19 +246,7 @@
         }
         let last_event = run.header("last-event-id").and_then(|id| id.parse().ok());
         let body = run.body.clone();
-        let is_deadly = self.is_deadly(&run);
-        let mut world = lock(&self.world);
-        if is_deadly {
-            world.deadly_runs.push(run.clone());
-        }
-        world.runs.push(run);
-        drop(world);
-        if is_deadly {
-            let target = self.clone();
-            tokio::spawn(async move {
-                sleep(CRASH_DELAY).await;
-                target.crash();
-            });
+        if self.begin_run(run) {
             return Ok(self.with_server_headers(stalled_stream_reply(0, 0), &request));
         }
         let answer = match behaviour {
@@ -269,6 +272,25 @@
         Ok(self.with_server_headers(answer, &request))
     }
 
+    /// Records `run`; returns whether the target crashes on it, and crashes it soon if so.
+    fn begin_run(&self, run: SiteRun) -> bool {
+        let is_deadly = self.is_deadly(&run) || self.has_deadly_path(&run.line);
+        let mut world = lock(&self.world);
+        if is_deadly {
+            world.deadly_runs.push(run.clone());
+        }
+        world.runs.push(run);
+        drop(world);
+        if is_deadly {
+            let target = self.clone();
+            tokio::spawn(async move {
+                sleep(CRASH_DELAY).await;
+                target.crash();
+            });
+        }
+        is_deadly
+    }
+
     /// Adds the headers that identify the request and the server and report its load.
     fn with_server_headers(&self, reply: Reply, request: &str) -> Reply {
         let stamp = format_compact!("stamp.{}", self.id);
@@ -304,7 +326,8 @@
 impl CallHandler for SiteTargetHandler {
     fn handle(self: Arc<Self>, call: Call) -> ReplyFuture {
         Box::pin(async move {
-            let is_hanging = lock(&self.target.world).behaviour == TargetBehaviour::Hang;
+            let is_hanging = lock(&self.target.world).behaviour == TargetBehaviour::Hang
+                || self.target.has_deadly_path(&call.request_line());
             let answer = self.target.answer(&call);
             if is_hanging {
                 std::future::pending::<()>().await;
