Keys stay required once a deployment had workspaces

After the last key was taken away, requests with the revoked keys and with any other key ran, without a workspace, for good.

Cause: RouteTable::holder took a table without keys for a deployment without workspaces. Told apart from a version that isn't put in force by the strange key, which was refused before and ran after.

Change: whether keys are required is a field of its own.

Refused that was served: requests without a known key after a deployment gave up its workspaces on purpose.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -22,6 +22,8 @@
     Tick,
     /// A configuration and its source.
     Config(StoredConfig, &'static str),
+    /// An earlier configuration had workspaces, so keys are required.
+    KeysRequired,
     /// The failure domains taken out of service, and the source of the set.
     Evacuated(EvacuatedDomains, &'static str),
     /// A peer gateway sent a query or a reply.
@@ -77,6 +79,7 @@
         match message {
             ControlMessage::Tick => state.tick(),
             ControlMessage::Config(config, source) => state.adopt_config(&config, source),
+            ControlMessage::KeysRequired => state.require_keys(),
             ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(&domains, source),
             ControlMessage::Peer(vm) => state.world.record_peer(vm, Instant::now()),
             ControlMessage::Roster(reading) => state.world.adopt_roster(reading),
@@ -110,9 +113,16 @@
             previous,
             routes: u64::try_from(config.routes.route_count()).unwrap_or(u64::MAX),
             unusable_rows: config.unusable_rows,
+            requires_keys: self.world.routes.requires_keys,
             source,
         });
-        self.peer_registry.set_config(config);
+        self.peer_registry
+            .set_config(config, self.world.routes.requires_keys);
+    }
+
+    fn require_keys(&mut self) {
+        self.world.require_keys();
+        self.peer_registry.set_requires_keys();
     }
 
     fn adopt_evacuated(&mut self, evacuated: &EvacuatedDomains, source: &'static str) {
--- a/crates/amaranthgw/src/gateway/feeds.rs
+++ b/crates/amaranthgw/src/gateway/feeds.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{DomainId, StoreRevision};
+use amaranthgw_core::{DomainId, LeaseId, StoreRevision};
 use amaranthgw_fleet::gateway::{ReadWindow, RegistryEntry, RegistryListing, RouteTable};
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::registry::decode_entry;
 use amaranthgw_platform::store::{
-    CONFIG_KEY, OPERATOR_PREFIX, PlatformStore, REGISTRY_PREFIX, ReadFreshness, StoreChange,
-    StoreItem, StoreListing, evacuated_domain,
+    CONFIG_KEY, KEYS_REQUIRED_KEY, OPERATOR_PREFIX, PlatformStore, REGISTRY_PREFIX, ReadFreshness,
+    StoreChange, StoreItem, StoreListing, evacuated_domain,
 };
 use amaranthgw_platform::{PlatformError, Result};
 use compact_str::{CompactString, ToCompactString};
@@ -107,6 +107,8 @@
         control,
         log,
         evacuated: BTreeSet::new(),
+        key_mark: KeyMark::Unknown,
+        requires_keys: false,
         failures: 0,
     };
     loop {
@@ -116,18 +118,34 @@
     }
 }
 
+/// What is known of the store's mark that a configuration had workspaces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeyMark {
+    /// It was not read yet.
+    Unknown,
+    /// It was not there.
+    Missing,
+    /// It is there.
+    Present,
+}
+
 struct OperatorFeed {
     store: Arc<PlatformStore>,
     shared: Arc<GatewayShared>,
     control: ActorRef<ControlMessage>,
     log: EventLog,
     evacuated: BTreeSet<DomainId>,
+    key_mark: KeyMark,
+    /// Whether a configuration that was read here has workspaces.
+    requires_keys: bool,
     failures: u32,
 }
 
 impl OperatorFeed {
     /// Lists the operators' keys, then watches them until a call fails.
     async fn follow(&mut self) -> Result<std::convert::Infallible> {
+        // Before the first configuration, which may have no workspaces any more.
+        self.read_key_mark().await?;
         let listed = self
             .store
             .list(OPERATOR_PREFIX, ReadFreshness::Linearizable, STORE_TIMEOUT)
@@ -142,10 +160,46 @@
         self.send_evacuated(listed.as_of);
         let mut after = listed.as_of;
         loop {
+            self.write_key_mark().await;
             after = self.watch(after).await?;
         }
     }
 
+    /// Reads once whether an earlier configuration had workspaces.
+    async fn read_key_mark(&mut self) -> Result<()> {
+        if self.key_mark != KeyMark::Unknown {
+            return Ok(());
+        }
+        let freshness = ReadFreshness::Linearizable;
+        let listed = self.store.list(KEYS_REQUIRED_KEY, freshness, STORE_TIMEOUT);
+        let listed = listed.await;
+        count_store_call("read_key_mark", &listed);
+        self.key_mark = if listed?.items.is_empty() {
+            KeyMark::Missing
+        } else {
+            self.send(ControlMessage::KeysRequired);
+            KeyMark::Present
+        };
+        Ok(())
+    }
+
+    /// Writes the mark once a configuration has workspaces, for gateways that start when it has none
+    /// any more. A later change tries again if this fails.
+    async fn write_key_mark(&mut self) {
+        if !self.requires_keys || self.key_mark == KeyMark::Present {
+            return;
+        }
+        let lease = LeaseId::default();
+        let created = self
+            .store
+            .create(KEYS_REQUIRED_KEY, b"{}", lease, STORE_TIMEOUT)
+            .await;
+        count_store_call("write_key_mark", &created);
+        if matches!(created, Ok(_) | Err(PlatformError::Conflict)) {
+            self.key_mark = KeyMark::Present;
+        }
+    }
+
     async fn watch(&mut self, after: StoreRevision) -> Result<StoreRevision> {
         let watched = self
             .store
@@ -184,7 +238,10 @@
             return;
         }
         match StoredConfig::new(item.value) {
-            Ok(config) => self.send(ControlMessage::Config(config, "store")),
+            Ok(config) => {
+                self.requires_keys |= config.routes.requires_keys;
+                self.send(ControlMessage::Config(config, "store"));
+            }
             Err(error) => self.log.record(NodeEvent::ConfigUnusable {
                 change: amaranthgw_core::ChangeNumber::default(),
                 reason: error.to_compact_string(),
--- a/crates/amaranthgw/src/gateway/gossip.rs
+++ b/crates/amaranthgw/src/gateway/gossip.rs
@@ -73,6 +73,9 @@
     pub(super) vm: VmId,
     pub(super) peers: Vec<SocketAddr>,
     pub(super) evacuated: EvacuatedDomains,
+    /// Whether the gateway knows of a configuration that had workspaces.
+    #[serde(default)]
+    pub(super) requires_keys: bool,
     /// The configuration as stored, if newer than the version in the query.
     pub(super) config: Option<String>,
     /// Changes of the registry that the querying gateway doesn't know.
@@ -153,6 +156,10 @@
             ControlMessage::Peer(gossip.vm),
             ControlMessage::Evacuated(gossip.evacuated, "peer"),
         ];
+        if gossip.requires_keys {
+            // Before the configuration, which may have no workspaces any more.
+            messages.push(ControlMessage::KeysRequired);
+        }
         // A peer shares only a configuration that it could decode.
         let config = gossip
             .config
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -24,6 +24,8 @@
 struct SharedState {
     version: ConfigVersion,
     config: Vec<u8>,
+    /// Whether this or an earlier configuration had workspaces.
+    requires_keys: bool,
     evacuated: EvacuatedDomains,
     registry_as_of: StoreRevision,
     /// Recent changes of the registry, and when it was last known to be current.
@@ -62,6 +64,7 @@
             state: Mutex::new(SharedState {
                 version: ConfigVersion::default(),
                 config: Vec::new(),
+                requires_keys: false,
                 evacuated: EvacuatedDomains::default(),
                 registry_as_of: StoreRevision::default(),
                 registry: None,
@@ -70,13 +73,19 @@
         }
     }
 
-    /// Sets the configuration to share.
-    pub(super) fn set_config(&self, config: &StoredConfig) {
+    /// Sets the configuration to share, and whether it requires keys.
+    pub(super) fn set_config(&self, config: &StoredConfig, requires_keys: bool) {
         let mut state = self.state();
         state.version = config.routes.version;
+        state.requires_keys = requires_keys;
         state.config.clone_from(&config.value);
     }
 
+    /// Tells peers from now on that keys are required.
+    pub(super) fn set_requires_keys(&self) {
+        self.state().requires_keys = true;
+    }
+
     /// Sets the failure domains taken out of service.
     pub(super) fn set_evacuated(&self, evacuated: &EvacuatedDomains) {
         self.state().evacuated.clone_from(evacuated);
@@ -181,6 +190,7 @@
             vm: self.vm.clone(),
             peers: state.peers.keys().copied().collect(),
             evacuated: state.evacuated.clone(),
+            requires_keys: state.requires_keys,
             config: (state.version > query.version)
                 .then(|| String::from_utf8_lossy(&state.config).into_owned()),
         }
--- a/crates/amaranthgw/src/gateway/serve.rs
+++ b/crates/amaranthgw/src/gateway/serve.rs
@@ -39,8 +39,8 @@
     pub(super) route: Arc<RouteRow>,
     /// Service that the request is sent to.
     pub(super) service: ServiceId,
-    /// Workspace that holds the caller's key; `None` on a public route without a known key, or while
-    /// no keys are configured.
+    /// Workspace that holds the caller's key; `None` on a public route without a known key, or in a
+    /// deployment that never had workspaces.
     pub(super) workspace: Option<WorkspaceId>,
     /// Time of arrival.
     pub(super) arrived_at: Instant,
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -222,6 +222,8 @@
         routes: u64,
         /// Number of rows that could not be decoded and were skipped.
         unusable_rows: u32,
+        /// Whether requests need a key, except on public routes.
+        requires_keys: bool,
         /// Where the configuration came from.
         source: &'static str,
     }
--- a/crates/fleet/src/gateway/routes.rs
+++ b/crates/fleet/src/gateway/routes.rs
@@ -222,6 +222,9 @@
     pub limits: CallLimits,
     /// Settings of each service.
     pub services: EntityTable<ServiceId, ServiceRow>,
+    /// Whether requests need a key except on public routes: the deployment has workspaces, or had some
+    /// in an earlier version.
+    pub requires_keys: bool,
     by_host: HashMap<CompactString, Vec<Arc<RouteRow>>>,
     by_key: HashMap<CallerKey, KeyHolder>,
 }
@@ -255,8 +258,14 @@
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
 
-    /// Maps a caller's key to its workspace.
+    /// Makes all but public routes require a key, also if there is none.
+    pub const fn require_keys(&mut self) {
+        self.requires_keys = true;
+    }
+
+    /// Maps a caller's key to its workspace; from then on keys are required.
     pub fn add_key(&mut self, key: CallerKey, holder: KeyHolder) {
+        self.require_keys();
         self.by_key.insert(key, holder);
     }
 
@@ -293,7 +302,7 @@
     }
 
     /// Finds the holder of `key` for a request on `route`; `None` on a public route without a known
-    /// key, or while no keys are configured.
+    /// key, or in a deployment that never had workspaces.
     ///
     /// # Errors
     ///
@@ -305,7 +314,7 @@
         key: Option<&CallerKey>,
     ) -> Result<Option<&KeyHolder>, LookupError> {
         let holder = key.and_then(|key| self.by_key.get(key));
-        if holder.is_some() || route.is_public || self.by_key.is_empty() {
+        if holder.is_some() || route.is_public || !self.requires_keys {
             return Ok(holder);
         }
         Err(LookupError::UnknownKey)
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -101,16 +101,28 @@
         }
     }
 
-    /// Applies `routes` if their version is newer; returns whether it did.
-    pub fn adopt_routes(&mut self, routes: Arc<RouteTable>) -> bool {
+    /// Applies `routes` if their version is newer; returns whether it did. Once keys were required they
+    /// stay so: without its last workspace, a deployment lets nobody in rather than everybody.
+    pub fn adopt_routes(&mut self, mut routes: Arc<RouteTable>) -> bool {
         if routes.version <= self.routes.version {
             return false;
         }
+        if self.routes.requires_keys && !routes.requires_keys {
+            Arc::make_mut(&mut routes).require_keys();
+        }
         self.routes = routes;
         self.is_changed = true;
         true
     }
 
+    /// Requires keys from now on, as an earlier version of the configuration had workspaces.
+    pub fn require_keys(&mut self) {
+        if !self.routes.requires_keys {
+            Arc::make_mut(&mut self.routes).require_keys();
+            self.is_changed = true;
+        }
+    }
+
     /// Replaces the failure domains that are out of service with those read at revision `as_of`,
     /// unless a later revision is known; returns whether the set changed.
     ///
--- a/crates/fleet/tests/it/gateway/routes.rs
+++ b/crates/fleet/tests/it/gateway/routes.rs
@@ -79,6 +79,25 @@
     assert_eq!(found, expected);
 }
 
+// Guards against ROUTE: without any key left, everybody was let in.
+#[parameterized(
+    never_required = { false, Ok(None) },
+    required_without_any = { true, Err(LookupError::UnknownKey) },
+)]
+fn holder_without_keys(is_required: bool, expected: Result<Option<&str>, LookupError>) {
+    let mut table = RouteTable::new(ConfigVersion::new(3));
+    table.add_route(row("short", "/a/"));
+    if is_required {
+        table.require_keys();
+    }
+    let route = table.route("site.example", "/a/").expect("route");
+    for key in [None, Some("guess".parse().expect("key"))] {
+        let holder = table.holder(route, key.as_ref());
+        let found = holder.map(|holder| holder.map(|holder| holder.workspace.as_str()));
+        assert_eq!(found, expected);
+    }
+}
+
 #[test]
 fn pick_service_by_weight() {
     let mut route = row("split", "/s/");
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -90,6 +90,31 @@
     assert_eq!(world.routes.version, ConfigVersion::new(7));
 }
 
+// Guards against ROUTE: a version without workspaces let everybody in.
+#[test]
+fn adopt_routes_keys_stay_required() {
+    let mut world = world();
+    let routes = |version| RouteTable::new(ConfigVersion::new(version));
+    world.adopt_routes(Arc::new(routes(1)));
+    assert!(!world.routes.requires_keys);
+    let mut with_workspaces = routes(2);
+    with_workspaces.require_keys();
+    world.adopt_routes(Arc::new(with_workspaces));
+    assert!(world.adopt_routes(Arc::new(routes(3))));
+    assert!(world.routes.requires_keys);
+}
+
+// What is known of earlier versions holds for the configuration in force and for later ones.
+#[test]
+fn require_keys_before_and_after_config() {
+    let mut world = world();
+    let routes = |version| Arc::new(RouteTable::new(ConfigVersion::new(version)));
+    world.require_keys();
+    assert_eq!(world.routes.version, ConfigVersion::default());
+    world.adopt_routes(routes(1));
+    assert!(world.routes.requires_keys);
+}
+
 #[test]
 fn adopt_evacuated_never_back() {
     let (mut world, now) = (world(), Instant::now());
