Silent streams are left only once another target has taken them

In a planned stop, streams that sound servers had preempted were cut after 1.65 s of silence, and after 0.4 s where their group was suspected; the servers went on 0.2 to 0.3 s later. The same streams were cut beside no planned work.

Cause: StreamForwarder::resume dropped the running attempt before it asked whether the request may run again and whether a target takes it.

Change: silence begins a search (StreamForwarder::replace) during which the running attempt is read on. It is left once another target has answered with a stream; the search ends as soon as it goes on, and a send given up counts as a run. What stays silent ends with the deadline of the request, also a stream whose data never pauses. The last run waits until the deadline before its head.

Evidence: on the code before, six cases of gateway::silent_streams and stream_response_keeps_group_while_others_full failed; now all pass.

What it costs: a stalled stream that no other target takes keeps its place until its deadline (read_events_stalled_ended); one that may run again moves as before (replace_stalled_target).

--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -32,7 +32,7 @@
 /// Largest number of failed sends of one request that never reached a target and are not counted in
 /// `MAX_SENDS`.
 const MAX_UNSENT: u32 = 6;
-/// Silence after which a resumable stream is retried at another target; longer than the stalls from
+/// Silence after which another target is sought for a resumable stream; longer than the stalls from
 /// which a rank group recovers by itself.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_650);
 /// Time that a plain idempotent request waits at one target, in multiples of its route's latency
@@ -72,6 +72,8 @@
     unsent: u32,
     /// Whether the budget has already granted the next retry.
     is_retry_granted: bool,
+    /// Target that the request is being sent to, until the head of its answer arrives.
+    sending_to: Option<TargetId>,
     /// Inputs of the last choice of a target.
     basis: Option<Arc<ChoiceBasis>>,
     /// When the next target is known to admit the request, if none did at the last choice.
@@ -98,6 +100,7 @@
         waited: Duration::ZERO,
         unsent: 0,
         is_retry_granted: false,
+        sending_to: None,
         basis: None,
         next_admission: None,
         standing: CallStanding::Ordinary,
@@ -206,16 +209,7 @@
                 Err(refusal) => return Err(refusal),
             };
             self.sends += 1;
-            let request = self.request(&target, last_event);
-            let deadline = self.attempt_deadline();
-            let opened = self
-                .open_in_running_group(&target, &request, deadline)
-                .await;
-            count_attempt(match &opened {
-                Ok(_) => "answered",
-                Err(failure) => failure.name(),
-            });
-            let failure = match opened {
+            let failure = match self.open(&target, last_event).await {
                 Ok(attempt) => {
                     self.runs += 1;
                     self.may_have_run = true;
@@ -256,6 +250,24 @@
         }
     }
 
+    /// Sends the request to `target` and counts the outcome.
+    async fn open(
+        &mut self,
+        target: &TargetCandidate,
+        last_event: Option<&EventId>,
+    ) -> Result<OpenAttempt, AttemptFailure> {
+        let request = self.request(target, last_event);
+        let deadline = self.attempt_deadline();
+        self.sending_to = Some(target.record.target.clone());
+        let opened = self.open_in_running_group(target, &request, deadline).await;
+        self.sending_to = None;
+        count_attempt(match &opened {
+            Ok(_) => "answered",
+            Err(failure) => failure.name(),
+        });
+        opened
+    }
+
     /// Sends the request to `target`; aborts it early if the target's rank group is stalled,
     /// another one runs and a retry is granted.
     async fn open_in_running_group(
@@ -454,9 +466,10 @@
     fn attempt_deadline(&self) -> Instant {
         let now = Instant::now();
         let route = &self.call.route;
+        let may_run_later = self.runs + 1 < route.max_attempts;
         let limit = match route.kind {
-            RouteKind::Streaming if route.may_run_again() => SILENCE_TIMEOUT,
-            RouteKind::Idempotent if self.runs + 1 < route.max_attempts => {
+            RouteKind::Streaming if route.may_run_again() && may_run_later => SILENCE_TIMEOUT,
+            RouteKind::Idempotent if may_run_later => {
                 route.objective.duration() * ATTEMPT_TIMEOUT_OBJECTIVES
             }
             _ => return self.call.deadline,
@@ -488,9 +501,27 @@
         request
     }
 
-    /// Time at which a stream that has been silent since `now` is resumed elsewhere.
-    pub(super) fn silence_deadline_after(&self, now: Instant) -> Instant {
-        self.call.deadline.min(now + SILENCE_TIMEOUT)
+    /// Whether a stream whose target has been silent since `since` may move to another one.
+    pub(super) fn may_leave_silent_target(&self, since: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(since) >= SILENCE_TIMEOUT
+            && self.may_resume()
+            && !self.is_service_stalled()
+    }
+
+    /// Inputs of the last choice of a target.
+    pub(super) fn basis(&self) -> Option<Arc<ChoiceBasis>> {
+        self.basis.clone()
+    }
+
+    /// Goes on with the target that was chosen for `basis`, as no other has replaced it. A send that is
+    /// still under way was given up; its target may run the request.
+    pub(super) fn go_back(&mut self, basis: Option<Arc<ChoiceBasis>>) {
+        if let Some(target) = self.sending_to.take() {
+            self.runs += 1;
+            self.record_attempt(&target, "given_up", CompactString::default());
+            self.tried.push(target);
+        }
+        self.basis = basis;
     }
 
     /// Whether the stream from `target` may move to another rank group, as its own is stalled.
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards event streams to callers, and resumes them at another target if the route allows it.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use amaranthgw_fleet::gateway::EventScanner;
@@ -13,10 +14,13 @@
 
 use super::attempt::OpenAttempt;
 use super::body::{AnswerBody, BodyError};
+use super::refusal::CallRefusal;
 use super::run::{CallRun, GROUP_POLL_INTERVAL};
 
-/// Interval between checks of a service whose targets are all silent.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the deadline for which what a target has already sent is forwarded.
+const LATE_READ_TIME: Duration = Duration::from_millis(200);
+/// Time between two searches for a target that replaces a silent one.
+const REPLACEMENT_PAUSE: Duration = Duration::from_millis(500);
 
 /// A stream being forwarded; dropped when the caller disconnects.
 struct StreamForwarder {
@@ -25,6 +29,10 @@
     scanner: EventScanner,
     /// Whether the current attempt has delivered an event.
     has_begun: bool,
+    /// Since when the caller has waited for the next event; `None` if it has not asked yet.
+    silent_since: Option<Instant>,
+    /// From when on a silent target may be replaced.
+    replaced_from: Instant,
     /// Outcome of the request; if still `None` at the drop, the caller has disconnected.
     outcome: Option<&'static str>,
 }
@@ -37,6 +45,30 @@
     End,
     /// The stream broke or timed out.
     Broken(BreakCause),
+    /// The target is silent, and another may go on.
+    Doubtful(BreakCause),
+    /// The search for another target has ended; reading goes on at the chosen one.
+    Replaced,
+}
+
+/// What one frame of a target's answer adds to its events.
+enum FrameResult {
+    /// No complete event.
+    Partial,
+    /// Complete events for the caller.
+    Events(Bytes),
+    /// The stream broke.
+    Broken(BreakCause),
+    /// The stream has ended.
+    End,
+}
+
+/// End of the search for a target that replaces a silent one.
+enum SearchResult {
+    /// The silent target was heard first.
+    Heard(FrameResult),
+    /// Another target has answered, or none takes the request.
+    Opened(Result<Box<OpenAttempt>, CallRefusal>),
 }
 
 /// Why a stream from a target ended early.
@@ -50,8 +82,10 @@
     EventTooLong,
     /// The target's rank group is stalled.
     GroupStalled,
-    /// The target sent nothing for too long.
+    /// The target sent nothing for a while.
     Silent,
+    /// The deadline of the request passed.
+    TimedOut,
     /// The request or parts of its prompt have crashed other targets.
     CrashesTargets,
     /// There is no target.
@@ -67,6 +101,7 @@
             Self::EventTooLong => "event_too_long",
             Self::GroupStalled => "group_stalled",
             Self::Silent => "silent",
+            Self::TimedOut => "timed_out",
             Self::CrashesTargets => "crashes_targets",
             Self::NoTarget => "no_target",
         }
@@ -84,6 +119,8 @@
         attempt: Some(attempt),
         scanner,
         has_begun: false,
+        silent_since: None,
+        replaced_from: Instant::now(),
         outcome: None,
     };
     let events = unfold(Some(forwarder), |forwarder| async move {
@@ -109,7 +146,11 @@
     /// Returns the next complete events; `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
-            match self.read_events().await {
+            let mut read = self.read_events().await;
+            if let ReadResult::Doubtful(cause) = read {
+                read = self.replace(cause).await;
+            }
+            match read {
                 ReadResult::Events(events) => {
                     if !std::mem::replace(&mut self.has_begun, true) {
                         self.run.record_begun();
@@ -117,6 +158,7 @@
                     return Some(Ok(events));
                 }
                 ReadResult::End => return None,
+                ReadResult::Doubtful(_) | ReadResult::Replaced => {}
                 ReadResult::Broken(cause) => {
                     if let Err(error) = self.resume(cause).await {
                         return Some(Err(error));
@@ -130,44 +172,102 @@
         let Some(attempt) = self.attempt.as_mut() else {
             return ReadResult::Broken(BreakCause::NoTarget);
         };
-        let mut silence_deadline = self.run.silence_deadline_after(Instant::now());
+        let silent_since = *self.silent_since.get_or_insert_with(Instant::now);
+        let deadline = self.run.call.deadline;
         loop {
-            let poll_at = silence_deadline.min(Instant::now() + GROUP_POLL_INTERVAL);
+            let now = Instant::now();
+            if now >= deadline + LATE_READ_TIME {
+                return ReadResult::Broken(BreakCause::TimedOut);
+            }
+            let poll_at = deadline.min(now + GROUP_POLL_INTERVAL);
             let Ok(frame) = timeout_at(poll_at, attempt.body.frame()).await else {
                 let now = Instant::now();
+                if now >= deadline {
+                    return ReadResult::Broken(BreakCause::TimedOut);
+                }
                 if !self.has_begun && self.run.is_convicted() {
                     return ReadResult::Broken(BreakCause::CrashesTargets);
                 }
-                if self.run.may_leave_stalled_group(&attempt.target, now) {
-                    return ReadResult::Broken(BreakCause::GroupStalled);
-                }
-                if now < silence_deadline {
+                if now < self.replaced_from {
                     continue;
                 }
-                if now < self.run.call.deadline && self.run.is_service_stalled() {
-                    silence_deadline = self.run.call.deadline.min(now + STALL_POLL_INTERVAL);
-                    continue;
+                if self.run.may_leave_stalled_group(&attempt.target, now) {
+                    return ReadResult::Doubtful(BreakCause::GroupStalled);
+                }
+                if self.run.may_leave_silent_target(silent_since, now) {
+                    return ReadResult::Doubtful(BreakCause::Silent);
                 }
-                return ReadResult::Broken(BreakCause::Silent);
+                continue;
             };
-            match frame {
-                Some(Ok(frame)) => {
-                    self.run.record_progress();
-                    if let Some(group) = &attempt.target.group {
-                        group.record_progress(Instant::now());
-                    }
-                    match self.scanner.push(frame.data_ref().map_or(&[], |data| data)) {
-                        Ok(events) if events.is_empty() => {}
-                        Ok(events) => return ReadResult::Events(events),
-                        Err(_oversized) => return ReadResult::Broken(BreakCause::EventTooLong),
-                    }
+            match take_events(&mut self.scanner, frame) {
+                FrameResult::Partial => record_progress(&self.run, attempt),
+                FrameResult::Events(events) => {
+                    record_progress(&self.run, attempt);
+                    self.silent_since = None;
+                    return ReadResult::Events(events);
                 }
-                Some(Err(_broken)) => return ReadResult::Broken(BreakCause::Connection),
-                None if self.scanner.has_partial() => {
-                    return ReadResult::Broken(BreakCause::CutEvent);
+                FrameResult::Broken(cause) => return ReadResult::Broken(cause),
+                FrameResult::End => return self.finish(),
+            }
+        }
+    }
+
+    /// Looks for another target to go on with the stream of the current one, which is silent. The current
+    /// one is left only once another has taken the request: it may be sound and go on before.
+    async fn replace(&mut self, cause: BreakCause) -> ReadResult {
+        let Some(mut current) = self.attempt.take() else {
+            return ReadResult::Broken(BreakCause::NoTarget);
+        };
+        let basis = self.run.basis();
+        let last_event = self.scanner.last_event().cloned();
+        let mut broken = None;
+        let search = {
+            let mut opening = pin!(self.run.next_attempt(last_event.as_ref()));
+            loop {
+                tokio::select! {
+                    biased;
+                    frame = current.body.frame(), if broken.is_none() => {
+                        match take_events(&mut self.scanner, frame) {
+                            FrameResult::Partial => {}
+                            FrameResult::Broken(cause) => broken = Some(cause),
+                            heard => break SearchResult::Heard(heard),
+                        }
+                    }
+                    opened = &mut opening => break SearchResult::Opened(opened.map(Box::new)),
                 }
-                None => return self.finish(),
             }
+        };
+        match search {
+            SearchResult::Opened(Ok(attempt)) if is_stream(&attempt) => {
+                self.leave(current, broken.unwrap_or(cause)).await;
+                self.scanner.restart();
+                self.attempt = Some(*attempt);
+                ReadResult::Replaced
+            }
+            SearchResult::Opened(_none) => {
+                self.run.go_back(basis);
+                self.attempt = Some(current);
+                self.replaced_from = Instant::now() + REPLACEMENT_PAUSE;
+                broken.map_or(ReadResult::Replaced, ReadResult::Broken)
+            }
+            SearchResult::Heard(heard) => {
+                self.run.go_back(basis);
+                record_progress(&self.run, &current);
+                self.attempt = Some(current);
+                self.take_heard(heard)
+            }
+        }
+    }
+
+    fn take_heard(&mut self, heard: FrameResult) -> ReadResult {
+        match heard {
+            FrameResult::Partial => ReadResult::Replaced,
+            FrameResult::Events(events) => {
+                self.silent_since = None;
+                ReadResult::Events(events)
+            }
+            FrameResult::Broken(cause) => ReadResult::Broken(cause),
+            FrameResult::End => self.finish(),
         }
     }
 
@@ -181,19 +281,8 @@
 
     /// Resumes the stream at another target, after the last complete event.
     async fn resume(&mut self, cause: BreakCause) -> Result<(), BodyError> {
-        let now = Instant::now();
         if let Some(attempt) = self.attempt.take() {
-            attempt.gauge().record_failure(now);
-            let target = attempt.target.clone();
-            // Closes the connection, so that the target ends its work.
-            drop(attempt);
-            let last_event = self.scanner.last_event().cloned().unwrap_or_default();
-            self.run
-                .record_attempt(&target.record.target, cause.name(), last_event);
-            let is_break = matches!(cause, BreakCause::Connection | BreakCause::CutEvent);
-            if !std::mem::take(&mut self.has_begun) && is_break {
-                self.run.report_broken_off(&target).await;
-            }
+            self.leave(attempt, cause).await;
         }
         self.scanner.restart();
         if Instant::now() >= self.run.call.deadline {
@@ -205,12 +294,56 @@
         let last_event = self.scanner.last_event().cloned();
         let resumed = self.run.next_attempt(last_event.as_ref()).await;
         let attempt = resumed.map_err(|_none| BodyError::TargetFailed)?;
-        if !attempt.head.is_event_stream || attempt.head.status != StatusCode::OK {
+        if !is_stream(&attempt) {
             return Err(BodyError::TargetFailed);
         }
         self.attempt = Some(attempt);
         Ok(())
     }
+
+    /// Ends the work of `attempt`, which broke or was replaced because of `cause`.
+    async fn leave(&mut self, attempt: OpenAttempt, cause: BreakCause) {
+        attempt.gauge().record_failure(Instant::now());
+        let target = attempt.target.clone();
+        // Closes the connection, so that the target ends its work.
+        drop(attempt);
+        self.silent_since = None;
+        let last_event = self.scanner.last_event().cloned().unwrap_or_default();
+        self.run
+            .record_attempt(&target.record.target, cause.name(), last_event);
+        let is_break = matches!(cause, BreakCause::Connection | BreakCause::CutEvent);
+        if !std::mem::take(&mut self.has_begun) && is_break {
+            self.run.report_broken_off(&target).await;
+        }
+    }
+}
+
+fn is_stream(attempt: &OpenAttempt) -> bool {
+    attempt.head.is_event_stream && attempt.head.status == StatusCode::OK
+}
+
+fn record_progress(run: &CallRun, attempt: &OpenAttempt) {
+    run.record_progress();
+    if let Some(group) = &attempt.target.group {
+        group.record_progress(Instant::now());
+    }
+}
+
+/// What `frame`, the next one of a target's answer, adds to `scanner`.
+fn take_events(
+    scanner: &mut EventScanner,
+    frame: Option<hyper::Result<Frame<Bytes>>>,
+) -> FrameResult {
+    match frame {
+        Some(Ok(frame)) => match scanner.push(frame.data_ref().map_or(&[], |data| data)) {
+            Ok(events) if events.is_empty() => FrameResult::Partial,
+            Ok(events) => FrameResult::Events(events),
+            Err(_oversized) => FrameResult::Broken(BreakCause::EventTooLong),
+        },
+        Some(Err(_broken)) => FrameResult::Broken(BreakCause::Connection),
+        None if scanner.has_partial() => FrameResult::Broken(BreakCause::CutEvent),
+        None => FrameResult::End,
+    }
 }
 
 impl Drop for StreamForwarder {
--- a/crates/amaranthgw/tests/it/gateway/groups.rs
+++ b/crates/amaranthgw/tests/it/gateway/groups.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use amaranthgw_standins::ReservedPort;
-use amaranthgw_standins::site::TargetBehaviour;
-use futures_util::future::join_all;
+use amaranthgw_standins::site::{StreamPause, TargetBehaviour};
+use futures_util::future::{join, join_all};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::JoinHandle;
@@ -84,3 +84,48 @@
     };
     eventually("streams that left the stalled group", moved).await;
 }
+
+// Guards against LOST: streams of a suspected group were dropped before another had taken them.
+#[tokio::test]
+async fn stream_response_keeps_group_while_others_full() {
+    let mut site = TestSite::with_routes();
+    site.store.put("op/config", &grouped_config());
+    let hosts = [3, 4].map(|last| address(last, 0).ip());
+    let reserved = ReservedPort::new(&hosts).expect("free port");
+    let agent_port = reserved.port();
+    let stream = TargetBehaviour::Stream {
+        events: 12,
+        gap: Duration::from_millis(40),
+        breaks_in: 0,
+    };
+    let paused = site.add_target_at(address(3, 0), "i-1", "draft", stream);
+    paused.set_pause(StreamPause {
+        path: "/draft/".into(),
+        event: 5,
+        time: Duration::from_millis(700),
+    });
+    let full = site.add_target_at(address(4, 0), "i-2", "draft", TargetBehaviour::Refuse);
+    let agents = [(3, "g-1"), (4, "g-2")];
+    let serving = agents.map(|(last, group)| serve_agent(address(last, agent_port), group));
+    let _agents = join_all(serving).await;
+    let gateway = site
+        .start_gateway_with(&json!({ "agent_port": agent_port }))
+        .await;
+    // Until the gateway knows the groups, streams have no other group to move to.
+    let has_sought = || async {
+        let calls =
+            (0..CALLS).map(|_| call(gateway.address(), request("POST", "/draft/", "enquiry")));
+        // By then each stream has its first target, and none has been silent for long.
+        let first_sends = async {
+            tokio::time::sleep(Duration::from_millis(350)).await;
+            full.arrivals()
+        };
+        let (answers, before) = join(join_all(calls), first_sends).await;
+        let whole = answers.iter().filter(|answer| answer.is_whole).count();
+        assert_eq!(whole, answers.len());
+        (full.arrivals() > before).then_some(())
+    };
+    eventually("a search for another group", has_sought).await;
+    let runs = paused.runs();
+    assert!(runs.iter().all(|run| run.header("last-event-id").is_none()));
+}
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -14,5 +14,6 @@
 mod quarantine;
 mod quarantined_requests;
 mod queue;
+mod silent_streams;
 mod stops;
 mod streams;
--- a/crates/standins/src/site/target.rs
+++ b/crates/standins/src/site/target.rs
@@ -56,6 +56,17 @@
     Hang,
 }
 
+/// A pause of the streams on one path, as of requests that a server preempts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamPause {
+    /// Path and query of the requests.
+    pub path: CompactString,
+    /// Identifier of the event before which the stream pauses.
+    pub event: u32,
+    /// Length of the pause.
+    pub time: Duration,
+}
+
 /// A request that a target ran.
 #[derive(Clone, Debug)]
 pub struct SiteRun {
@@ -89,6 +100,8 @@
     deadly_part: CompactString,
     /// Path and query of requests on which the target crashes without an answer; empty for none.
     deadly_path: CompactString,
+    /// Pause of streams, if any.
+    pause: Option<StreamPause>,
     /// Number of crashes.
     crashes: usize,
     /// Requests on which the target crashed.
@@ -120,6 +133,7 @@
             arrivals: 0,
             deadly_part: CompactString::default(),
             deadly_path: CompactString::default(),
+            pause: None,
             crashes: 0,
             deadly_runs: Vec::new(),
         };
@@ -152,6 +166,19 @@
         lock(&self.world).deadly_path = path.into();
     }
 
+    /// Sets a pause of later streams.
+    pub fn set_pause(&self, pause: StreamPause) {
+        lock(&self.world).pause = Some(pause);
+    }
+
+    /// The event before which a stream with the request `line` pauses, and for how long.
+    fn pause_of(&self, line: &str) -> Option<(u32, Duration)> {
+        let world = lock(&self.world);
+        let path = line.split_once(' ').map_or("", |(_method, path)| path);
+        let pause = world.pause.as_ref().filter(|pause| pause.path == path);
+        pause.map(|pause| (pause.event, pause.time))
+    }
+
     /// Number of crashes so far.
     #[must_use]
     pub fn crashes(&self) -> usize {
@@ -257,7 +284,10 @@
                 events,
                 gap,
                 breaks_in,
-            } => event_stream_reply(last_event.unwrap_or(0), events, gap, breaks_in),
+            } => {
+                let pause = self.pause_of(&call.request_line());
+                event_stream_reply(last_event.unwrap_or(0), events, gap, breaks_in, pause)
+            }
             TargetBehaviour::Stall { events } => {
                 stalled_stream_reply(last_event.unwrap_or(0), events)
             }
@@ -352,12 +382,21 @@
     reply
 }
 
-fn event_stream_reply(after: u32, events: u32, gap: Duration, breaks_in: u32) -> Reply {
+fn event_stream_reply(
+    after: u32,
+    events: u32,
+    gap: Duration,
+    breaks_in: u32,
+    pause: Option<(u32, Duration)>,
+) -> Reply {
     let parts = unfold(after + 1, move |event| async move {
         if event > events {
             return None;
         }
         sleep(gap).await;
+        if let Some((_, time)) = pause.filter(|(paused, _)| *paused == event) {
+            sleep(time).await;
+        }
         let text = format!("id: {event}\ndata: event {event}\n\n");
         let is_cut = event == breaks_in;
         let length = if is_cut { text.len() / 2 } else { text.len() };
