Bodies of requests and answers share a memory budget

A faulty server that writes a body without end made a gateway keep all it sent. Each body had a limit, their sum had none: 80 callers took 187 to 342 MB, more than the smallest VM has, and all other requests end with the process.

Cause: run::whole_answer and serve::admit collected bodies without regard to each other. endless::* excludes an unbounded single answer; the peak grows with the callers up to 80 times the limit.

Change: fleet::memory decides who may hold how much (a share a target and a workspace, room for small bodies, the largest that stands still gives way), amaranthgw::memory reads bodies into reserved buffers. Long parts of events are reserved too. The setting max_held is 48 MiB by default.

A property test covers the budget.

Refused that was served: bodies that stand still for 2 s while others wait for their memory. read_held_large_bodies_served covers the other side.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -7,7 +7,8 @@
 use amaranthgw_fleet::gateway::{
     FlightGuard, GroupGauge, StreamGuard, TargetCandidate, TargetGauge,
 };
-use amaranthgw_net::{DialSettings, HttpConnection, NetError, dial, read_whole};
+use amaranthgw_fleet::memory::ByteHolder;
+use amaranthgw_net::{DialSettings, HttpConnection, NetError, dial};
 use amaranthgw_platform::answer::{AnswerHead, AnswerKind, decode_head};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
@@ -18,6 +19,7 @@
 
 use super::basis::ChoiceBasis;
 use super::shared::GatewayThread;
+use crate::memory::read_held;
 
 /// Time limit of a connection attempt to a target: about a hundred handshakes within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -246,12 +248,19 @@
 impl OpenAttempt {
     /// Reads the whole body, of at most `limit` bytes, and returns the connection to the pool unless
     /// the target closes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`BodyReadError`](crate::memory::BodyReadError) if the body is too long or breaks off,
+    /// or if the process has no memory for it.
     pub(super) async fn collect(
         mut self,
         thread: &GatewayThread,
         limit: usize,
-    ) -> amaranthgw_net::Result<Bytes> {
-        let collected = read_whole(&mut self.body, limit).await?;
+    ) -> crate::memory::Result<Bytes> {
+        let holder = ByteHolder::Target(self.target.record.target.clone());
+        let memory = &thread.shared.memory;
+        let collected = read_held(&mut self.body, limit, memory, holder).await?;
         self.finish(thread);
         Ok(collected)
     }
--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -170,6 +170,7 @@
 
     fn tick(&mut self) {
         self.schedule.run(&mut self.world, Instant::now());
+        self.shared.memory.record_metrics();
         let transitions = self.world.take_transitions();
         self.record_transitions(transitions, "tick");
     }
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -25,6 +25,7 @@
 use super::quarantine::follow_quarantine;
 use super::roster::follow_roster;
 use super::shared::{GatewayShared, GatewayThread};
+use crate::memory::MemoryBudget;
 use crate::runtime::{Result, SharedListener, StopPhase, StopSignal, ThreadGroup, spawn_thread};
 use crate::telemetry::{EventLog, MetricsHandle, NodeEvent, serve_health_and_metrics};
 
@@ -77,6 +78,7 @@
             policy: Box::new(LeastLoadedPolicy),
             domain: settings.domain.clone(),
             max_answer: usize::try_from(settings.max_answer.get()).unwrap_or(usize::MAX),
+            memory: Arc::new(MemoryBudget::new(settings.max_held)),
             in_flight: AtomicU32::new(0),
             quarantine: CallQuarantine::new(Instant::now()),
             quarantine_changes: watch::Sender::new(0),
--- a/crates/amaranthgw/src/gateway/refusal.rs
+++ b/crates/amaranthgw/src/gateway/refusal.rs
@@ -24,6 +24,8 @@
     BodyTooLarge,
     /// The body ended early.
     BodyBroken,
+    /// The process has no memory for the body; the request was not run.
+    NoMemory,
     /// No target accepted the request, its route has no service or the retry budget is spent; none
     /// has run it.
     NoCapacity,
@@ -46,6 +48,7 @@
             Self::Lookup(LookupError::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::Lookup(LookupError::NoConfig)
             | Self::NoCapacity
+            | Self::NoMemory
             | Self::CrashesTargets
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -62,6 +65,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
             Self::NoCapacity => "no_capacity",
+            Self::NoMemory => "no_memory",
             Self::CrashesTargets => "crashes_targets",
             Self::TooLate => "too_late",
             Self::OutcomeUnknown => "outcome_unknown",
@@ -72,7 +76,7 @@
     fn retry_after(self, admission: Option<Duration>) -> Option<Duration> {
         match self {
             Self::Lookup(LookupError::NoConfig) => Some(STARTUP_RETRY_DELAY),
-            Self::NoCapacity | Self::CrashesTargets | Self::TooLate => {
+            Self::NoCapacity | Self::NoMemory | Self::CrashesTargets | Self::TooLate => {
                 Some(CAPACITY_RETRY_DELAY.max(admission.unwrap_or_default()))
             }
             _ => None,
--- a/crates/amaranthgw/src/gateway/serve.rs
+++ b/crates/amaranthgw/src/gateway/serve.rs
@@ -5,12 +5,12 @@
 
 use amaranthgw_core::{CallerKey, MilliSpan, PartId, ServiceId, WorkspaceId};
 use amaranthgw_fleet::gateway::{GatewaySnapshot, RouteRow, RouteTable, request_mark};
+use amaranthgw_fleet::memory::ByteHolder;
 use amaranthgw_platform::request::{CallTerms, decode_terms};
 use bytes::Bytes;
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
@@ -18,6 +18,7 @@
 use super::refusal::CallRefusal;
 use super::run::run_call;
 use super::shared::{CallGuard, GatewayThread};
+use crate::memory::{BodyReadError, read_held};
 use crate::runtime::StopPhase;
 use crate::telemetry::{NodeEvent, count_call};
 
@@ -108,11 +109,13 @@
     let time_limit = terms.deadline.map_or(Duration::MAX, MilliSpan::duration);
     let deadline = arrived_at + time_limit.min(route.timeout.duration());
     let limit = usize::try_from(routes.limits.body.get()).unwrap_or(usize::MAX);
-    let reading = timeout_at(deadline, Limited::new(body, limit).collect());
-    let body = match reading.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(CallRefusal::BodyTooLarge),
-        Ok(Err(_broken)) => return Err(CallRefusal::BodyBroken),
+    let holder = ByteHolder::of_caller(workspace.as_ref());
+    let reading = read_held(body, limit, &thread.shared.memory, holder);
+    let body = match timeout_at(deadline, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyReadError::TooLong { .. })) => return Err(CallRefusal::BodyTooLarge),
+        Ok(Err(BodyReadError::NoMemory { .. })) => return Err(CallRefusal::NoMemory),
+        Ok(Err(BodyReadError::Broken { .. })) => return Err(CallRefusal::BodyBroken),
         Err(_elapsed) => return Err(CallRefusal::TooLate),
     };
     let service = route.pick_service(fastrand::f64()).cloned();
--- a/crates/amaranthgw/src/gateway/shared.rs
+++ b/crates/amaranthgw/src/gateway/shared.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::memory::MemoryBudget;
 use crate::runtime::{StopPhase, StopSignal};
 use crate::telemetry::EventLog;
 
@@ -26,6 +27,8 @@
     pub(super) domain: DomainId,
     /// Largest body of a plain answer, in bytes.
     pub(super) max_answer: usize,
+    /// Memory for bodies of requests and answers.
+    pub(super) memory: Arc<MemoryBudget>,
     /// Number of requests in flight.
     pub(super) in_flight: AtomicU32,
     /// Requests and parts of prompts that crash targets.
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -1,9 +1,11 @@
 //! Forwards event streams to callers, and resumes them at another target if the route allows it.
 
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_fleet::gateway::EventScanner;
+use amaranthgw_fleet::gateway::{EventScanner, TargetCandidate};
+use amaranthgw_fleet::memory::ByteHolder;
 use amaranthgw_platform::answer::caller_headers;
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -16,9 +18,14 @@
 use super::body::{AnswerBody, BodyError};
 use super::refusal::CallRefusal;
 use super::run::{CallRun, GROUP_POLL_INTERVAL};
+use crate::memory::{ByteReservation, MemoryBudget};
 
 /// Time after the deadline for which what a target has already sent is forwarded.
 const LATE_READ_TIME: Duration = Duration::from_millis(200);
+/// Longest part of an event that is held without a reservation; most events are shorter.
+const FREE_PARTIAL_BYTES: usize = 4 * 1024;
+/// Step in which memory for longer parts of events is reserved.
+const PARTIAL_STEP_BYTES: usize = 16 * 1024;
 /// Time between two searches for a target that replaces a silent one.
 const REPLACEMENT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -27,6 +34,8 @@
     run: CallRun,
     attempt: Option<OpenAttempt>,
     scanner: EventScanner,
+    /// Memory for a long part of an event.
+    partial: Option<ByteReservation>,
     /// Whether the current attempt has delivered an event.
     has_begun: bool,
     /// Since when the caller has waited for the next event; `None` if it has not asked yet.
@@ -78,7 +87,7 @@
     Connection,
     /// The body ended within an event.
     CutEvent,
-    /// An event is too long.
+    /// An event is too long, or there is no memory for it.
     EventTooLong,
     /// The target's rank group is stalled.
     GroupStalled,
@@ -118,6 +127,7 @@
         run,
         attempt: Some(attempt),
         scanner,
+        partial: None,
         has_begun: false,
         silent_since: None,
         replaced_from: Instant::now(),
@@ -172,6 +182,7 @@
         let Some(attempt) = self.attempt.as_mut() else {
             return ReadResult::Broken(BreakCause::NoTarget);
         };
+        let memory = Arc::clone(&self.run.thread.shared.memory);
         let silent_since = *self.silent_since.get_or_insert_with(Instant::now);
         let deadline = self.run.call.deadline;
         loop {
@@ -200,7 +211,12 @@
                 continue;
             };
             match take_events(&mut self.scanner, frame) {
-                FrameResult::Partial => record_progress(&self.run, attempt),
+                FrameResult::Partial => {
+                    if !hold_partial(&self.scanner, &mut self.partial, &memory, &attempt.target) {
+                        return ReadResult::Broken(BreakCause::EventTooLong);
+                    }
+                    record_progress(&self.run, attempt);
+                }
                 FrameResult::Events(events) => {
                     record_progress(&self.run, attempt);
                     self.silent_since = None;
@@ -219,6 +235,7 @@
             return ReadResult::Broken(BreakCause::NoTarget);
         };
         let basis = self.run.basis();
+        let memory = Arc::clone(&self.run.thread.shared.memory);
         let last_event = self.scanner.last_event().cloned();
         let mut broken = None;
         let search = {
@@ -228,7 +245,12 @@
                     biased;
                     frame = current.body.frame(), if broken.is_none() => {
                         match take_events(&mut self.scanner, frame) {
-                            FrameResult::Partial => {}
+                            FrameResult::Partial => {
+                                let (scanner, partial) = (&self.scanner, &mut self.partial);
+                                if !hold_partial(scanner, partial, &memory, &current.target) {
+                                    broken = Some(BreakCause::EventTooLong);
+                                }
+                            }
                             FrameResult::Broken(cause) => broken = Some(cause),
                             heard => break SearchResult::Heard(heard),
                         }
@@ -308,6 +330,7 @@
         // Closes the connection, so that the target ends its work.
         drop(attempt);
         self.silent_since = None;
+        self.partial = None;
         let last_event = self.scanner.last_event().cloned().unwrap_or_default();
         self.run
             .record_attempt(&target.record.target, cause.name(), last_event);
@@ -318,6 +341,24 @@
     }
 }
 
+/// Reserves memory for the part of an event in `scanner`, which `target` sent; returns whether there is
+/// some.
+fn hold_partial(
+    scanner: &EventScanner,
+    partial: &mut Option<ByteReservation>,
+    memory: &Arc<MemoryBudget>,
+    target: &TargetCandidate,
+) -> bool {
+    let bytes = scanner.partial_bytes();
+    if bytes <= FREE_PARTIAL_BYTES {
+        *partial = None;
+        return true;
+    }
+    let holder = || ByteHolder::Target(target.record.target.clone());
+    let reservation = partial.get_or_insert_with(|| memory.reserve(holder()));
+    reservation.hold(bytes.next_multiple_of(PARTIAL_STEP_BYTES))
+}
+
 fn is_stream(attempt: &OpenAttempt) -> bool {
     attempt.head.is_event_stream && attempt.head.status == StatusCode::OK
 }
--- a/crates/amaranthgw/src/lib.rs
+++ b/crates/amaranthgw/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod link;
+pub mod memory;
 pub mod operator;
 pub mod peer;
 pub mod platform;
--- a/crates/amaranthgw/src/telemetry/metrics.rs
+++ b/crates/amaranthgw/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use amaranthgw_core::{PlanId, ServiceId, SlotCount, TargetId};
+use amaranthgw_core::{ByteCount, PlanId, ServiceId, SlotCount, TargetId};
 use amaranthgw_platform::PlatformError;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -103,3 +103,16 @@
     };
     counter!("amaranthgw_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
 }
+
+/// Counts a body that was given up as the process has no memory left for it; `holder` is the kind of its
+/// sender.
+pub fn count_eviction(holder: &'static str) {
+    counter!("amaranthgw_bodies_evicted_total", "holder" => holder).increment(1);
+}
+
+/// Sets the memory that bodies hold, in KiB, and the number of bodies that wait for some.
+pub fn set_held_bytes(held: ByteCount, waiting: usize) {
+    let gauge_of = |number: u64| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    gauge!("amaranthgw_held_kilobytes").set(gauge_of(held.get() / 1_024));
+    gauge!("amaranthgw_bodies_waiting").set(gauge_of(u64::try_from(waiting).unwrap_or(u64::MAX)));
+}
--- a/crates/amaranthgw/src/telemetry/mod.rs
+++ b/crates/amaranthgw/src/telemetry/mod.rs
@@ -12,6 +12,6 @@
 pub use journal::{EventJournal, JournalEntry};
 pub use log::EventLog;
 pub use metrics::{
-    MetricsHandle, TargetGauges, count_answer, count_attempt, count_call, count_refusal,
-    count_store_call, record_switch,
+    MetricsHandle, TargetGauges, count_answer, count_attempt, count_call, count_eviction,
+    count_refusal, count_store_call, record_switch, set_held_bytes,
 };
--- a/crates/amaranthgw/tests/it/env/process.rs
+++ b/crates/amaranthgw/tests/it/env/process.rs
@@ -49,6 +49,11 @@
         found.expect("a printed label").1
     }
 
+    /// Identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends `signal`, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
--- a/crates/amaranthgw/tests/it/gateway/endless.rs
+++ b/crates/amaranthgw/tests/it/gateway/endless.rs
@@ -32,7 +32,7 @@
 
 /// What a target sends: a beginning, then a part that repeats without end.
 #[derive(Clone, Debug)]
-struct EndlessAnswer {
+pub(super) struct EndlessAnswer {
     beginning: String,
     part: Vec<u8>,
     /// Bytes after which the target stops sending; it keeps the connection open.
@@ -64,16 +64,36 @@
         Self::new("", "HTTP/1.1 103 Early Hints\r\n\r\n")
     }
 
-    fn chunked_body() -> Self {
+    pub(super) fn chunked_body() -> Self {
         let head = format!("HTTP/1.1 200 OK\r\n{SIGNED}transfer-encoding: chunked\r\n\r\n");
         Self::new(head, format!("400\r\n{}\r\n", "a".repeat(1024)))
     }
 
-    fn unframed_body() -> Self {
+    pub(super) fn unframed_body() -> Self {
         let head = format!("HTTP/1.1 200 OK\r\n{SIGNED}connection: close\r\n\r\n");
         Self::new(head, "a".repeat(1024))
     }
 
+    /// Each byte in a chunk of its own.
+    pub(super) fn tiny_chunks() -> Self {
+        let head = format!("HTTP/1.1 200 OK\r\n{SIGNED}transfer-encoding: chunked\r\n\r\n");
+        Self::new(head, "1\r\na\r\n".repeat(256))
+    }
+
+    pub(super) fn error_body() -> Self {
+        let head = format!("HTTP/1.1 503 Busy\r\n{SIGNED}transfer-encoding: chunked\r\n\r\n");
+        Self::new(head, format!("400\r\n{}\r\n", "a".repeat(1024)))
+    }
+
+    /// A body of an allowed length that lacks its end.
+    pub(super) fn unfinished_body() -> Self {
+        let head = format!("HTTP/1.1 200 OK\r\n{SIGNED}content-length: 4000000\r\n\r\n");
+        Self {
+            limit: 3_900_000,
+            ..Self::new(head, "a".repeat(1024))
+        }
+    }
+
     fn announced_body() -> Self {
         let head = format!("HTTP/1.1 200 OK\r\n{SIGNED}content-length: 9999999999\r\n\r\n");
         Self::new(head, "a".repeat(1024))
@@ -85,7 +105,7 @@
         Self::new(head, "a".repeat(1024))
     }
 
-    fn event() -> Self {
+    pub(super) fn event() -> Self {
         let head = format!(
             "HTTP/1.1 200 OK\r\n{SIGNED}content-type: text/event-stream\r\n\
              connection: close\r\n\r\ndata: "
@@ -112,7 +132,7 @@
 
 /// Counts of a target that sends an endless answer to each request.
 #[derive(Clone, Debug, Default)]
-struct EndlessTarget {
+pub(super) struct EndlessTarget {
     requests: Arc<AtomicUsize>,
     /// Largest number of bytes that one connection took.
     taken: Arc<AtomicUsize>,
@@ -121,7 +141,7 @@
 
 impl EndlessTarget {
     /// Listens on a free port and answers until the runtime ends.
-    async fn start(answer: EndlessAnswer) -> (Self, SocketAddr) {
+    pub(super) async fn start(answer: EndlessAnswer) -> (Self, SocketAddr) {
         let listener = TcpListener::bind(ANY_PORT).await.expect("listens");
         let address = listener.local_addr().expect("address");
         let target = Self::default();
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod env;
 mod feeds;
 mod groups;
+mod held_bytes;
 mod keys;
 mod leaving;
 mod odd_targets;
--- a/crates/fleet/src/gateway/events.rs
+++ b/crates/fleet/src/gateway/events.rs
@@ -80,6 +80,12 @@
         !self.pending.is_empty()
     }
 
+    /// Bytes of the incomplete event that is buffered.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Identifier of the last complete event that had one, or of the event that the stream resumed
     /// after; the stream can resume after it.
     #[must_use]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,8 @@
 //!   budget); entries and sidecars both use [`membership`], [`config`] and [`suspects`]. [`drain`]
 //!   belongs to this design as well, but no process calls it.
 //!
+//! A gateway keeps the bodies that it holds for others within a [`memory`] budget.
+//!
 //! All processes read their [`settings`]; [`lists`] parses the operators' lists of customers and
 //! plans.
 //!
@@ -25,6 +27,7 @@
 pub mod limits;
 pub mod lists;
 pub mod membership;
+pub mod memory;
 pub mod retries;
 pub mod routing;
 pub mod settings;
--- a/crates/fleet/src/settings/gateway.rs
+++ b/crates/fleet/src/settings/gateway.rs
@@ -53,6 +53,10 @@
     /// Largest body of a plain answer, 1 KiB to 64 MiB; 4 MiB by default. A longer one is no answer.
     #[serde(default = "default_max_answer")]
     pub max_answer: ByteCount,
+    /// Memory for bodies of requests and answers, and for long parts of events, 8 MiB to 64 GiB; 48 MiB by
+    /// default. Buffers of connections, some 70 KiB for each that is busy, come in addition.
+    #[serde(default = "default_max_held")]
+    pub max_held: ByteCount,
     /// Port of the agents next to the ranks; 0 if rank groups are not polled.
     #[serde(default)]
     pub agent_port: u16,
@@ -61,6 +65,9 @@
 /// Allowed window of the retry budget and time for which expired registrations are kept.
 const WINDOW_RANGE: FieldRange = FieldRange::Span(MilliSpan::new(100), MilliSpan::new(3_600_000));
 
+/// Allowed memory for bodies.
+const HELD_RANGE: FieldRange = FieldRange::Bytes(ByteCount::new(8 << 20), ByteCount::new(64 << 30));
+
 /// Allowed ports; 0 means none.
 const PORT_RANGE: FieldRange = FieldRange::Number(0, 65_535);
 
@@ -84,6 +91,7 @@
         FieldRule::new("retry_window", WINDOW_RANGE),
         FieldRule::new("return_time", WINDOW_RANGE).with_default("2s"),
         FieldRule::new("max_answer", BODY_RANGE).with_default("4194304"),
+        FieldRule::new("max_held", HELD_RANGE).with_default("50331648"),
         FieldRule::new("agent_port", PORT_RANGE).with_default("0"),
     ];
 
@@ -121,6 +129,10 @@
     ByteCount::new(4 * 1024 * 1024)
 }
 
+const fn default_max_held() -> ByteCount {
+    ByteCount::new(48 << 20)
+}
+
 const fn default_return_time() -> MilliSpan {
     MilliSpan::new(2_000)
 }
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod limits;
 mod lists;
+mod memory;
 mod retries;
 mod routing;
 mod settings;
