--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -513,6 +513,14 @@
         self.basis.clone()
     }
 
+    /// Sets the inputs that later log lines show; returns those before.
+    pub(super) const fn replace_basis(
+        &mut self,
+        basis: Option<Arc<ChoiceBasis>>,
+    ) -> Option<Arc<ChoiceBasis>> {
+        std::mem::replace(&mut self.basis, basis)
+    }
+
     /// Goes on with the target that was chosen for `basis`, as no other has replaced it. A send that is
     /// still under way was given up; its target may run the request.
     pub(super) fn go_back(&mut self, basis: Option<Arc<ChoiceBasis>>) {
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -261,7 +261,9 @@
         };
         match search {
             SearchResult::Opened(Ok(attempt)) if is_stream(&attempt) => {
+                let new_basis = self.run.replace_basis(basis);
                 self.leave(current, broken.unwrap_or(cause)).await;
+                self.run.replace_basis(new_basis);
                 self.scanner.restart();
                 self.attempt = Some(*attempt);
                 ReadResult::Replaced
