Tests of held bytes send a fixed number of sound requests

The tests now send 50 requests whatever that takes, and all have to be served within a second (99 in 100 before).

--- a/crates/amaranthgw/tests/it/gateway/held_bytes.rs
+++ b/crates/amaranthgw/tests/it/gateway/held_bytes.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 use super::endless::{EndlessAnswer, EndlessTarget};
@@ -24,9 +24,8 @@
 const PEERS: usize = 80;
 /// Length of the body that a slow caller announces; the last bytes never come.
 const SLOW_BODY_BYTES: usize = 4_000_000;
-/// Time for which peers misbehave.
-const PLAY_TIME: Duration = Duration::from_secs(4);
-/// Interval of the sound requests beside them.
+/// Sound requests beside them, and the interval between these.
+const SOUND_CALLS: usize = 50;
 const SOUND_INTERVAL: Duration = Duration::from_millis(50);
 /// Time within which each of these has its answer.
 const SOUND_BOUND: Duration = Duration::from_secs(1);
@@ -75,26 +74,22 @@
     }
 }
 
-/// Sends sound requests for `PLAY_TIME`; returns how many there were and how many had their answer in
-/// time.
-async fn send_sound(address: SocketAddr, path: &str) -> (usize, usize) {
-    let (mut sent, mut served) = (0, 0);
-    let ends_at = Instant::now() + PLAY_TIME;
-    while Instant::now() < ends_at {
+/// Sends sound requests one after the other; returns how many had their answer in time.
+async fn send_sound(address: SocketAddr, path: &str) -> usize {
+    let mut served = 0;
+    for _ in 0..SOUND_CALLS {
         let calling = call(address, request("POST", path, "one tin"));
         let answer = timeout(SOUND_BOUND, calling).await;
-        sent += 1;
         served += usize::from(answer.is_ok_and(|it| it.status == StatusCode::OK));
         sleep(SOUND_INTERVAL).await;
     }
-    (sent, served)
+    served
 }
 
-fn assert_sound(sent: usize, served: usize, gateway: &MeasuredGateway) {
+fn assert_sound(served: usize, gateway: &MeasuredGateway) {
     let peak = gateway.peak_kilobytes();
-    assert!(peak < VM_KILOBYTES, "{peak} kB, {served} of {sent}");
-    assert!(sent > 20, "{sent}");
-    assert!(served * 100 >= sent * 99, "{served} of {sent}, {peak} kB");
+    assert!(peak < VM_KILOBYTES, "{peak} kB, {served} served");
+    assert_eq!(served, SOUND_CALLS, "{peak} kB");
 }
 
 // Guards against LOST: answers without end, each within its limit, took all memory of the process.
@@ -120,20 +115,19 @@
     site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
     let gateway = MeasuredGateway::start(&site).await;
     let front = gateway.address;
-    let ends_at = Instant::now() + PLAY_TIME;
     let faulty: Vec<_> = (0..PEERS)
         .map(|peer| {
             tokio::spawn(async move {
                 let path = if peer % 2 == 0 { "/look/" } else { "/draft/" };
-                while Instant::now() < ends_at {
-                    drop(timeout(PLAY_TIME, call(front, request("POST", path, ""))).await);
+                loop {
+                    call(front, request("POST", path, "")).await;
                     sleep(SOUND_INTERVAL).await;
                 }
             })
         })
         .collect();
-    let (sent, served) = send_sound(front, "/pay/").await;
-    assert_sound(sent, served, &gateway);
+    let served = send_sound(front, "/pay/").await;
+    assert_sound(served, &gateway);
     for peer in faulty {
         peer.abort();
     }
@@ -154,8 +148,8 @@
     let front = gateway.address;
     let slow = join_all((0..PEERS).map(|_| send_unfinished(front)));
     let slow = tokio::spawn(slow);
-    let (sent, served) = send_sound(front, "/pay/").await;
-    assert_sound(sent, served, &gateway);
+    let served = send_sound(front, "/pay/").await;
+    assert_sound(served, &gateway);
     slow.abort();
 }
 
