Each decision of a retry budget is logged and counted

What callers saw: nothing yet.

Change: event 3105 and `amaranthgw_retries_total`, by service; a refusal once a request. `WindowBudget::spend` returns the counts that decided. What a request draws from the budget moved from run.rs into retries.rs; no logic changed.

--- a/crates/amaranthgw/src/gateway/mod.rs
+++ b/crates/amaranthgw/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod process;
 mod quarantine;
 mod refusal;
+mod retries;
 mod roster;
 mod run;
 mod serve;
--- /dev/null
+++ b/crates/amaranthgw/src/gateway/retries.rs
@@ -0,0 +1,102 @@
+//! Draws a request's retries from the budget of its service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_fleet::gateway::{GatewaySnapshot, RouteKind, TargetCandidate, WindowBudget};
+use tokio::time::Instant;
+
+use super::run::CallRun;
+use crate::telemetry::{NodeEvent, count_retry};
+
+/// Silence of all targets of a service after which a silent stream keeps waiting and a timed-out
+/// attempt is not repeated: their rank groups are stalled, so no other target would answer sooner.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl CallRun {
+    /// Counts the first send of the request, or takes a retry from the budget for a later one; `false` if
+    /// the budget is exhausted.
+    pub(super) fn admit_send(&mut self, snapshot: &GatewaySnapshot, now: Instant) -> bool {
+        if self.sends > 0 {
+            return std::mem::take(&mut self.is_retry_granted) || self.take_retry(snapshot, now);
+        }
+        if let Some(budget) = snapshot.budgets.get(&self.call.service) {
+            budget.record_first(now);
+        }
+        true
+    }
+
+    /// Takes a retry from the budget; `false` if it is exhausted.
+    fn take_retry(&mut self, snapshot: &GatewaySnapshot, now: Instant) -> bool {
+        let Some(budget) = snapshot.budgets.get(&self.call.service) else {
+            return true;
+        };
+        let decision = budget.spend(now);
+        let was_refused = std::mem::replace(&mut self.is_retry_refused, !decision.is_granted);
+        if was_refused && !decision.is_granted {
+            return false;
+        }
+        count_retry(&self.call.service, decision.is_granted);
+        self.thread.log.record(NodeEvent::RetryDecided {
+            request: self.call.name(),
+            service: self.call.service.clone(),
+            granted: decision.is_granted,
+            requests: decision.requests,
+            retries: decision.retries,
+            allowed: decision.allowed,
+            gateways: snapshot.gateway_count,
+        });
+        decision.is_granted
+    }
+
+    /// Whether the stream from `target` may move to another rank group, as its own is stalled.
+    pub(super) fn may_leave_stalled_group(
+        &mut self,
+        target: &TargetCandidate,
+        now: Instant,
+    ) -> bool {
+        self.may_leave_group(target, self.runs, now)
+    }
+
+    /// Whether the rank group of `target` is stalled and the request, after `runs`, may be retried
+    /// in another group; takes the retry from the budget.
+    pub(super) fn may_leave_group(
+        &mut self,
+        target: &TargetCandidate,
+        runs: u32,
+        now: Instant,
+    ) -> bool {
+        if self.call.route.kind != RouteKind::Streaming || !target.check_group_stalled(now) {
+            return false;
+        }
+        let snapshot = self.thread.shared.snapshot.load_full();
+        let targets = snapshot.targets.get(&self.call.service);
+        let is_alternative =
+            |it: &TargetCandidate| it.group.is_some() && !it.check_group_stalled(now);
+        if !self.may_run_after(runs) || !targets.into_iter().flatten().any(is_alternative) {
+            return false;
+        }
+        self.is_retry_granted = self.is_retry_granted || self.take_retry(&snapshot, now);
+        self.is_retry_granted
+    }
+
+    /// Records that a target of the service sent data.
+    pub(super) fn record_progress(&self) {
+        if let Some(budget) = self.budget() {
+            budget.record_progress(Instant::now());
+        }
+    }
+
+    /// Whether all targets of the service have been silent for `STALL_TIMEOUT`.
+    pub(super) fn is_service_stalled(&self) -> bool {
+        let silent_for = self
+            .budget()
+            .map(|budget| budget.silent_for(Instant::now()));
+        silent_for.is_some_and(|silent_for| silent_for >= STALL_TIMEOUT)
+    }
+
+    fn budget(&self) -> Option<Arc<WindowBudget>> {
+        let snapshot = self.thread.shared.snapshot.load();
+        snapshot.budgets.get(&self.call.service).cloned()
+    }
+}
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -7,7 +7,6 @@
 use amaranthgw_core::TargetId;
 use amaranthgw_fleet::gateway::{
     ChoiceInput, EventId, GatewaySnapshot, RouteKind, TargetCandidate, WaitPlace, WaitQueue,
-    WindowBudget,
 };
 use amaranthgw_platform::answer::caller_headers;
 use amaranthgw_platform::request::{ForwardTerms, forward_headers};
@@ -45,9 +44,6 @@
 const PLAIN_CAPACITY_WAIT: Duration = Duration::from_millis(250);
 /// Interval between checks for such a target.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Silence of all targets of a service after which a silent stream keeps waiting and a timed-out
-/// attempt is not repeated: their rank groups are stalled, so no other target would answer sooner.
-const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Interval between checks whether the rank group of a waiting request is stalled.
 pub(super) const GROUP_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -61,9 +57,9 @@
     /// Targets that have answered that they did not run the request.
     refused_by: Vec<TargetId>,
     /// Sends to targets, except the failed ones in `unsent`.
-    sends: u32,
+    pub(super) sends: u32,
     /// Sends that a target has run or may have run.
-    runs: u32,
+    pub(super) runs: u32,
     /// Whether a target has run or may have run the request.
     may_have_run: bool,
     /// Time spent waiting for a target that accepts the request.
@@ -71,7 +67,9 @@
     /// Failed sends that never reached a target, up to `MAX_UNSENT`.
     unsent: u32,
     /// Whether the budget has already granted the next retry.
-    is_retry_granted: bool,
+    pub(super) is_retry_granted: bool,
+    /// Whether the budget has refused a retry; further refusals are not logged.
+    pub(super) is_retry_refused: bool,
     /// Target that the request is being sent to, until the head of its answer arrives.
     sending_to: Option<TargetId>,
     /// Inputs of the last choice of a target.
@@ -100,6 +98,7 @@
         waited: Duration::ZERO,
         unsent: 0,
         is_retry_granted: false,
+        is_retry_refused: false,
         sending_to: None,
         basis: None,
         next_admission: None,
@@ -186,7 +185,7 @@
         self.may_run_after(self.runs)
     }
 
-    fn may_run_after(&self, runs: u32) -> bool {
+    pub(super) fn may_run_after(&self, runs: u32) -> bool {
         self.call.route.may_run_again()
             && self.standing != CallStanding::Suspect
             && runs < self.call.route.max_attempts
@@ -304,25 +303,6 @@
         }
     }
 
-    /// Whether the rank group of `target` is stalled and the request, after `runs`, may be retried
-    /// in another group; takes the retry from the budget.
-    fn may_leave_group(&mut self, target: &TargetCandidate, runs: u32, now: Instant) -> bool {
-        if self.call.route.kind != RouteKind::Streaming || !target.check_group_stalled(now) {
-            return false;
-        }
-        let snapshot = self.thread.shared.snapshot.load();
-        let targets = snapshot.targets.get(&self.call.service);
-        let is_alternative =
-            |it: &TargetCandidate| it.group.is_some() && !it.check_group_stalled(now);
-        if !self.may_run_after(runs) || !targets.into_iter().flatten().any(is_alternative) {
-            return false;
-        }
-        let budget = snapshot.budgets.get(&self.call.service);
-        self.is_retry_granted =
-            self.is_retry_granted || budget.is_none_or(|budget| budget.try_spend(now));
-        self.is_retry_granted
-    }
-
     /// Waits before the next send: when one target rejects requests, the others mostly do as well.
     async fn wait_after_rejection(&mut self) {
         let pause = self.capacity_wait() / MAX_SENDS;
@@ -372,26 +352,6 @@
         self.place.is_some()
     }
 
-    /// Records that a target of the service sent data.
-    pub(super) fn record_progress(&self) {
-        if let Some(budget) = self.budget() {
-            budget.record_progress(Instant::now());
-        }
-    }
-
-    /// Whether all targets of the service have been silent for `STALL_TIMEOUT`.
-    pub(super) fn is_service_stalled(&self) -> bool {
-        let silent_for = self
-            .budget()
-            .map(|budget| budget.silent_for(Instant::now()));
-        silent_for.is_some_and(|silent_for| silent_for >= STALL_TIMEOUT)
-    }
-
-    fn budget(&self) -> Option<Arc<WindowBudget>> {
-        let snapshot = self.thread.shared.snapshot.load();
-        snapshot.budgets.get(&self.call.service).cloned()
-    }
-
     /// `refusal` if no target can have run the request.
     fn refusal_or_unknown(&self, refusal: CallRefusal) -> CallRefusal {
         if self.may_have_run {
@@ -420,16 +380,12 @@
             return Err(self.final_refusal());
         }
         let snapshot = self.thread.shared.snapshot.load();
-        let budget = snapshot.budgets.get(&self.call.service).cloned();
         let (target, next_admission) = self.choose(&snapshot, now);
         self.next_admission = next_admission;
         let target = target.ok_or_else(|| self.final_refusal())?;
         self.place = None;
-        match &budget {
-            Some(budget) if self.sends == 0 => budget.record_first(now),
-            Some(_) if std::mem::take(&mut self.is_retry_granted) => {}
-            Some(budget) if !budget.try_spend(now) => return Err(self.final_refusal()),
-            _ => {}
+        if !self.admit_send(&snapshot, now) {
+            return Err(self.final_refusal());
         }
         let basis = ChoiceBasis::new(&target, snapshot.gateway_count, now);
         self.basis = Some(Arc::new(basis));
@@ -532,15 +488,6 @@
         self.basis = basis;
     }
 
-    /// Whether the stream from `target` may move to another rank group, as its own is stalled.
-    pub(super) fn may_leave_stalled_group(
-        &mut self,
-        target: &TargetCandidate,
-        now: Instant,
-    ) -> bool {
-        self.may_leave_group(target, self.runs, now)
-    }
-
     /// Whether a stream may be resumed at another target.
     pub(super) fn may_resume(&self) -> bool {
         self.may_run_again()
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -399,6 +399,23 @@
         /// Whether the target can't be connected to any more, so that it probably crashed.
         is_down: bool,
     }
+    /// The retry budget of a service granted or refused a repeat of a request.
+    3105 Info RetryDecided "retry decided" {
+        /// The request.
+        request: CompactString,
+        /// The service.
+        service: ServiceId,
+        /// Whether the repeat was granted.
+        granted: bool,
+        /// Requests of the service that the budget counted in its window.
+        requests: u32,
+        /// Repeats that it had granted in its window.
+        retries: u32,
+        /// Repeats that it allowed.
+        allowed: f64,
+        /// Gateways that the shares of common limits were divided by.
+        gateways: u32,
+    }
     /// An agent acquired the lease of its group and became its coordinator.
     3201 Info LeaseWon "lease won" {
         /// The group.
--- a/crates/amaranthgw/src/telemetry/metrics.rs
+++ b/crates/amaranthgw/src/telemetry/metrics.rs
@@ -94,6 +94,13 @@
     counter!("amaranthgw_attempts_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a repeat that the retry budget of `service` granted or refused.
+pub fn count_retry(service: &ServiceId, is_granted: bool) {
+    let outcome = if is_granted { "granted" } else { "refused" };
+    counter!("amaranthgw_retries_total", "service" => service.to_string(), "outcome" => outcome)
+        .increment(1);
+}
+
 /// Counts a call to the key-value service by outcome: `ok`, `no_answer` or `refused`.
 pub fn count_store_call<T>(call: &'static str, result: &amaranthgw_platform::Result<T>) {
     let outcome = match result {
--- a/crates/fleet/src/gateway/budget.rs
+++ b/crates/fleet/src/gateway/budget.rs
@@ -32,6 +32,19 @@
     slices: VecDeque<WindowSlice>,
 }
 
+/// Whether a retry was granted, with the counts that decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetDecision {
+    /// Whether the retry was granted.
+    pub is_granted: bool,
+    /// Requests of the window.
+    pub requests: u32,
+    /// Retries of the window, without this one.
+    pub retries: u32,
+    /// Retries that were allowed.
+    pub allowed: f64,
+}
+
 /// Slices per window; a slice is counted until it lies entirely before the window.
 const SLICES: u32 = 20;
 
@@ -95,16 +108,27 @@
     /// Takes one retry from the budget; `false` if the budget is exhausted at `now`.
     #[must_use]
     pub fn try_spend(&self, now: Instant) -> bool {
+        self.spend(now).is_granted
+    }
+
+    /// Takes one retry from the budget at `now`, unless it is exhausted.
+    #[must_use]
+    pub fn spend(&self, now: Instant) -> BudgetDecision {
         let mut state = self.state();
         state.advance(now);
         let requests: u32 = state.slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = state.slices.iter().map(|slice| slice.retries).sum();
         let allowed = f64::from(requests) * state.settings.ratio + state.settings.slack;
-        let is_allowed = f64::from(retries) + 1.0 <= allowed;
-        if let Some(last) = state.slices.back_mut().filter(|_| is_allowed) {
+        let is_granted = f64::from(retries) + 1.0 <= allowed;
+        if let Some(last) = state.slices.back_mut().filter(|_| is_granted) {
             last.retries += 1;
         }
-        is_allowed
+        BudgetDecision {
+            is_granted,
+            requests,
+            retries,
+            allowed,
+        }
     }
 }
 
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 mod window;
 mod world;
 
-pub use budget::{WindowBudget, WindowSettings};
+pub use budget::{BudgetDecision, WindowBudget, WindowSettings};
 pub use choice::{ChoiceInput, ChoicePolicy, LeastLoadedPolicy, RoundRobinPolicy};
 pub use cold::ColdShare;
 pub use events::{EventId, EventScanner, OversizedEvent};
