--- a/crates/amaranthgw/tests/it/gateway/env.rs
+++ b/crates/amaranthgw/tests/it/gateway/env.rs
@@ -8,7 +8,7 @@
 use amaranthgw_fleet::settings::GatewaySettings;
 use amaranthgw_net::{DialSettings, dial};
 use amaranthgw_standins::site::{SiteStore, SiteTarget, TargetBehaviour, site_config};
-use amaranthgw_standins::{RunningStandin, Standin};
+use amaranthgw_standins::{ReservedPort, RunningStandin, Standin};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -74,6 +74,15 @@
         target
     }
 
+    /// Registers a target in `domain` whose port is closed as long as the result is kept.
+    pub(super) fn add_closed_target(&self, id: &str, service: &str, domain: &str) -> ReservedPort {
+        let port = ReservedPort::new(&[ANY_PORT.ip()]).expect("a free port");
+        let target = SiteTarget::new(id, TargetBehaviour::Answer(200));
+        let entry = target.entry(service, port.address(ANY_PORT.ip()), domain);
+        self.store.put(&format!("servers/{id}"), &entry);
+        port
+    }
+
     /// The registry entry of the target `id`.
     pub(super) fn entry(&self, id: &str) -> Value {
         let entry = self.store.value(&format!("servers/{id}")).expect("entry");
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod cold;
 mod events;
+mod fleet_budget;
 mod groups;
 mod quarantine;
 mod quarantined_requests;
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -11,4 +11,4 @@
 pub use config::site_config;
 pub use group::{SiteGroup, SiteRank};
 pub use store::{ListingFault, SiteStore, StoreFault};
-pub use target::{SiteRun, SiteTarget, StreamPause, TargetBehaviour};
+pub use target::{SiteArrival, SiteRun, SiteTarget, StreamPause, TargetBehaviour};
--- a/crates/standins/src/site/target.rs
+++ b/crates/standins/src/site/target.rs
@@ -88,14 +88,23 @@
     }
 }
 
+/// A request that arrived at a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SiteArrival {
+    /// The request's id; empty if it had none.
+    pub request: CompactString,
+    /// When it arrived.
+    pub at: Instant,
+}
+
 #[derive(Debug)]
 struct TargetWorld {
     behaviour: TargetBehaviour,
     /// Headers that are added to every answer.
     extra_headers: Vec<(&'static str, CompactString)>,
     runs: Vec<SiteRun>,
-    /// Number of requests that arrived, including those that were rejected.
-    arrivals: usize,
+    /// Requests that arrived, including those that were rejected.
+    arrivals: Vec<SiteArrival>,
     /// Part of a prompt on which the target crashes; empty for none.
     deadly_part: CompactString,
     /// Path and query of requests on which the target crashes without an answer; empty for none.
@@ -130,7 +139,7 @@
             behaviour,
             extra_headers: Vec::new(),
             runs: Vec::new(),
-            arrivals: 0,
+            arrivals: Vec::new(),
             deadly_part: CompactString::default(),
             deadly_path: CompactString::default(),
             pause: None,
@@ -230,7 +239,13 @@
     /// Number of requests that arrived, including those that were rejected.
     #[must_use]
     pub fn arrivals(&self) -> usize {
-        lock(&self.world).arrivals
+        lock(&self.world).arrivals.len()
+    }
+
+    /// The requests that arrived, including those that were rejected.
+    #[must_use]
+    pub fn arrival_log(&self) -> Vec<SiteArrival> {
+        lock(&self.world).arrivals.clone()
     }
 
     /// The target's entry in the platform's registry.
@@ -255,9 +270,14 @@
             body: call.body.clone(),
             arrived_at: Instant::now(),
         };
-        lock(&self.world).arrivals += 1;
         let request = run.header("x-amaranthgw-request-id").unwrap_or_default();
         let request = CompactString::from(request);
+        let at = run.arrived_at;
+        let arrival = SiteArrival {
+            request: request.clone(),
+            at,
+        };
+        lock(&self.world).arrivals.push(arrival);
         let rejection = |status| {
             let reply = empty_reply(status);
             with_header(reply, "x-amaranthgw-request-id", &request)
