A request earns retries once, however many ports are closed

What callers saw: services with closed ports got up to seven times the repeats that their requests allow (BUDGET).

Cause: a send that never reached its target is taken back, and the next choice of a target counted the request as a first one again. Class: an event is counted where it is decided, not where it happens.

Evidence: run_call_closed_ports_earn_no_retries failed (two arrivals for one request at a ratio of 0.2 without slack) and passes. A granted retry that met a closed port was also taken from the budget once more, though it had not arrived: run_call_closed_ports_keep_the_retry failed (500) and passes (200).

Change: a request is counted once; a granted retry is kept until it is sent.

--- a/crates/amaranthgw/src/gateway/retries.rs
+++ b/crates/amaranthgw/src/gateway/retries.rs
@@ -20,7 +20,10 @@
         if self.sends > 0 {
             return std::mem::take(&mut self.is_retry_granted) || self.take_retry(snapshot, now);
         }
-        if let Some(budget) = snapshot.budgets.get(&self.call.service) {
+        let was_counted = std::mem::replace(&mut self.is_counted, true);
+        if let Some(budget) = snapshot.budgets.get(&self.call.service)
+            && !was_counted
+        {
             budget.record_first(now);
         }
         true
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -66,6 +66,8 @@
     waited: Duration,
     /// Failed sends that never reached a target, up to `MAX_UNSENT`.
     unsent: u32,
+    /// Whether the budget has counted the request.
+    pub(super) is_counted: bool,
     /// Whether the budget has already granted the next retry.
     pub(super) is_retry_granted: bool,
     /// Whether the budget has refused a retry; further refusals are not logged.
@@ -97,6 +99,7 @@
         may_have_run: false,
         waited: Duration::ZERO,
         unsent: 0,
+        is_counted: false,
         is_retry_granted: false,
         is_retry_refused: false,
         sending_to: None,
@@ -242,9 +245,10 @@
                 self.wait_after_rejection().await;
             }
             if matches!(failure, AttemptFailure::Unsent(_)) && self.unsent < MAX_UNSENT {
-                // Nothing reached a target, so the next send is not a retry.
+                // Nothing reached a target, so the next send is in place of this one.
                 self.unsent += 1;
                 self.sends -= 1;
+                self.is_retry_granted = self.sends > 0;
             }
         }
     }
--- a/crates/amaranthgw/tests/it/gateway/repeats.rs
+++ b/crates/amaranthgw/tests/it/gateway/repeats.rs
@@ -176,3 +176,25 @@
     let arrivals: usize = targets.iter().map(SiteTarget::arrivals).sum();
     assert_eq!(arrivals, 1, "one request allows a fifth of a retry");
 }
+
+// A granted retry that never reached a target isn't taken from the budget once more.
+#[tokio::test]
+async fn run_call_closed_ports_keep_the_retry() {
+    let mut site = TestSite::with_routes();
+    let failing = TargetBehaviour::Answer(500);
+    let first = site.add_target("i-1", "desk", failing);
+    let last = site.add_target("i-2", "desk", TargetBehaviour::Answer(200));
+    // Targets of the own domain come first, those with one slot last.
+    let mut entry = site.entry("i-2");
+    entry["slots"] = 1.into();
+    entry["zone"] = "domain-b".into();
+    site.store.put("servers/i-2", &entry);
+    let _ports: Vec<_> = (0..4)
+        .map(|number| site.add_closed_target(&format!("i-closed-{number}"), "desk", "domain-b"))
+        .collect();
+    let settings = json!({ "retry_ratio": 5, "retry_slack": 0 });
+    let gateway = site.start_gateway_with(&settings).await;
+    let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!((first.arrivals(), last.arrivals()), (1, 1));
+}
