A new process grants no slack that its predecessor may have spent

What callers saw: services that failed got more repeats than allowed (BUDGET) while gateways were killed, or stopped beside their successors, in series.

Cause: each process had a share of the slack, and forgot with its end what it had spent of it. Half of the slack was held back, which covers one restart of each gateway in a window and no more. Class: a limit over a time is kept by processes that live shorter than that time.

Change: a budget grants slack only once a whole window lies after the start of its process; a process that stops grants none any more. The ratio holds at once in both, as it applies to the requests of the process itself: whatever number of processes follow each other, their sum is bounded by the sum of their requests.

What must not be refused is tested: retries that a new process's own requests allow, its share a window later, and what a stopping process's requests allow (try_spend_after_restart, try_spend_stopping).

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -13,6 +13,7 @@
 use super::feeds::{EvacuatedDomains, StoredConfig};
 use super::peers::PeerRegistry;
 use super::shared::GatewayShared;
+use crate::runtime::StopPhase;
 use crate::telemetry::{EventLog, NodeEvent};
 
 /// Message to the control thread.
@@ -169,6 +170,9 @@
     }
 
     fn tick(&mut self) {
+        if self.shared.stop.phase() > StopPhase::Serving {
+            self.world.begin_stop();
+        }
         self.schedule.run(&mut self.world, Instant::now());
         self.shared.memory.record_metrics();
         let transitions = self.world.take_transitions();
--- a/crates/fleet/src/gateway/budget.rs
+++ b/crates/fleet/src/gateway/budget.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 struct WindowState {
     settings: WindowSettings,
+    /// End of a time in which other processes may have spent the same slack.
+    unknown_until: Option<Instant>,
     slices: VecDeque<WindowSlice>,
 }
 
@@ -64,6 +66,7 @@
         Self {
             state: Mutex::new(WindowState {
                 settings,
+                unknown_until: None,
                 slices: VecDeque::new(),
             }),
             started_at: now,
@@ -71,6 +74,15 @@
         }
     }
 
+    /// Grants no slack until a whole window has passed since `until`: up to then an earlier process may
+    /// have granted the same, which nothing has recorded. The ratio holds at once, as it applies to the
+    /// requests of this process.
+    #[must_use]
+    pub fn with_unknown_past(self, until: Instant) -> Self {
+        self.state().unknown_until = Some(until);
+        self
+    }
+
     /// Applies new settings; accumulated counts are kept.
     pub fn adopt(&self, settings: WindowSettings) {
         self.state().settings = settings;
@@ -118,7 +130,7 @@
         state.advance(now);
         let requests: u32 = state.slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = state.slices.iter().map(|slice| slice.retries).sum();
-        let allowed = f64::from(requests) * state.settings.ratio + state.settings.slack;
+        let allowed = f64::from(requests) * state.settings.ratio + state.slack(now);
         let is_granted = f64::from(retries) + 1.0 <= allowed;
         if let Some(last) = state.slices.back_mut().filter(|_| is_granted) {
             last.retries += 1;
@@ -133,6 +145,14 @@
 }
 
 impl WindowState {
+    fn slack(&self, now: Instant) -> f64 {
+        let is_unknown = |until| now.saturating_duration_since(until) <= self.settings.window;
+        if self.unknown_until.is_some_and(is_unknown) {
+            return 0.0;
+        }
+        self.settings.slack
+    }
+
     /// Drops slices that left the window and returns the current one, which it starts if needed.
     fn advance(&mut self, now: Instant) -> Option<&mut WindowSlice> {
         let slice_length = self.settings.window / SLICES;
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -57,14 +57,17 @@
     budgets: HashMap<ServiceId, Arc<WindowBudget>>,
     queues: HashMap<ServiceId, Arc<WaitQueue>>,
     snapshot_gateway_count: u32,
+    /// Time of the first snapshot, before which an earlier process may have served this VM.
+    started_at: Option<Instant>,
+    is_stopping: bool,
     pub(super) registry: RegistryView,
     pub(super) transitions: Vec<TargetTransition>,
 }
 
 /// Least number of gateways by which the retry slack is divided until the roster is settled.
 const DEFAULT_GATEWAY_COUNT: u32 = 8;
-/// Fraction of the shared retry slack that is granted: half, since a gateway that restarts within a
-/// window has forgotten what it spent and can spend its share twice.
+/// Fraction of the shared retry slack that is granted: half, since gateways that lost touch with each
+/// other, or were just added, may count half of all gateways only.
 const SLACK_SAFETY_FACTOR: f64 = 0.5;
 /// Fraction of the retry ratio that is granted: less than 1, since a window can contain a retry but
 /// not the earlier request that allowed it.
@@ -88,6 +91,8 @@
             budgets: HashMap::new(),
             queues: HashMap::new(),
             snapshot_gateway_count: DEFAULT_GATEWAY_COUNT,
+            started_at: None,
+            is_stopping: false,
             registry: RegistryView::default(),
             transitions: Vec::new(),
         }
@@ -184,6 +189,13 @@
         self.roster = reading;
     }
 
+    /// Leaves the slack of the retry budgets to the successor of this process; what is under way may
+    /// still be repeated as its own requests allow.
+    pub fn begin_stop(&mut self) {
+        self.is_changed |= !self.is_stopping;
+        self.is_stopping = true;
+    }
+
     /// Number of gateways, including this one: those in the roster and those heard of since it was
     /// read. At least `DEFAULT_GATEWAY_COUNT` until the roster is settled.
     #[must_use]
@@ -219,6 +231,7 @@
         let gateway_count = self.gateway_count();
         self.snapshot_gateway_count = gateway_count;
         let settings = self.budget_settings(gateway_count);
+        let started_at = *self.started_at.get_or_insert(now);
         for budget in self.budgets.values() {
             budget.adopt(settings);
         }
@@ -240,9 +253,10 @@
         let services: Vec<_> = self.routes.services.ids().cloned().collect();
         for service in services {
             self.queues.entry(service.clone()).or_default();
-            self.budgets
-                .entry(service)
-                .or_insert_with(|| Arc::new(WindowBudget::new(settings, now)));
+            self.budgets.entry(service).or_insert_with(|| {
+                let budget = WindowBudget::new(settings, now);
+                Arc::new(budget.with_unknown_past(started_at))
+            });
         }
         GatewaySnapshot {
             routes: Arc::clone(&self.routes),
@@ -258,9 +272,15 @@
     /// This gateway's share of the fleet-wide retry budget. The ratio is not divided, since it
     /// applies to the gateway's own requests.
     fn budget_settings(&self, gateway_count: u32) -> WindowSettings {
+        let has_share = !self.is_stopping;
+        let slack = if has_share {
+            self.bounds.retry_slack * SLACK_SAFETY_FACTOR / f64::from(gateway_count.max(1))
+        } else {
+            0.0
+        };
         WindowSettings {
             ratio: self.bounds.retry_ratio * RATIO_SAFETY_FACTOR,
-            slack: self.bounds.retry_slack * SLACK_SAFETY_FACTOR / f64::from(gateway_count.max(1)),
+            slack,
             window: self.bounds.retry_window,
         }
     }
--- a/crates/fleet/tests/it/gateway/fleet_budget.rs
+++ b/crates/fleet/tests/it/gateway/fleet_budget.rs
@@ -260,6 +260,39 @@
     fleet.assert_within_budget();
 }
 
+// What a start must not refuse: retries that its own requests allow, and its share a window later.
+#[test]
+fn try_spend_after_restart() {
+    let mut fleet = ModelFleet::start(6);
+    fleet.run_for(WINDOW);
+    fleet.restart(0);
+    assert_eq!(fleet.repeat(0, 10), 0);
+    fleet.request(0, 100);
+    let earned = fleet.repeat(0, 100);
+    assert!(
+        (5..=20).contains(&earned),
+        "{earned} retries for 100 requests"
+    );
+    fleet.run_for(3 * WINDOW);
+    let share = fleet.repeat(0, 100);
+    assert_eq!(share, 8, "half of the slack of 96, for one of six gateways");
+}
+
+// A process that stops leaves the slack to its successor, and repeats what its own requests allow.
+#[test]
+fn try_spend_stopping() {
+    let mut fleet = ModelFleet::start(6);
+    fleet.run_for(2 * WINDOW);
+    fleet.request(0, 100);
+    fleet.gateways[0].world.begin_stop();
+    fleet.run_for(TICK);
+    let earned = fleet.repeat(0, 100);
+    assert!(
+        (5..=20).contains(&earned),
+        "{earned} retries for 100 requests"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
