Gateways that have not counted the others grant no slack

What callers saw: more repeats than allowed (BUDGET) where many gateways could neither read how many there are nor hear of each other.

Cause: until the number is known each assumed eight, so more than sixteen had more than the whole slack together. Class: a share of a common limit is taken before its divisor is known.

Evidence: try_spend_roster_unread, 1380 repeats for 1296 allowed before; it passes now.

Change: no slack until the roster is settled, as for cold targets.

--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -270,9 +270,10 @@
     }
 
     /// This gateway's share of the fleet-wide retry budget. The ratio is not divided, since it
-    /// applies to the gateway's own requests.
+    /// applies to the gateway's own requests. There is no share of the slack until the number of
+    /// gateways is known.
     fn budget_settings(&self, gateway_count: u32) -> WindowSettings {
-        let has_share = !self.is_stopping;
+        let has_share = self.roster.is_settled && !self.is_stopping;
         let slack = if has_share {
             self.bounds.retry_slack * SLACK_SAFETY_FACTOR / f64::from(gateway_count.max(1))
         } else {
