Retry budgets add up in every window, wherever the traffic goes

What callers saw: more repeats than allowed (BUDGET) without any restart, when a service's traffic moved from some gateways to others, or came in bursts.

Cause: a retry was allowed by the requests of the ten and a half seconds before it. Each gateway kept to the largest of the rule's windows by itself; the sum of such largest counts is above the largest of the sums, and a window that slid further held the retries and not their requests. Class: a bound that holds for each part is taken to hold for their sum.

RATIO_SAFETY_FACTOR is 0.9 instead of 0.85, as requests outside the window no longer count in full.

Tests: try_spend_earned expected 15 retries for 50 requests of one moment and expects 11; its steady counterpart is new. try_spend_bounded_in_every_window compared with the requests of the window and a tenth more; it now counts as the rule does, by windows that begin or end with a retry, without the tenth.

--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -69,9 +69,9 @@
 /// Fraction of the shared retry slack that is granted: half, since gateways that lost touch with each
 /// other, or were just added, may count half of all gateways only.
 const SLACK_SAFETY_FACTOR: f64 = 0.5;
-/// Fraction of the retry ratio that is granted: less than 1, since a window can contain a retry but
-/// not the earlier request that allowed it.
-const RATIO_SAFETY_FACTOR: f64 = 0.85;
+/// Fraction of the retry ratio that is granted: less than 1, since a retry may reach its target some
+/// seconds after it was granted, in a window of less traffic.
+const RATIO_SAFETY_FACTOR: f64 = 0.9;
 
 impl GatewayWorld {
     /// Creates the state of a gateway that has read neither configuration nor registry.
--- a/crates/fleet/tests/it/gateway/budget.rs
+++ b/crates/fleet/tests/it/gateway/budget.rs
@@ -6,6 +6,8 @@
 use proptest::prelude::*;
 use tokio::time::Instant;
 
+use super::fleet_budget::{counts, window_starts};
+
 const SETTINGS: WindowSettings = WindowSettings {
     ratio: 0.2,
     slack: 5.0,
@@ -28,8 +30,37 @@
     for _ in 0..50 {
         budget.record_first(now);
     }
+    // Two of the three windows hold the requests: 5 + 0.2 * 100 / 3.
     let granted = (0..100).filter(|_| budget.try_spend(now)).count();
-    assert_eq!(granted, 15);
+    assert_eq!(granted, 11);
+}
+
+#[test]
+fn try_spend_earned_steadily() {
+    let start = Instant::now();
+    let budget = WindowBudget::new(SETTINGS, start);
+    let mut granted = 0;
+    for step in 0..3_000 {
+        let now = start + Duration::from_millis(10) * step;
+        budget.record_first(now);
+        granted += u32::from(budget.try_spend(now) && step >= 2_000);
+    }
+    // A fifth of the 1,000 requests of a window, less what partial slices hold, and the slack.
+    assert!((185..=205).contains(&granted), "{granted} retries");
+}
+
+#[test]
+fn adopt_other_window_keeps_counts() {
+    let start = Instant::now();
+    let budget = WindowBudget::new(SETTINGS, start);
+    let now = start + Duration::from_secs(7);
+    while budget.try_spend(now) {}
+    budget.adopt(WindowSettings {
+        window: Duration::from_secs(20),
+        ..SETTINGS
+    });
+    assert!(!budget.try_spend(now + Duration::from_secs(19)));
+    assert!(budget.try_spend(now + Duration::from_secs(22)));
 }
 
 #[test]
@@ -70,16 +101,9 @@
                 retries.push(now);
             }
         }
-        for end in &retries {
-            let within = |at: &&Instant| **at <= *end && end.duration_since(**at) <= SETTINGS.window;
-            let retries = retries.iter().filter(within).count();
-            // A request is counted until its slice, a twentieth of the window, lies before the
-            // window. The bound allows two slices.
-            let slice = SETTINGS.window / 10;
-            let counted = |at: &&Instant| **at <= *end && end.duration_since(**at) <= SETTINGS.window + slice;
-            let requests = requests.iter().filter(counted).count();
-            let count = |length: usize| f64::from(u32::try_from(length).expect("count"));
-            prop_assert!(count(retries) <= count(requests) * SETTINGS.ratio + SETTINGS.slack);
+        for from in window_starts(&retries, SETTINGS.window) {
+            let (retries, requests) = counts(&retries, &requests, from, SETTINGS.window);
+            prop_assert!(retries <= requests * SETTINGS.ratio + SETTINGS.slack);
         }
     }
 }
--- a/crates/fleet/tests/it/gateway/fleet_budget.rs
+++ b/crates/fleet/tests/it/gateway/fleet_budget.rs
@@ -138,32 +138,51 @@
         self.run_for(pause);
     }
 
-    /// Checks every window in which a repeat is the first.
+    /// Checks the windows that begin or end with a repeat.
     fn assert_within_budget(&self) {
-        for from in &self.repeats {
-            let repeats = count(&self.repeats, *from, WINDOW);
-            let requests = [Duration::ZERO, WINDOW / 2, WINDOW].map(|shift| {
-                from.checked_sub(shift)
-                    .map_or(0, |at| count(&self.requests, at, WINDOW))
-            });
-            let most = requests.into_iter().max().unwrap_or_default();
-            let allowed = RATIO * as_f64(most) + SLACK;
+        for from in window_starts(&self.repeats, WINDOW) {
+            let (repeats, requests) = counts(&self.repeats, &self.requests, from, WINDOW);
+            let allowed = RATIO * requests + SLACK;
             assert!(
-                as_f64(repeats) <= allowed,
-                "{repeats} repeats for {requests:?} requests, {allowed} allowed"
+                repeats <= allowed,
+                "{repeats} repeats for {requests} requests, {allowed} allowed"
             );
         }
     }
 }
 
-/// Number of `times` in the window of length `window` from `from`.
-fn count(times: &[Instant], from: Instant, window: Duration) -> usize {
-    let within = |at: &&Instant| **at >= from && **at < from + window;
-    times.iter().filter(within).count()
+/// Starts of the windows of length `window` that begin or end with one of `retries`.
+pub(super) fn window_starts(retries: &[Instant], window: Duration) -> Vec<Instant> {
+    let ending = window.saturating_sub(Duration::from_nanos(1));
+    let ending = retries.iter().filter_map(|at| at.checked_sub(ending));
+    let mut starts: Vec<_> = retries.iter().copied().chain(ending).collect();
+    starts.sort();
+    starts.dedup();
+    starts
 }
 
-fn as_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).expect("count"))
+/// Retries in the window of length `window` from `from`, and the most of the requests in that window, in
+/// the one half a window before it and in the one before it.
+pub(super) fn counts(
+    retries: &[Instant],
+    requests: &[Instant],
+    from: Instant,
+    window: Duration,
+) -> (f64, f64) {
+    let count = |times: &[Instant], from: Instant| {
+        let within = |at: &&Instant| **at >= from && **at < from + window;
+        let count = times.iter().filter(within).count();
+        f64::from(u32::try_from(count).expect("count"))
+    };
+    let shifts = [Duration::ZERO, window / 2, window];
+    let counted = shifts.map(|shift| {
+        from.checked_sub(shift)
+            .map_or(0.0, |at| count(requests, at))
+    });
+    (
+        count(retries, from),
+        counted.into_iter().fold(0.0, f64::max),
+    )
 }
 
 // Guards against BUDGET: each start of a process forgot the retries of the one before and had its whole
