A target's pause outlasts its registry entry

What callers saw: a target that answered 503 with Retry-After got requests again within that time (BUDGET) once its registry entry had lapsed and come back, as entries of live targets may in an outage of the store.

Cause: the pause was kept in the row of the registration. Class: what is known of a target is kept with a record that may end before it.

Change: removed targets that asked for a pause are remembered until its end and taken over if listed again at the same address.

--- a/crates/amaranthgw/tests/it/gateway/leaving.rs
+++ b/crates/amaranthgw/tests/it/gateway/leaving.rs
@@ -230,3 +230,31 @@
     }
     assert!(held.arrivals() <= 1, "{}", held.arrivals());
 }
+
+// Guards against BUDGET: a target whose registry entry lapsed and came back got requests within the pause
+// that it had asked for.
+#[tokio::test]
+async fn run_call_held_target_listed_again() {
+    let mut site = TestSite::with_routes();
+    let held = site.add_target("i-1", "desk", TargetBehaviour::Refuse);
+    let gateway = site.start_gateway().await;
+    held.set_extra_headers(&[("retry-after", "8")]);
+    let refused_at = Instant::now();
+    call(gateway.address(), request("POST", "/pay/", "deposit")).await;
+    held.set_behaviour(TargetBehaviour::Answer(200));
+    let entry = site.entry("i-1");
+    site.store.remove("servers/i-1");
+    let is_gone = || async { (!is_ready(gateway.ready_address()).await).then_some(()) };
+    eventually("a registry without the target", is_gone).await;
+    site.store.put("servers/i-1", &entry);
+    while refused_at.elapsed() < Duration::from_secs(7) {
+        call(gateway.address(), request("GET", "/look/", "")).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(held.arrivals(), 1);
+    let answered = || async {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        (answer.status == StatusCode::OK).then_some(())
+    };
+    eventually("answer after the pause", answered).await;
+}
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -91,6 +91,13 @@
     }
 }
 
+/// A target that is not registered any more and wants no requests for a while.
+#[derive(Debug)]
+pub(super) struct PausedTarget {
+    address: SocketAddr,
+    gauge: Arc<TargetGauge>,
+}
+
 /// A change of a target's registration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TargetTransition {
@@ -245,6 +252,11 @@
         }
     }
 
+    /// Forgets removed targets whose pauses are over.
+    pub(super) fn forget_paused(&mut self, now: Instant) {
+        self.paused.retain(|_, paused| paused.gauge.is_held(now));
+    }
+
     /// Takes targets that said in an answer that they are leaving out of service. Peers that know the
     /// registry up to an earlier revision are told.
     pub(super) fn note_leaving(&mut self, now: Instant) {
@@ -341,7 +353,15 @@
     }
 
     fn remove_target(&mut self, target: TargetId, revision: StoreRevision) {
-        self.targets.remove(&target);
+        if let Some(row) = self.targets.remove(&target)
+            && row.gauge.was_held()
+        {
+            let paused = PausedTarget {
+                address: row.record.address,
+                gauge: row.gauge,
+            };
+            self.paused.insert(target.clone(), paused);
+        }
         self.is_changed = true;
         let change = RegistryChange {
             target: target.clone(),
@@ -364,6 +384,12 @@
             self.transitions.push(seen);
             self.is_changed = true;
             let row = TargetRow::new(entry, now);
+            // Its entry may have lapsed while the target ran.
+            if let Some(paused) = self.paused.remove(&target)
+                && paused.address == entry.record.address
+            {
+                row.gauge.adopt_hold(&paused.gauge, now);
+            }
             self.targets.insert(target.clone(), row);
             self.log_entry(entry);
         }
--- a/crates/fleet/src/gateway/systems.rs
+++ b/crates/fleet/src/gateway/systems.rs
@@ -17,6 +17,7 @@
         .with_system(ForgetPeers)
         .with_system(NoteLeaving)
         .with_system(ExpireMissing)
+        .with_system(ForgetPaused)
         .with_system(ShareBounds)
 }
 
@@ -77,3 +78,17 @@
         world.note_leaving(now);
     }
 }
+
+/// Forgets removed targets whose pauses are over.
+#[derive(Debug)]
+struct ForgetPaused;
+
+impl TickSystem<GatewayWorld> for ForgetPaused {
+    fn name(&self) -> &'static str {
+        "forget_paused"
+    }
+
+    fn run(&mut self, world: &mut GatewayWorld, now: Instant) {
+        world.forget_paused(now);
+    }
+}
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -214,6 +214,27 @@
         self.held_until_ms.fetch_max(until, Ordering::Relaxed);
     }
 
+    /// Takes over from `earlier`, the gauge of the same target before it was removed, until when the target
+    /// wants no requests.
+    pub fn adopt_hold(&self, earlier: &Self, now: Instant) {
+        let time = earlier.held_until(now).saturating_duration_since(now);
+        if !time.is_zero() {
+            self.record_hold(time, now);
+        }
+    }
+
+    /// Whether the target has ever asked for a pause.
+    #[must_use]
+    pub fn was_held(&self) -> bool {
+        self.held_until_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Whether the target wants no requests at `now`.
+    #[must_use]
+    pub fn is_held(&self, now: Instant) -> bool {
+        self.held_until(now) > now
+    }
+
     /// Until when the target wants no requests; `now` if it takes them.
     fn held_until(&self, now: Instant) -> Instant {
         let until_ms = self.held_until_ms.load(Ordering::Relaxed);
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time::Instant;
 
-use super::registry::RegistryView;
+use super::registry::{PausedTarget, RegistryView};
 use super::{
     ColdShare, GroupGauge, RosterReading, RouteTable, TargetCandidate, TargetRow, TargetTransition,
     WaitQueue, WindowBudget, WindowSettings,
@@ -60,6 +60,8 @@
     /// Time of the first snapshot, before which an earlier process may have served this VM.
     started_at: Option<Instant>,
     is_stopping: bool,
+    /// Removed targets that want no requests for a while, as their entries may come back.
+    pub(super) paused: EntityTable<TargetId, PausedTarget>,
     pub(super) registry: RegistryView,
     pub(super) transitions: Vec<TargetTransition>,
 }
@@ -93,6 +95,7 @@
             snapshot_gateway_count: DEFAULT_GATEWAY_COUNT,
             started_at: None,
             is_stopping: false,
+            paused: EntityTable::new(),
             registry: RegistryView::default(),
             transitions: Vec::new(),
         }
