The first gateway on a VM has its share of the slack at once

Change: a gateway whose own registration was missing from its first, linearizable read has no predecessor whose spending it could repeat, and gets its share as soon as it has counted the others, a second after its start. The registration of an earlier process stays for over half a minute.

What is still refused, with a test: a repeat in that first second, or in the ten seconds after a restart, that the requests of the process itself don't allow (run_call_repeated_once_share_is_known).

--- a/crates/amaranthgw/tests/it/gateway/env.rs
+++ b/crates/amaranthgw/tests/it/gateway/env.rs
@@ -130,6 +130,11 @@
     }
 }
 
+/// Settings with which a gateway repeats requests from its start on, when it has no share of the slack.
+pub(super) fn ample_retries() -> Value {
+    json!({ "retry_ratio": 10 })
+}
+
 /// A configuration of `version` with plain routes to the service named `service` and one undecodable
 /// row.
 pub(super) fn config(version: u64, service: &str) -> Value {
--- a/crates/amaranthgw/tests/it/gateway/leaving.rs
+++ b/crates/amaranthgw/tests/it/gateway/leaving.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use yare::parameterized;
 
-use super::env::{TestSite, call, is_ready, request};
+use super::env::{TestSite, ample_retries, call, is_ready, request};
 use crate::env::eventually;
 
 /// Time after an outage of the registry from which targets that left get no requests.
@@ -222,7 +222,7 @@
     let held = site.add_target("i-1", "desk", TargetBehaviour::Refuse);
     held.set_extra_headers(&[("retry-after", "60")]);
     site.add_target("i-2", "desk", TargetBehaviour::Answer(200));
-    let gateway = site.start_gateway().await;
+    let gateway = site.start_gateway_with(&ample_retries()).await;
     for _ in 0..40 {
         let answer = call(gateway.address(), request("POST", "/pay/", "deposit")).await;
         assert_eq!(answer.status, StatusCode::OK);
--- a/crates/amaranthgw/tests/it/gateway/odd_targets.rs
+++ b/crates/amaranthgw/tests/it/gateway/odd_targets.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 use yare::parameterized;
 
-use super::env::{ANY_PORT, TestSite, call, request};
+use super::env::{ANY_PORT, TestSite, ample_retries, call, request};
 
 /// A target that writes raw bytes: `respond` gets the numbers of the connection and of the request on
 /// it, from 0, and returns the bytes of the answer, after which the connection closes if they are empty.
@@ -105,7 +105,7 @@
     })
     .await;
     target.register(&site, "i-1", "desk");
-    let gateway = site.start_gateway().await;
+    let gateway = site.start_gateway_with(&ample_retries()).await;
     let answer = call(gateway.address(), request("POST", "/pay/", "deposit")).await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(target.requests(), 2);
@@ -248,7 +248,7 @@
         .await;
         target.register(&site, id, "draft");
     }
-    let gateway = site.start_gateway().await;
+    let gateway = site.start_gateway_with(&ample_retries()).await;
     let answer = call(gateway.address(), request("POST", "/draft/", "")).await;
     assert!(answer.is_whole);
     assert_eq!(answer.text(), "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
--- a/crates/amaranthgw/tests/it/gateway/quarantine.rs
+++ b/crates/amaranthgw/tests/it/gateway/quarantine.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use super::env::{TestAnswer, TestSite, call, request};
+use super::env::{TestAnswer, TestSite, ample_retries, call, request};
 use crate::env::eventually;
 
 /// Number of crashes after which requests with the part must not reach targets any more.
@@ -83,7 +83,7 @@
 async fn run_call_beside_deadly_part_whole() {
     let mut site = TestSite::with_routes();
     let targets = add_targets(&mut site, 2);
-    let gateway = site.start_gateway().await;
+    let gateway = site.start_gateway_with(&ample_retries()).await;
     let address = gateway.address();
     for _ in 0..4 {
         assert!(send(address, &["a"]).await.is_whole);
--- a/crates/amaranthgw/tests/it/gateway/repeats.rs
+++ b/crates/amaranthgw/tests/it/gateway/repeats.rs
@@ -12,6 +12,7 @@
 
 use super::env::{TestSite, call, request};
 use super::fleet::{GatewayFleet, SentCall};
+use crate::env::eventually;
 
 /// Bounds of [`GatewayFleet`].
 const RATIO: f64 = 0.2;
@@ -198,3 +199,24 @@
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!((first.arrivals(), last.arrivals()), (1, 1));
 }
+
+// What a start refuses: a rejected request isn't sent again before the gateway knows its share of the
+// slack, and gets a true "not run".
+#[tokio::test]
+async fn run_call_repeated_once_share_is_known() {
+    let mut site = TestSite::with_routes();
+    let targets =
+        ["i-1", "i-2", "i-3", "i-4"].map(|id| site.add_target(id, "desk", TargetBehaviour::Refuse));
+    let arrivals = || targets.iter().map(SiteTarget::arrivals).sum::<usize>();
+    let gateway = site.start_gateway().await;
+    let pay = || call(gateway.address(), request("POST", "/pay/", "deposit"));
+    assert_eq!(pay().await.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(arrivals(), 1);
+    let is_repeated = || async {
+        let before = arrivals();
+        assert_eq!(pay().await.status, StatusCode::SERVICE_UNAVAILABLE);
+        sleep(Duration::from_millis(200)).await;
+        (arrivals() > before + 1).then_some(())
+    };
+    eventually("a repeat", is_repeated).await;
+}
--- a/crates/fleet/src/gateway/budget.rs
+++ b/crates/fleet/src/gateway/budget.rs
@@ -103,6 +103,11 @@
         self
     }
 
+    /// Grants slack from now on, as no earlier process has served.
+    pub fn trust_past(&self) {
+        self.state().unknown_until = None;
+    }
+
     /// Applies new settings; accumulated counts are kept.
     pub fn adopt(&self, settings: WindowSettings) {
         let mut state = self.state();
--- a/crates/fleet/src/gateway/roster.rs
+++ b/crates/fleet/src/gateway/roster.rs
@@ -39,6 +39,9 @@
     pub departed: Vec<RosterEntry>,
     /// Whether gateways that started together with this one are included.
     pub is_settled: bool,
+    /// Whether the own entry was missing from the first read, so that no process has run on this VM in
+    /// the last reads of others.
+    pub is_first_start: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +58,8 @@
     own: VmId,
     rows: EntityTable<VmId, RosterRow>,
     is_settled: bool,
+    /// `None` before the first read.
+    is_first_start: Option<bool>,
 }
 
 impl GatewayRoster {
@@ -65,6 +70,7 @@
             own,
             rows: EntityTable::new(),
             is_settled: false,
+            is_first_start: None,
         }
     }
 
@@ -75,8 +81,10 @@
     /// gateway settles with its second read, after [`GatewayRoster::interval`].
     pub fn adopt(&mut self, entries: Vec<RosterEntry>) -> RosterReading {
         self.is_settled = entries.iter().any(|entry| entry.vm == self.own);
+        let is_first_start = *self.is_first_start.get_or_insert(!self.is_settled);
         let mut reading = RosterReading {
             is_settled: self.is_settled,
+            is_first_start,
             ..RosterReading::default()
         };
         let mut rows = EntityTable::new();
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -189,6 +189,11 @@
     /// Applies a read of the roster.
     pub fn adopt_roster(&mut self, reading: RosterReading) {
         self.is_changed |= self.roster.is_settled != reading.is_settled;
+        if reading.is_first_start {
+            for budget in self.budgets.values() {
+                budget.trust_past();
+            }
+        }
         self.roster = reading;
     }
 
@@ -235,6 +240,7 @@
         self.snapshot_gateway_count = gateway_count;
         let settings = self.budget_settings(gateway_count);
         let started_at = *self.started_at.get_or_insert(now);
+        let is_first_start = self.roster.is_first_start;
         for budget in self.budgets.values() {
             budget.adopt(settings);
         }
@@ -257,8 +263,11 @@
         for service in services {
             self.queues.entry(service.clone()).or_default();
             self.budgets.entry(service).or_insert_with(|| {
-                let budget = WindowBudget::new(settings, now);
-                Arc::new(budget.with_unknown_past(started_at))
+                let budget = WindowBudget::new(settings, now).with_unknown_past(started_at);
+                if is_first_start {
+                    budget.trust_past();
+                }
+                Arc::new(budget)
             });
         }
         GatewaySnapshot {
--- a/crates/fleet/tests/it/gateway/roster.rs
+++ b/crates/fleet/tests/it/gateway/roster.rs
@@ -23,6 +23,7 @@
     let mut roster = GatewayRoster::new(vm("own"));
     let first = roster.adopt(vec![registration("a", 1)]);
     assert!(!first.is_settled);
+    assert!(first.is_first_start);
     let soon = roster.interval();
     let second = roster.adopt(vec![
         registration("a", 1),
@@ -30,6 +31,7 @@
         registration("own", 3),
     ]);
     assert!(second.is_settled);
+    assert!(second.is_first_start);
     assert_eq!(live(&second), ["a", "b"]);
     assert!(roster.interval() > soon);
 }
@@ -39,6 +41,7 @@
     let mut roster = GatewayRoster::new(vm("own"));
     let reading = roster.adopt(vec![registration("a", 1), registration("own", 2)]);
     assert!(reading.is_settled);
+    assert!(!reading.is_first_start);
     assert_eq!(live(&reading), ["a"]);
 }
 
