A service without settings has a retry budget too

What callers saw: every request to a service whose row in the configuration can't be read was repeated up to its route's attempts (BUDGET).

Cause: budgets were made for services with settings; where there was none, nothing limited repeats. Class: a missing limit counts as no limit.

Change: each service that a route names has a budget; without one there is no repeat.

--- a/crates/amaranthgw/src/gateway/retries.rs
+++ b/crates/amaranthgw/src/gateway/retries.rs
@@ -29,10 +29,10 @@
         true
     }
 
-    /// Takes a retry from the budget; `false` if it is exhausted.
+    /// Takes a retry from the budget; `false` if it is exhausted, or if there is none.
     fn take_retry(&mut self, snapshot: &GatewaySnapshot, now: Instant) -> bool {
         let Some(budget) = snapshot.budgets.get(&self.call.service) else {
-            return true;
+            return false;
         };
         let decision = budget.spend(now);
         let was_refused = std::mem::replace(&mut self.is_retry_refused, !decision.is_granted);
--- a/crates/amaranthgw/tests/it/gateway/repeats.rs
+++ b/crates/amaranthgw/tests/it/gateway/repeats.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
-use super::env::{TestSite, call, request};
+use super::env::{TestSite, call, config, request};
 use super::fleet::{GatewayFleet, SentCall};
 use crate::env::eventually;
 
@@ -220,3 +220,26 @@
     };
     eventually("a repeat", is_repeated).await;
 }
+
+// Guards against BUDGET: nothing bounded the repeats of a service whose row of the configuration can't be
+// read.
+#[tokio::test]
+async fn run_call_service_without_row() {
+    const CALLS: usize = 30;
+    let mut site = TestSite::new();
+    let mut config = config(7, "desk");
+    config["services"][0] = json!({ "name": 5 });
+    site.store.put("op/config", &config);
+    let failing = TargetBehaviour::Answer(500);
+    let targets = ["i-1", "i-2"].map(|id| site.add_target(id, "desk", failing.clone()));
+    let gateway = site.start_gateway().await;
+    for _ in 0..CALLS {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    let repeats = targets.iter().map(SiteTarget::arrivals).sum::<usize>() - CALLS;
+    assert!(
+        repeats <= CALLS / 5,
+        "{repeats} repeats for {CALLS} requests"
+    );
+}
--- a/crates/fleet/src/gateway/routes.rs
+++ b/crates/fleet/src/gateway/routes.rs
@@ -1,6 +1,6 @@
 //! Route table: routes, services and callers' keys from the operators' configuration.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -225,6 +225,8 @@
     /// Whether requests need a key except on public routes: the deployment has workspaces, or had some
     /// in an earlier version.
     pub requires_keys: bool,
+    /// Services that routes name; some may have no settings.
+    routed_services: BTreeSet<ServiceId>,
     by_host: HashMap<CompactString, Vec<Arc<RouteRow>>>,
     by_key: HashMap<CallerKey, KeyHolder>,
 }
@@ -253,11 +255,20 @@
 
     /// Adds a route; the longest matching prefix of a host wins.
     pub fn add_route(&mut self, row: RouteRow) {
+        let services = row.split.iter().map(|share| share.service.clone());
+        self.routed_services.extend(services);
         let routes = self.by_host.entry(row.host.clone()).or_default();
         routes.push(Arc::new(row));
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
 
+    /// Services that have settings or that a route names.
+    pub fn all_services(&self) -> impl Iterator<Item = &ServiceId> {
+        let routed = self.routed_services.iter();
+        let others = routed.filter(|service| !self.services.contains(*service));
+        self.services.ids().chain(others)
+    }
+
     /// Makes all but public routes require a key, also if there is none.
     pub const fn require_keys(&mut self) {
         self.requires_keys = true;
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -259,7 +259,7 @@
             let service = row.record.service.clone();
             targets.entry(service).or_default().push(candidate);
         }
-        let services: Vec<_> = self.routes.services.ids().cloned().collect();
+        let services: Vec<_> = self.routes.all_services().cloned().collect();
         for service in services {
             self.queues.entry(service.clone()).or_default();
             self.budgets.entry(service).or_insert_with(|| {
