Tests of the attempts and the time that servers are given

Twelve ways in which servers fail, on the three kinds of routes: no request reaches more servers than its route's attempts; and no send, also after a silent server was waited for, gives a server more time than is left, or a half second after the first one's end.

--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of gateways between test callers and stand-ins of the platform.
 
 mod answers;
+mod bounds;
 mod broken_heads;
 mod cold;
 mod descriptors;
