--- a/crates/amaranthgw/tests/soak/ledger.rs
+++ b/crates/amaranthgw/tests/soak/ledger.rs
@@ -7,6 +7,7 @@
 use amaranthgw_standins::site::SiteRun;
 use tokio::time::Instant;
 
+use super::repeats::check_repeats;
 use super::site::{COLD_RATE, ConfigRow, PLAIN_SERVICES, SoakSite, SoakTarget, WORKSPACE};
 
 /// Time after its acknowledgement within which a configuration takes effect.
@@ -169,6 +170,10 @@
             violations.extend(tables.check_call(record, *ended, ran, fault_free_since));
         }
         violations.extend(tables.check_deadly(site));
+        for service in [PLAIN_SERVICES[0], PLAIN_SERVICES[1], "draft"] {
+            let sent = tables.sent_to(service);
+            violations.extend(check_repeats(site, service, &sent));
+        }
         if let Some(step) = site.group.mixed_step() {
             violations.push(format!("step {step} ran under two maps"));
         }
@@ -191,6 +196,14 @@
 }
 
 impl LedgerTables {
+    /// When requests were sent that may go to `service`; plain ones go to either service.
+    fn sent_to(&self, service: &str) -> Vec<Instant> {
+        let is_draft = service == "draft";
+        let records = self.calls.values().map(|(record, _)| record);
+        let sent = records.filter(|record| (record.kind == CallKind::Streaming) == is_draft);
+        sent.map(|record| record.sent_at).collect()
+    }
+
     /// Whether no unplanned fault was active from `FAULT_GRACE_PERIOD` before `from` to `until`.
     fn is_fault_free(&self, from: Instant, until: Instant) -> bool {
         let overlaps =
--- a/crates/amaranthgw/tests/soak/main.rs
+++ b/crates/amaranthgw/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod ledger;
 mod options;
 mod processes;
+mod repeats;
 mod site;
 
 use std::process::ExitCode;
--- a/crates/amaranthgw/tests/soak/site.rs
+++ b/crates/amaranthgw/tests/soak/site.rs
@@ -14,6 +14,7 @@
 
 use super::options::SoakOptions;
 use super::processes::SoakProcess;
+use super::repeats::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
 
 /// Callers' keys: the first is always valid, the second is removed and added again by operators.
 pub(super) const KEYS: [&str; 2] = ["key-of-school", "key-of-club"];
@@ -272,7 +273,8 @@
                 "ready_listen": ready, "node_listen": node,
                 "metrics_listen": any_port(loopback(1)), "store": store,
                 "seeds": nodes.iter().take(3).collect::<Vec<_>>(), "grace": "8s",
-                "retry_ratio": 0.2, "retry_slack": 94, "retry_window": "10s",
+                "retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK,
+                "retry_window": format!("{}s", RETRY_WINDOW.as_secs()),
             });
             let gateway = SoakProcess::start("gateway", &self.folder, &settings, &self.options);
             self.gateways.push((callers, gateway));
