--- a/crates/amaranthgw/src/gateway/retries.rs
+++ b/crates/amaranthgw/src/gateway/retries.rs
@@ -13,14 +13,25 @@
 /// attempt is not repeated: their rank groups are stalled, so no other target would answer sooner.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What a request has drawn from the retry budget of its service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct BudgetDraw {
+    /// Whether the budget has counted the request.
+    is_counted: bool,
+    /// Whether the budget has already granted the next retry.
+    pub(super) is_granted: bool,
+    /// Whether the budget has refused a retry; further refusals are not logged.
+    is_refused: bool,
+}
+
 impl CallRun {
     /// Counts the first send of the request, or takes a retry from the budget for a later one; `false` if
     /// the budget is exhausted.
     pub(super) fn admit_send(&mut self, snapshot: &GatewaySnapshot, now: Instant) -> bool {
         if self.sends > 0 {
-            return std::mem::take(&mut self.is_retry_granted) || self.take_retry(snapshot, now);
+            return std::mem::take(&mut self.draw.is_granted) || self.take_retry(snapshot, now);
         }
-        let was_counted = std::mem::replace(&mut self.is_counted, true);
+        let was_counted = std::mem::replace(&mut self.draw.is_counted, true);
         if let Some(budget) = snapshot.budgets.get(&self.call.service)
             && !was_counted
         {
@@ -35,7 +46,7 @@
             return false;
         };
         let decision = budget.spend(now);
-        let was_refused = std::mem::replace(&mut self.is_retry_refused, !decision.is_granted);
+        let was_refused = std::mem::replace(&mut self.draw.is_refused, !decision.is_granted);
         if was_refused && !decision.is_granted {
             return false;
         }
@@ -79,8 +90,8 @@
         if !self.may_run_after(runs) || !targets.into_iter().flatten().any(is_alternative) {
             return false;
         }
-        self.is_retry_granted = self.is_retry_granted || self.take_retry(&snapshot, now);
-        self.is_retry_granted
+        self.draw.is_granted = self.draw.is_granted || self.take_retry(&snapshot, now);
+        self.draw.is_granted
     }
 
     /// Records that a target of the service sent data.
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::basis::{ChoiceBasis, whole_millis};
 use super::body::{AnswerBody, full_body};
 use super::refusal::CallRefusal;
+use super::retries::BudgetDraw;
 use super::serve::AdmittedCall;
 use super::shared::{GatewayThread, TriedTargets};
 use super::stream::stream_response;
@@ -66,12 +67,8 @@
     waited: Duration,
     /// Failed sends that never reached a target, up to `MAX_UNSENT`.
     unsent: u32,
-    /// Whether the budget has counted the request.
-    pub(super) is_counted: bool,
-    /// Whether the budget has already granted the next retry.
-    pub(super) is_retry_granted: bool,
-    /// Whether the budget has refused a retry; further refusals are not logged.
-    pub(super) is_retry_refused: bool,
+    /// What the request has drawn from the retry budget of its service.
+    pub(super) draw: BudgetDraw,
     /// Target that the request is being sent to, until the head of its answer arrives.
     sending_to: Option<TargetId>,
     /// Inputs of the last choice of a target.
@@ -99,9 +96,7 @@
         may_have_run: false,
         waited: Duration::ZERO,
         unsent: 0,
-        is_counted: false,
-        is_retry_granted: false,
-        is_retry_refused: false,
+        draw: BudgetDraw::default(),
         sending_to: None,
         basis: None,
         next_admission: None,
@@ -248,7 +243,7 @@
                 // Nothing reached a target, so the next send is in place of this one.
                 self.unsent += 1;
                 self.sends -= 1;
-                self.is_retry_granted = self.sends > 0;
+                self.draw.is_granted = self.sends > 0;
             }
         }
     }
--- a/crates/amaranthgw/tests/it/gateway/fleet.rs
+++ b/crates/amaranthgw/tests/it/gateway/fleet.rs
@@ -84,7 +84,7 @@
 
 impl GatewayFleet {
     /// Starts `gateways` processes.
-    pub(super) async fn start(gateways: usize) -> Self {
+    pub(super) fn start(gateways: usize) -> Self {
         let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
         let name = format!("amaranthgw-fleet-{}-{fleet}", std::process::id());
         let folder = std::env::temp_dir().join(name);
--- a/crates/amaranthgw/tests/it/gateway/repeats.rs
+++ b/crates/amaranthgw/tests/it/gateway/repeats.rs
@@ -145,7 +145,7 @@
 )]
 #[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
 async fn run_fleet_repeats_within_budget(trouble: FleetTrouble) {
-    let mut fleet = GatewayFleet::start(6).await;
+    let mut fleet = GatewayFleet::start(6);
     let targets = add_targets(&mut fleet, &TargetBehaviour::Answer(500));
     fleet.wait_until_ready().await;
     let callers = fleet.run_callers(&SERVICES.map(|(_, path)| path), CALL_PAUSE);
