Test of repeats while the store is cut off and gateways are killed

The fifth case of run_fleet_repeats_within_budget: every fourth step the store is silent, and one gateway after the other is killed.

--- a/crates/amaranthgw/tests/it/gateway/repeats.rs
+++ b/crates/amaranthgw/tests/it/gateway/repeats.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use amaranthgw_standins::site::{SiteArrival, SiteTarget, TargetBehaviour};
+use amaranthgw_standins::site::{SiteArrival, SiteTarget, StoreFault, TargetBehaviour};
 use http::StatusCode;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
@@ -97,6 +97,8 @@
     Series,
     /// One after the other is stopped, with its successor running beside it.
     Rolled,
+    /// The store falls silent again and again, and one after the other is killed.
+    Cut,
     /// Many are added that can't read how many there are.
     AddedUncounted,
 }
@@ -124,6 +126,18 @@
                 fleet.launch_again(gateway);
                 sleep(Duration::from_millis(300)).await;
             }
+            FleetTrouble::Cut => {
+                let is_cut = next % 4 == 3;
+                let fault = if is_cut {
+                    StoreFault::Silent
+                } else {
+                    StoreFault::None
+                };
+                fleet.site.store.set_fault(fault);
+                fleet.kill(next % fleet.len());
+                fleet.launch_again(next % fleet.len());
+                sleep(Duration::from_millis(300)).await;
+            }
             FleetTrouble::AddedUncounted => {
                 if next == 0 {
                     fleet.add_uncounted(30);
@@ -141,6 +155,7 @@
     herd = { FleetTrouble::Herd },
     series = { FleetTrouble::Series },
     rolled = { FleetTrouble::Rolled },
+    cut = { FleetTrouble::Cut },
     added_uncounted = { FleetTrouble::AddedUncounted },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
