--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+folder=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$folder/../.." && pwd)
+cd "$root" || exit 2
+test -x target/review-2/harness || exit 2
+exec target/review-2/harness silent "$root" "$folder/record.txt"
