--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -32,12 +32,14 @@
                 gateways: 4,
                 touch: millis(3_000),
                 config: millis(2_000),
+                evacuation: millis(5_000),
                 watched: millis(5_000),
             };
             let large = silent_case::Sheet {
                 gateways: 53,
                 touch: millis(5_000),
                 config: millis(4_000),
+                evacuation: millis(5_000),
                 watched: millis(13_000),
             };
             let mut held = Some(true);
--- a/review/harness-2/servers.rs
+++ b/review/harness-2/servers.rs
@@ -19,6 +19,7 @@
     pub request: String,
     pub server: String,
     pub service: String,
+    pub zone: String,
 }
 
 /// What all servers have run.
@@ -81,6 +82,7 @@
                 request: id.clone(),
                 server: server.id.clone(),
                 service: server.service.clone(),
+                zone: server.zone.clone(),
             });
             thread::sleep(work);
             let body = format!("ran by {}\n", server.id);
--- a/review/harness-2/silent_case.rs
+++ b/review/harness-2/silent_case.rs
@@ -25,6 +25,7 @@
     pub gateways: usize,
     pub touch: Duration,
     pub config: Duration,
+    pub evacuation: Duration,
     /// Time from the silence until the clients stop.
     pub watched: Duration,
 }
@@ -146,6 +147,7 @@
     }
     thread::sleep(Duration::from_millis(200));
     let third_at = store.write("op/config", &config(9, 1_100, "desk-b", &[KEPT]));
+    let evacuated_at = store.write("op/evacuate/brum", "{}");
     thread::sleep(sheet.watched);
     stopped.store(true, Ordering::SeqCst);
     for caller in callers {
@@ -168,13 +170,14 @@
         "version 9 is acknowledged at {} ms: key {REVOKED} is gone, the route leads to desk-b",
         since(third_at)
     ));
+    record.line(&format!("the evacuation of brum is acknowledged at {} ms", since(evacuated_at)));
     let in_touch_from = silent_at + sheet.touch;
     let bound = in_touch_from.max(third_at + sheet.config);
     record.line(&format!("machines are in touch again, and version 9 binds, from {} ms on", since(bound)));
     let runs = runs.lock().expect("no holder panics");
     let by_request: HashMap<&str, &Run> = runs.iter().map(|run| (run.request.as_str(), run)).collect();
     let sent = sent.lock().expect("no holder panics");
-    let (mut of_key, mut of_route, mut asked, mut last) = (0, 0, 0, None);
+    let (mut of_key, mut of_route, mut of_zone, mut asked, mut last) = (0, 0, 0, 0, None);
     for request in sent.iter().filter(|request| request.at > silent_at) {
         let run = by_request.get(request.id.as_str());
         let server = run.map_or("-", |run| run.server.as_str());
@@ -190,6 +193,8 @@
             continue;
         }
         asked += 1;
+        let is_late = request.at > evacuated_at + sheet.evacuation;
+        of_zone += usize::from(is_late && run.is_some_and(|run| run.zone == ZONES[0]));
         let is_of_key = request.key == REVOKED && run.is_some();
         let is_of_route = run.is_some_and(|run| run.service == "desk-a");
         of_key += usize::from(is_of_key);
@@ -204,5 +209,9 @@
         since(bound),
         last.map_or("-".to_owned(), |at| at.to_string())
     ));
+    record.line(&format!(
+        "EVAC: {of_zone} requests sent later than {} ms after the evacuation reached a server in brum",
+        sheet.evacuation.as_millis()
+    ));
     Some(of_key + of_route == 0)
 }
