--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -10,8 +10,11 @@
 mod http;
 #[path = "../harness-2/json.rs"]
 mod json;
+mod leaving_case;
+mod plain_server;
 #[path = "../harness-2/record.rs"]
 mod record;
+mod registry;
 #[path = "../harness-2/store.rs"]
 mod store;
 mod stream_server;
@@ -35,6 +38,7 @@
     let root = Path::new(root);
     let held = match case.as_str() {
         "deadly-stream" => deadly_stream_case::play(root, has_trouble, &mut record),
+        "leaving" => leaving_case::play(root, has_trouble, &mut record),
         _ => None,
     };
     exit(match held {
--- a/review/harness-3/stream_server.rs
+++ b/review/harness-3/stream_server.rs
@@ -8,13 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{read_message, Client, Message};
+use crate::http::{read_message, Message};
+use crate::registry::{self, Entry, BEAT, LAPSE};
 use crate::store::Store;
 
-/// Interval between the heartbeats of a server.
-const BEAT: Duration = Duration::from_millis(1_200);
-/// Time from the last heartbeat of a crashed server until its entry is removed.
-const LAPSE: Duration = Duration::from_millis(3_600);
 /// Time from a crash until the server is back.
 const DOWN: Duration = Duration::from_secs(4);
 /// Time for which a server is cold after a start during traffic.
@@ -128,8 +125,8 @@
             }
             let id = format!("i-{number}-{start}");
             let mut child = spawn(&id, address, has_trouble, &log);
-            let key = format!("servers/{id}");
-            let started_at = Instant::now();
+            let key = registry::key(&id);
+            let (started_at, born) = (Instant::now(), registry::unix_millis());
             let (mut seq, mut beat_at) = (0, started_at);
             while child.try_wait().is_ok_and(|ended| ended.is_none()) {
                 if stopped.load(Ordering::SeqCst) {
@@ -140,13 +137,17 @@
                 if Instant::now() >= beat_at {
                     seq += 1;
                     // Servers that start during traffic are cold at first.
-                    let cold = COLD.saturating_sub(started_at.elapsed()).as_millis();
-                    let cold = if start == 0 { 0 } else { cold };
-                    let entry = format!(
-                        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-                         \"version\":\"v1\",\"slots\":12,\"state\":\"ready\",\"cold_left_ms\":{cold},\"seq\":{seq}}}"
-                    );
-                    store.write(&key, &entry);
+                    let cold = COLD.saturating_sub(started_at.elapsed());
+                    let entry = Entry {
+                        service: &service,
+                        zone: &zone,
+                        address,
+                        slots: 12,
+                        cold_left: if start == 0 { Duration::ZERO } else { cold },
+                        born,
+                        seq,
+                    };
+                    store.write(&key, &entry.ready());
                     beat_at = Instant::now() + BEAT;
                 }
                 thread::sleep(Duration::from_millis(2));
@@ -155,7 +156,7 @@
             let store = store.clone();
             thread::spawn(move || {
                 thread::sleep(LAPSE);
-                remove_entry(&store, &key);
+                registry::remove(&store, &key);
             });
             thread::sleep(DOWN);
         }
@@ -192,14 +193,6 @@
     child
 }
 
-fn remove_entry(store: &Store, key: &str) {
-    let body = format!("{{\"expect\":[],\"puts\":[],\"deletes\":[\"{key}\"]}}");
-    let length = body.len();
-    let request = format!("POST /kv-txn HTTP/1.1\r\nHost: store\r\nContent-Length: {length}\r\n\r\n{body}");
-    let mut client = Client::new(store.address, Duration::from_secs(1));
-    client.call(request.as_bytes()).ok();
-}
-
 fn record(log: &ServerLog, server: &str, what: Occurrence) {
     let row = LogRow {
         at: Instant::now(),
