--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -4,6 +4,7 @@
 //! environment, it does the same without the disruption.
 
 mod deadly_stream_case;
+mod fraction_case;
 #[path = "../harness-2/gateways.rs"]
 mod gateways;
 #[path = "../harness-2/http.rs"]
@@ -11,6 +12,7 @@
 #[path = "../harness-2/json.rs"]
 mod json;
 mod leaving_case;
+mod machines;
 mod plain_server;
 #[path = "../harness-2/record.rs"]
 mod record;
@@ -39,6 +41,7 @@
     let held = match case.as_str() {
         "deadly-stream" => deadly_stream_case::play(root, has_trouble, &mut record),
         "leaving" => leaving_case::play(root, has_trouble, &mut record),
+        "fraction" => fraction_case::play(root, has_trouble, &mut record),
         _ => None,
     };
     exit(match held {
