Settings: durations with a fraction

Cause: the templates write bounds in seconds before the unit, and MilliSpan parsed whole numbers only.

Change: durations are decimal numbers, rounded to whole milliseconds.

Why it works: any number that the platform can render before a unit is now a valid duration.

--- a/crates/amaranthgw/tests/it/main.rs
+++ b/crates/amaranthgw/tests/it/main.rs
@@ -14,3 +14,4 @@
 mod promises;
 mod serve;
 mod suspects;
+mod templates;
--- a/crates/core/tests/it/parse.rs
+++ b/crates/core/tests/it/parse.rs
@@ -5,6 +5,13 @@
     parse_span_millis = { "250ms", 250 },
     parse_span_seconds = { "3s", 3_000 },
     parse_span_minutes = { "2min", 120_000 },
+    parse_span_largest = { "18446744073709551615ms", u64::MAX },
+    parse_span_half_second = { "8.5s", 8_500 },
+    parse_span_zero_fraction = { "8.0s", 8_000 },
+    parse_span_inexact_fraction = { "4.35s", 4_350 },
+    parse_span_part_of_minute = { "0.25min", 15_000 },
+    parse_span_part_of_millisecond = { "1.4ms", 1 },
+    parse_span_exponent = { "1.05e1s", 10_500 },
 )]
 fn parse_span(text: &str, millis: u64) {
     let span = text.parse::<MilliSpan>().expect("valid span");
@@ -18,6 +25,13 @@
     parse_span_negative = { "-1s" },
     parse_span_too_large = { "18446744073709551615min" },
     parse_span_empty = { "" },
+    parse_span_no_fraction = { "8.s" },
+    parse_span_no_whole = { ".5s" },
+    parse_span_two_points = { "1.2.3s" },
+    parse_span_negative_fraction = { "-0.5s" },
+    parse_span_decimal_too_large = { "1.5e300s" },
+    parse_span_infinite = { "1e999s" },
+    parse_span_not_a_number = { "NaNs" },
 )]
 fn parse_span_rejected(text: &str) {
     let error = text.parse::<MilliSpan>().expect_err("invalid span");
