--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -12,7 +12,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
 
-use super::feeds::{EvacuatedDomains, StoredConfig};
+use super::operators::{EvacuatedDomains, StoredConfig};
 use super::peers::PeerRegistry;
 use super::shared::GatewayShared;
 use crate::runtime::StopPhase;
--- a/crates/amaranthgw/src/gateway/gossip.rs
+++ b/crates/amaranthgw/src/gateway/gossip.rs
@@ -26,7 +26,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::control::ControlMessage;
-use super::feeds::{EvacuatedDomains, StoredConfig};
+use super::operators::{EvacuatedDomains, StoredConfig};
 use super::peers::PeerRegistry;
 use super::shared::GatewayShared;
 use crate::runtime::accept_each;
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 use tokio::time::Instant;
 
-use super::feeds::{EvacuatedDomains, StoredConfig};
 use super::gossip::{GossipQuery, GossipReply, PEER_CALL_TIMEOUT};
+use super::operators::{EvacuatedDomains, StoredConfig};
 
 /// A known peer and the time of the last contact.
 #[derive(Debug)]
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -21,12 +21,13 @@
 
 use super::basis::whole_millis;
 use super::control::{ControlMessage, ControlState, GatewayControl};
-use super::feeds::{follow_operators, follow_registry};
 use super::gossip::{GossipLink, follow_peers, serve_peers};
 use super::groups::follow_groups;
 use super::listener::serve_callers;
+use super::operators::follow_operators;
 use super::peers::PeerRegistry;
 use super::quarantine::follow_quarantine;
+use super::registry::follow_registry;
 use super::roster::follow_roster;
 use super::shared::{GatewayShared, GatewayThread};
 use crate::memory::MemoryBudget;
--- a/crates/amaranthgw/src/telemetry/mod.rs
+++ b/crates/amaranthgw/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalogue;
 mod event;
+mod group_event;
 mod health;
 mod journal;
 mod level;
