Operators' changes are known although connections have gone silent

Cause: one long poll was the only source of what operators write, for all gateways, and the only sign of a dead connection is the end of its wait. A change makes all polls begin together, so no gateway helps another, and the wait grows with their number.

Change: whoever reads the registry for all also asks, over the connection that has just answered, for changes under the operators' prefix. What the own watch doesn't return within 100 ms is applied, logged (3019), told to peers with the read, and the watch begins anew. The fault proxy and the soak silence open connections. An agent's read of its predecessor is now such a call too.

Not yet measured: the price of the calls.

--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -138,13 +138,10 @@
     async fn direct_predecessor(&self, key: &str) -> Option<CoordinatorMark> {
         let mark = self.rank.coordinator().filter(|_| self.is_fenced)?;
         let after = mark.known_at;
-        let watched = self
-            .store
-            .watch(key, after, Duration::ZERO, STORE_TIMEOUT)
-            .await;
-        count_store_call("watch_lease", &watched);
+        let read = self.store.changes(key, after, STORE_TIMEOUT).await;
+        count_store_call("watch_lease", &read);
         // An unknown history may contain another coordinator.
-        let (changes, _as_of) = watched.ok()?;
+        let (changes, _as_of) = read.ok()?;
         let written = changes
             .iter()
             .filter(|it| matches!(it, StoreChange::Written(_)));
--- a/crates/amaranthgw/src/gateway/operators.rs
+++ b/crates/amaranthgw/src/gateway/operators.rs
@@ -2,6 +2,7 @@
 //! service.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,8 @@
 use compact_str::ToCompactString;
 use ractor::ActorRef;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, timeout};
 
 use super::control::ControlMessage;
 use super::feeds::{STORE_TIMEOUT, retry_delay};
@@ -34,6 +36,11 @@
 /// that starts before it is written doesn't know of them.
 const KEY_MARK_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which the watch may still return a change that another connection has returned.
+const WATCH_GRACE: Duration = Duration::from_millis(100);
+/// Longest wait until changes that the watch missed are applied.
+const APPLY_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A decoded configuration with its stored value.
 #[derive(Debug)]
 pub(super) struct StoredConfig {
@@ -70,14 +77,64 @@
     pub(super) domains: BTreeSet<DomainId>,
 }
 
-/// Follows the keys that operators write, until the process ends.
-pub(super) async fn follow_operators(
+/// Changes under the operators' prefix, and the revision up to which they are known.
+type OperatorChanges = (Vec<StoreChange>, StoreRevision);
+
+/// Changes that the watch may have missed, or why there is no telling.
+struct CheckedChanges {
+    found: Result<OperatorChanges>,
+    /// Dropped once the changes are applied.
+    _applied: oneshot::Sender<()>,
+}
+
+/// Looks for changes that the operators' watch has missed. A connection can go silent without being closed,
+/// which a watch doesn't notice before its wait is over.
+#[derive(Debug)]
+pub(super) struct OperatorCheck {
+    /// Revision after which the feed watches; `None` while it doesn't.
+    watched_after: watch::Receiver<Option<StoreRevision>>,
+    checked: mpsc::Sender<CheckedChanges>,
+}
+
+impl OperatorCheck {
+    /// Asks `store`, whose connection has just been used, for changes within `time_limit`. Returns once the
+    /// feed has applied them.
+    pub(super) async fn run(&self, store: &PlatformStore, time_limit: Duration) {
+        let Some(after) = *self.watched_after.borrow() else {
+            return;
+        };
+        let found = store.changes(OPERATOR_PREFIX, after, time_limit).await;
+        count_store_call("check_operators", &found);
+        match &found {
+            Ok((changes, _as_of)) if changes.is_empty() => return,
+            Ok(_) | Err(PlatformError::Compacted) => {}
+            // Counted; the next read of the registry is followed by another check.
+            Err(_failed) => return,
+        }
+        let (guard, when_applied) = oneshot::channel();
+        let checked = CheckedChanges {
+            found,
+            _applied: guard,
+        };
+        if self.checked.try_send(checked).is_ok() {
+            // Ends with an error, as the sender is dropped.
+            drop(timeout(APPLY_TIMEOUT, when_applied).await);
+        }
+    }
+}
+
+/// Creates the feed of the keys that operators write, and the check of its watch.
+pub(super) fn operator_feed(
     store: Arc<PlatformStore>,
     shared: Arc<GatewayShared>,
     control: ActorRef<ControlMessage>,
     log: EventLog,
-) {
-    let mut feed = OperatorFeed {
+) -> (OperatorFeed, OperatorCheck) {
+    let (watched_after, seen_after) = watch::channel(None);
+    let (sender, checked) = mpsc::channel(1);
+    let feed = OperatorFeed {
+        watched_after,
+        checked,
         store,
         shared,
         control,
@@ -87,11 +144,11 @@
         requires_keys: false,
         failures: 0,
     };
-    loop {
-        let Err(error) = feed.follow().await;
-        feed.record_failure(&error);
-        sleep(retry_delay(feed.failures)).await;
-    }
+    let check = OperatorCheck {
+        watched_after: seen_after,
+        checked: sender,
+    };
+    (feed, check)
 }
 
 /// What is known of the store's mark that a configuration had workspaces.
@@ -105,7 +162,10 @@
     Present,
 }
 
-struct OperatorFeed {
+/// Follows the keys that operators write.
+pub(super) struct OperatorFeed {
+    watched_after: watch::Sender<Option<StoreRevision>>,
+    checked: mpsc::Receiver<CheckedChanges>,
     store: Arc<PlatformStore>,
     shared: Arc<GatewayShared>,
     control: ActorRef<ControlMessage>,
@@ -118,6 +178,16 @@
 }
 
 impl OperatorFeed {
+    /// Follows the keys until the process ends.
+    pub(super) async fn run(mut self) {
+        loop {
+            let Err(error) = self.follow().await;
+            self.watched_after.send_replace(None);
+            self.record_failure(&error);
+            sleep(retry_delay(self.failures)).await;
+        }
+    }
+
     /// Lists the operators' keys, then watches them until a call fails.
     async fn follow(&mut self) -> Result<std::convert::Infallible> {
         // Before the first configuration, which may have no workspaces any more.
@@ -137,7 +207,8 @@
         let mut after = listed.as_of;
         loop {
             self.write_key_mark().await;
-            after = self.watch(after).await?;
+            self.watched_after.send_replace(Some(after));
+            after = self.apply_next(after).await?;
         }
     }
 
@@ -181,13 +252,33 @@
         }
     }
 
-    async fn watch(&mut self, after: StoreRevision) -> Result<StoreRevision> {
-        let watched = self
-            .store
-            .watch(OPERATOR_PREFIX, after, self.watch_timeout(), STORE_TIMEOUT)
-            .await;
-        count_store_call("watch_operators", &watched);
-        let (changes, as_of) = watched?;
+    /// Applies the next changes after the revision `after`; returns the revision up to which they are known.
+    async fn apply_next(&mut self, after: StoreRevision) -> Result<StoreRevision> {
+        let store = Arc::clone(&self.store);
+        let wait = self.watch_timeout();
+        let mut watching = pin!(store.watch(OPERATOR_PREFIX, after, wait, STORE_TIMEOUT));
+        let checked = tokio::select! {
+            biased;
+            watched = &mut watching => {
+                count_store_call("watch_operators", &watched);
+                return Ok(self.apply_changes(watched?));
+            }
+            Some(checked) = self.checked.recv() => checked,
+        };
+        if let Ok(watched) = timeout(WATCH_GRACE, watching).await {
+            count_store_call("watch_operators", &watched);
+            return Ok(self.apply_changes(watched?));
+        }
+        let (changes, as_of) = checked.found?;
+        if as_of <= after {
+            // The check began before the changes up to `after` were known.
+            return Ok(after);
+        }
+        self.log.record(NodeEvent::WatchSilent { after, as_of });
+        Ok(self.apply_changes((changes, as_of)))
+    }
+
+    fn apply_changes(&mut self, (changes, as_of): OperatorChanges) -> StoreRevision {
         let is_changed = !changes.is_empty();
         for change in changes {
             match change {
@@ -202,7 +293,7 @@
         if is_changed {
             self.send_evacuated(as_of);
         }
-        Ok(as_of)
+        as_of
     }
 
     fn watch_timeout(&self) -> Duration {
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -24,7 +24,7 @@
 use super::gossip::{GossipLink, follow_peers, serve_peers};
 use super::groups::follow_groups;
 use super::listener::serve_callers;
-use super::operators::follow_operators;
+use super::operators::operator_feed;
 use super::peers::PeerRegistry;
 use super::quarantine::follow_quarantine;
 use super::registry::follow_registry;
@@ -233,13 +233,11 @@
     } = link;
     // Each feed has its own client, so that none waits for another's connection.
     let store = || Arc::new(PlatformStore::new(settings.store));
-    tokio::spawn(follow_operators(
-        store(),
-        Arc::clone(shared),
-        control.clone(),
-        log.clone(),
-    ));
-    tokio::spawn(follow_registry(store(), link.clone(), log.clone()));
+    let (shared, control) = (Arc::clone(shared), control.clone());
+    let (operators, check) =
+        operator_feed(store(), Arc::clone(&shared), control.clone(), log.clone());
+    tokio::spawn(operators.run());
+    tokio::spawn(follow_registry(store(), check, link.clone(), log.clone()));
     tokio::spawn(follow_roster(
         store(),
         settings.vm.clone(),
@@ -247,15 +245,10 @@
         control.clone(),
         log.clone(),
     ));
-    tokio::spawn(follow_quarantine(store(), Arc::clone(shared), log.clone()));
+    tokio::spawn(follow_quarantine(store(), Arc::clone(&shared), log.clone()));
     if settings.agent_port > 0 {
-        let (shared, log) = (Arc::clone(shared), log.clone());
-        tokio::spawn(follow_groups(
-            shared,
-            control.clone(),
-            settings.agent_port,
-            log,
-        ));
+        let (agent_port, log) = (settings.agent_port, log.clone());
+        tokio::spawn(follow_groups(shared, control, agent_port, log));
     }
 }
 
--- a/crates/amaranthgw/src/gateway/registry.rs
+++ b/crates/amaranthgw/src/gateway/registry.rs
@@ -1,4 +1,5 @@
-//! Feed of the registered targets: one of the gateways reads the registry for all.
+//! Feed of the registered targets: one of the gateways reads the registry for all, and looks for changes by
+//! operators that their watches have missed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use super::control::ControlMessage;
 use super::feeds::STORE_TIMEOUT;
 use super::gossip::GossipLink;
+use super::operators::OperatorCheck;
 use crate::telemetry::{EventLog, NodeEvent, count_store_call};
 
 /// Age of what is known of the registry, from reads of any gateway, at which it is read again. The
@@ -39,9 +41,15 @@
 
 /// Reads the registry of targets whenever no gateway has read it for a while, until the process
 /// ends.
-pub(super) async fn follow_registry(store: Arc<PlatformStore>, link: GossipLink, log: EventLog) {
+pub(super) async fn follow_registry(
+    store: Arc<PlatformStore>,
+    operators: OperatorCheck,
+    link: GossipLink,
+    log: EventLog,
+) {
     let mut feed = RegistryFeed {
         store,
+        operators,
         link,
         log,
         listed_at: None,
@@ -51,11 +59,15 @@
         recovers_until: Instant::now(),
     };
     loop {
-        if let Some(interval) = feed.poll().await {
+        let retry_interval = feed.poll().await;
+        if feed.failures == 0 {
+            feed.operators.run(&feed.store, REGISTRY_TIMEOUT).await;
+        }
+        if let Some(interval) = retry_interval {
             sleep(interval).await;
             continue;
         }
-        // The control thread has applied the listing by the time that peers ask for it.
+        // The control thread has applied all that was read by the time that peers ask for it.
         let link = feed.link.clone();
         tokio::spawn(async move { link.announce_read().await });
         feed.wait_until_due().await;
@@ -64,6 +76,7 @@
 
 struct RegistryFeed {
     store: Arc<PlatformStore>,
+    operators: OperatorCheck,
     link: GossipLink,
     log: EventLog,
     /// When the last listing was asked for.
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -342,6 +342,14 @@
         /// `evicted`, as others needed the memory, or `timed_out`.
         reason: &'static str,
     }
+    /// A watch of the operators' keys returned no change that another connection to the key-value service
+    /// returned; it is begun anew.
+    3019 Warning WatchSilent "watch silent" {
+        /// Revision after which the watch began.
+        after: StoreRevision,
+        /// Revision up to which the changes are known now.
+        as_of: StoreRevision,
+    }
     /// A request was refused before it was sent to any target.
     3101 Info CallRefused "call refused" {
         /// The request.
--- a/crates/amaranthgw/tests/it/gateway/feeds.rs
+++ b/crates/amaranthgw/tests/it/gateway/feeds.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 
+use amaranthgw_net::{DialSettings, PooledClient};
 use amaranthgw_standins::site::{StoreFault, TargetBehaviour};
-use http::StatusCode;
+use amaranthgw_standins::{ProxySettings, ProxyStandin, Standin};
+use http::{Method, StatusCode};
 use serde_json::json;
 use yare::parameterized;
 
-use super::env::{TestSite, call, config, is_ready, request};
+use super::env::{ANY_PORT, TestSite, call, config, is_ready, request};
 use crate::env::eventually;
 
 /// Time within which a stored configuration takes effect.
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
+/// Time after a fault of its connections from which a gateway has to keep all bounds.
+const TOUCH_BOUND: Duration = Duration::from_secs(3);
 
 #[tokio::test]
 async fn follow_operators_config_in_effect() {
@@ -33,6 +37,49 @@
     assert_eq!(answer.status, StatusCode::CREATED);
 }
 
+// Guards against a change that stays unknown until the watch's wait is over: all open connections to the
+// store go silent just after the watches began, and new ones work.
+#[parameterized(
+    alone = { 1 },
+    several = { 4 },
+)]
+#[test_macro(tokio::test)]
+async fn follow_operators_connections_silent(gateway_count: usize) {
+    let mut site = TestSite::with_routes();
+    let removed = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    site.add_target("i-2", "desk-2", TargetBehaviour::Answer(201));
+    let proxy = ProxyStandin::new(ProxySettings::new().with_upstream(Some(site.store_address)));
+    let proxy = proxy.start(ANY_PORT).expect("proxy starts");
+    let control = proxy.control_address().expect("control port");
+    let control = PooledClient::new(control, DialSettings::new(Duration::from_secs(1)));
+    site.store_address = proxy.address();
+    let mut gateways = vec![site.start_gateway().await];
+    for number in 1..gateway_count {
+        let seeds = [gateways[0].node_address()];
+        let vm = json!({ "vm": format!("gateway-{}", number + 1) });
+        gateways.push(site.start_process(&seeds, &vm));
+    }
+    for gateway in &gateways {
+        let ready = || async { is_ready(gateway.ready_address()).await.then_some(()) };
+        eventually("readiness", ready).await;
+    }
+    // All watches begin anew.
+    site.store.put("op/config", &config(9, "desk"));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let faults = json!({ "mode": "silence" }).to_string().into();
+    let silenced = control.call(Method::POST, "/admin/faults", faults, CONFIG_BOUND);
+    silenced.await.expect("the proxy answers");
+    let silent_at = tokio::time::Instant::now();
+    site.store.put("op/config", &config(12, "desk-2"));
+    tokio::time::sleep_until(silent_at + TOUCH_BOUND).await;
+    let arrivals = removed.arrivals();
+    for gateway in &gateways {
+        let answer = call(gateway.address(), request("GET", "/look/", "")).await;
+        assert_eq!(answer.status, StatusCode::CREATED);
+    }
+    assert_eq!(removed.arrivals(), arrivals);
+}
+
 #[tokio::test]
 async fn follow_operators_compacted() {
     let mut site = TestSite::with_routes();
--- a/crates/amaranthgw/tests/soak/faults.rs
+++ b/crates/amaranthgw/tests/soak/faults.rs
@@ -135,6 +135,11 @@
         let extra = Self::extra_fault(seed);
         let index = extra.choice % (faults.len() + 1);
         faults.insert(index, extra);
+        if !seed.is_multiple_of(4) {
+            let silence = Self::silence_fault(seed);
+            let index = silence.choice % (faults.len() + 1);
+            faults.insert(index, silence);
+        }
         Self { faults }
     }
 
@@ -154,6 +159,17 @@
         }
     }
 
+    /// The fault of `seed` in which open connections of one proxy go silent for good.
+    fn silence_fault(seed: u64) -> ScheduledFault {
+        let mut random = fastrand::Rng::with_seed(seed.reverse_bits());
+        ScheduledFault {
+            after: Duration::ZERO,
+            kind: FaultKind::Proxy("silence"),
+            lasts: Duration::from_millis(random.u64(100..MAX_FAULT_MS)),
+            choice: random.usize(..10_000),
+        }
+    }
+
     /// Injects the faults, waits until all have ended and returns a log line for each.
     ///
     /// Draining targets, the configuration and the group's popularity and unanswered share stay as
--- a/crates/standins/src/proxy/faults.rs
+++ b/crates/standins/src/proxy/faults.rs
@@ -15,6 +15,9 @@
     Pass,
     /// Closes every open connection once, when the mode is set; forwards later ones.
     Cut,
+    /// Forwards nothing any more on the connections that are open when the mode is set, and keeps them open;
+    /// forwards later ones.
+    Silence,
     /// Closes every open connection, and new ones immediately.
     Refuse,
     /// Keeps connections open and forwards nothing in either direction.
@@ -39,7 +42,7 @@
         match self {
             Self::Hold => true,
             Self::HoldReplies => matches!(direction, FlowDirection::FromUpstream),
-            Self::Pass | Self::Cut | Self::Refuse => false,
+            Self::Pass | Self::Cut | Self::Silence | Self::Refuse => false,
         }
     }
 }
@@ -65,6 +68,15 @@
     }
 }
 
+/// Waits until open connections have to go silent, or the proxy stops.
+pub(super) async fn wait_for_silence(mut faults: FaultWatch) {
+    while faults.changed().await.is_ok() {
+        if faults.borrow_and_update().mode == ProxyMode::Silence {
+            return;
+        }
+    }
+}
+
 /// Receiver of the current fault settings and their changes.
 pub(super) type FaultWatch = watch::Receiver<ProxyFaults>;
 
--- a/crates/standins/src/proxy/standin.rs
+++ b/crates/standins/src/proxy/standin.rs
@@ -1,6 +1,7 @@
 //! Startup and settings of the proxy, and its connections.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::pin;
 use std::sync::Arc;
 
 use tokio::net::{TcpListener, TcpStream};
@@ -8,7 +9,8 @@
 
 use super::control::ProxyControl;
 use super::faults::{
-    FaultWatch, FlowDirection, ProxyFaults, ProxyMode, wait_for_close, wait_while_held,
+    FaultWatch, FlowDirection, ProxyFaults, ProxyMode, wait_for_close, wait_for_silence,
+    wait_while_held,
 };
 use super::forward::forward_both;
 use crate::error::{Result, StandinError};
@@ -69,9 +71,13 @@
     if faults.borrow_and_update().mode == ProxyMode::Refuse {
         return;
     }
+    let closing = faults.clone();
+    let mut forwarding = pin!(connect_and_forward(client, upstream, faults.clone()));
     tokio::select! {
-        () = wait_for_close(faults.clone()) => {}
-        () = connect_and_forward(client, upstream, faults) => {}
+        () = wait_for_close(closing.clone()) => {}
+        // The connection is kept open, and nothing is forwarded any more.
+        () = wait_for_silence(faults) => wait_for_close(closing).await,
+        () = &mut forwarding => {}
     }
 }
 
--- a/crates/standins/tests/it/proxy.rs
+++ b/crates/standins/tests/it/proxy.rs
@@ -73,6 +73,19 @@
     assert_eq!(stream.read(&mut [0; 4]).await.expect("end"), 0);
 }
 
+#[tokio::test]
+async fn silence_open_connections() {
+    let proxy = ProxiedEcho::new().await;
+    let mut open = proxy.connect().await;
+    assert_forwards(&mut open).await;
+    proxy.set_faults(json!({ "mode": "silence" })).await;
+    let mut later = proxy.connect().await;
+    assert_forwards(&mut later).await;
+    proxy.set_faults(json!({ "mode": "pass" })).await;
+    let silent = timeout(HOLD_OBSERVATION, echo(&mut open)).await;
+    silent.expect_err("neither an answer nor an end");
+}
+
 #[tokio::test]
 async fn pass_with_delay() {
     let proxy = ProxiedEcho::new().await;
