A target that said that it leaves stays out until it starts again

Cause: entries were ordered by the revision at which the store executed them, not by the order in which the target sent them, and what a target had said in an answer was forgotten with its registration.

Change: entries carry the start and number of their heartbeat; an older one of the same start is ignored and logged as outdated, also when it would turn a draining target ready. Leaving holds for a start of the target, for a minute after its entry is gone, and gateways tell each other of it whatever revisions they know; until now a peer that knew as much of the registry was not told.

Why it works: a target's words are ordered by the target itself; an entry of the start that said that it leaves can bring nothing back.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -160,6 +160,9 @@
                     (target, "draining", CompactString::default())
                 }
                 TargetTransition::Leaving(target) => (target, "leaving", CompactString::default()),
+                TargetTransition::Outdated(target) => {
+                    (target, "outdated", CompactString::default())
+                }
                 TargetTransition::Missing(target) => (target, "missing", CompactString::default()),
                 TargetTransition::Returned(target) => {
                     (target, "returned", CompactString::default())
--- a/crates/amaranthgw/tests/it/gateway/leaving.rs
+++ b/crates/amaranthgw/tests/it/gateway/leaving.rs
@@ -4,6 +4,7 @@
 
 use amaranthgw_standins::site::{ListingFault, StoreFault, TargetBehaviour};
 use http::StatusCode;
+use serde_json::json;
 use tokio::time::{Instant, sleep, sleep_until};
 use yare::parameterized;
 
@@ -181,6 +182,56 @@
     eventually("answer", answered).await;
 }
 
+// Guards against DRAIN: a heartbeat that the store executed late brought back a target that had said that it
+// leaves, at gateways that had got that answer and at others.
+#[parameterized(
+    older_heartbeat = { 2 },
+    last_heartbeat = { 4 },
+)]
+#[test_macro(tokio::test)]
+async fn run_call_leaving_target_late_heartbeat(seq: u64) {
+    let mut site = TestSite::with_routes();
+    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let mut entry = site.entry("i-1");
+    entry["born"] = 5.into();
+    entry["seq"] = 3.into();
+    site.store.put("servers/i-1", &entry);
+    let first = site.start_gateway().await;
+    let peer = site.start_process(&[first.node_address()], &json!({ "vm": "gateway-2" }));
+    let ready = || async { is_ready(peer.ready_address()).await.then_some(()) };
+    eventually("readiness", ready).await;
+    target.set_extra_headers(LEAVING);
+    call(first.address(), request("GET", "/look/", "")).await;
+    site.store.remove("servers/i-1");
+    sleep(DRAIN_TIME).await;
+    target.set_extra_headers(&[]);
+    let before = target.arrivals();
+    entry["seq"] = seq.into();
+    site.store.put("servers/i-1", &entry);
+    let until = Instant::now() + TOUCH_TIME;
+    while Instant::now() < until {
+        for gateway in [&first, &peer] {
+            call(gateway.address(), request("GET", "/look/", "")).await;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(target.arrivals(), before);
+    entry["born"] = 6.into();
+    entry["seq"] = 1.into();
+    site.store.put("servers/i-1", &entry);
+    let restarted = || async { (target.arrivals() > before).then_some(()) };
+    let calls = async {
+        loop {
+            call(first.address(), request("GET", "/look/", "")).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::select! {
+        () = eventually("a request after the restart", restarted) => {}
+        () = calls => {}
+    }
+}
+
 // Guards against BUDGET: targets that asked for a pause got requests during it.
 #[tokio::test]
 async fn run_call_held_target() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,8 +20,8 @@
 };
 pub use numbers::{
     AttemptNumber, CallUrgency, ChangeNumber, ChunkSequence, ConfigVersion, ExpertId,
-    FencingNumber, GroupGeneration, LayerId, LeaseId, MapVersion, PartId, PriorityLevel, RankId,
-    StartMark, StepNumber, StoreRevision, WaiterNumber, saturating_whole,
+    FencingNumber, GroupGeneration, HeartbeatNumber, LayerId, LeaseId, MapVersion, PartId,
+    PriorityLevel, RankId, StartMark, StepNumber, StoreRevision, WaiterNumber, saturating_whole,
 };
 pub use parse::{ParseError, Result};
 pub use rates::{ByteRate, RequestRate, TokenRate};
--- a/crates/core/src/numbers.rs
+++ b/crates/core/src/numbers.rs
@@ -39,6 +39,10 @@
     /// Identifies one run of a target process; changes at each start.
     StartMark, u64
 );
+number_type!(
+    /// Number of a heartbeat of a target since its start.
+    HeartbeatNumber, u64
+);
 number_type!(
     /// Index of a rank in its rank group, starting at 0.
     RankId, u16
--- a/crates/fleet/examples/measure_choice.rs
+++ b/crates/fleet/examples/measure_choice.rs
@@ -8,8 +8,8 @@
 
 use amaranthgw_core::{DomainId, MilliSpan, SlotCount, TokenCount, TokenRate};
 use amaranthgw_fleet::gateway::{
-    CallWork, ChoiceInput, ChoicePolicy, EarliestBeginPolicy, EngineFigures, LeastLoadedPolicy,
-    RankLoad, RoundRobinPolicy, TargetCandidate, TargetGauge, TargetRecord,
+    CallWork, ChoiceInput, ChoicePolicy, EarliestBeginPolicy, EngineFigures, HeartbeatMark,
+    LeastLoadedPolicy, RankLoad, RoundRobinPolicy, TargetCandidate, TargetGauge, TargetRecord,
 };
 use tokio::time::Instant;
 
@@ -52,6 +52,7 @@
             slots: SlotCount::new(SLOTS),
             is_draining: false,
             cold_left: MilliSpan::new(0),
+            heartbeat: HeartbeatMark::default(),
         },
         gauge: Arc::new(gauge),
         cold_until: now,
--- /dev/null
+++ b/crates/fleet/src/gateway/departed.rs
@@ -0,0 +1,223 @@
+//! Targets that left: what is kept of them once their registry entries are gone, and entries that tell of
+//! the past because the store executed an old heartbeat late.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthgw_core::{StoreRevision, TargetId};
+use tokio::time::Instant;
+
+use super::{
+    GatewayWorld, HeartbeatMark, LeavingNotice, RegistryChange, RegistryEntry, TargetGauge,
+    TargetRow, TargetTransition,
+};
+
+/// Time for which a removed target is remembered. A heartbeat is executed seconds after it was sent at most.
+const DEPARTED_TIME: Duration = Duration::from_mins(1);
+/// Most removed targets, and most leaving ones, that are remembered.
+const MAX_DEPARTED: usize = 1_024;
+/// Time for which peers are told that a target is leaving; each of them tells others for as long.
+const TELLING_TIME: Duration = Duration::from_secs(10);
+/// Most leaving targets of which a peer is told at once, about 5 KB.
+const MAX_TOLD: usize = 64;
+
+/// A target that is not registered any more.
+#[derive(Debug)]
+pub(super) struct DepartedTarget {
+    address: SocketAddr,
+    gauge: Arc<TargetGauge>,
+    /// Last heartbeat that was read.
+    heartbeat: HeartbeatMark,
+    remembered_until: Instant,
+}
+
+/// A target that said in an answer that it is leaving, registered or not.
+#[derive(Debug)]
+pub(super) struct LeaverRow {
+    heartbeat: HeartbeatMark,
+    noticed_at: Instant,
+}
+
+/// When a target's answer that says that it is leaving was noticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeavingMark {
+    pub(super) noticed_at: Instant,
+    /// Revision of the first listing that began after that.
+    pub(super) as_of: Option<StoreRevision>,
+}
+
+impl LeavingMark {
+    /// Creates the mark of an answer noticed at `noticed_at`.
+    pub(super) const fn new(noticed_at: Instant) -> Self {
+        Self {
+            noticed_at,
+            as_of: None,
+        }
+    }
+}
+
+impl TargetRow {
+    /// Whether `entry` says more than the answer in which the target said that it is leaving: it is of
+    /// another start of the target or, where entries don't tell the start, was written later.
+    pub(super) fn outlives_leaving(&self, entry: &RegistryEntry) -> bool {
+        let Some(mark) = self.leaving else {
+            return true;
+        };
+        let (known, new) = (self.record.heartbeat, entry.record.heartbeat);
+        if known.born.is_some() && new.born.is_some() {
+            return !known.has_same_start(new);
+        }
+        mark.as_of.is_some_and(|as_of| entry.written > as_of)
+    }
+}
+
+impl GatewayWorld {
+    /// Remembers the removed target of `row`.
+    pub(super) fn remember_departed(&mut self, target: TargetId, row: TargetRow, now: Instant) {
+        if self.departed.len() >= MAX_DEPARTED {
+            let oldest = self
+                .departed
+                .iter()
+                .min_by_key(|(_, row)| row.remembered_until);
+            if let Some(oldest) = oldest.map(|(target, _)| target.clone()) {
+                self.departed.remove(&oldest);
+            }
+        }
+        if row.leaving.is_some() {
+            self.record_leaver(target.clone(), row.record.heartbeat, now);
+        }
+        let departed = DepartedTarget {
+            address: row.record.address,
+            gauge: row.gauge,
+            heartbeat: row.record.heartbeat,
+            remembered_until: now + DEPARTED_TIME,
+        };
+        self.departed.insert(target, departed);
+    }
+
+    /// Forgets targets that were removed long ago and whose pauses are over, and those that have long been
+    /// leaving.
+    pub(super) fn forget_departed(&mut self, now: Instant) {
+        self.departed
+            .retain(|_, row| row.remembered_until > now || row.gauge.is_held(now));
+        if self.leavers.is_empty() {
+            return;
+        }
+        self.leavers
+            .retain(|_, row| row.noticed_at + DEPARTED_TIME > now);
+        self.tell_leavers(now);
+    }
+
+    /// Takes `target` out of service, as it has said that it is leaving.
+    pub(super) fn take_leaver_out(&mut self, target: &TargetId, now: Instant) {
+        let as_of = self.registry_as_of();
+        let Some(row) = self.targets.get_mut(target) else {
+            return;
+        };
+        row.leaving = Some(LeavingMark::new(now));
+        row.gauge.record_leaving(true);
+        row.record.is_draining = true;
+        let record = row.record.clone();
+        self.record_leaver(target.clone(), record.heartbeat, now);
+        self.log_change(RegistryChange {
+            target: target.clone(),
+            revision: as_of,
+            record: Some(record),
+        });
+        let leaving = TargetTransition::Leaving(target.clone());
+        self.transitions.push(leaving);
+        self.is_changed = true;
+    }
+
+    /// Applies what a peer knows of targets that are leaving.
+    pub(super) fn adopt_leavers(&mut self, leavers: Vec<LeavingNotice>, now: Instant) {
+        for LeavingNotice { target, heartbeat } in leavers {
+            let known = self.leavers.get(&target);
+            if known.is_some_and(|known| known.heartbeat.has_same_start(heartbeat)) {
+                continue;
+            }
+            let row = self.targets.get(&target);
+            if row.is_some_and(|row| row.record.heartbeat.has_same_start(heartbeat)) {
+                self.take_leaver_out(&target, now);
+            } else if row.is_none() {
+                self.record_leaver(target, heartbeat, now);
+            }
+        }
+    }
+
+    fn record_leaver(&mut self, target: TargetId, heartbeat: HeartbeatMark, now: Instant) {
+        // Without its start, nothing tells a later entry of the target from an earlier one.
+        if heartbeat.born.is_some() && self.leavers.len() < MAX_DEPARTED {
+            let noticed_at = now;
+            let row = LeaverRow {
+                heartbeat,
+                noticed_at,
+            };
+            self.leavers.insert(target, row);
+            self.tell_leavers(now);
+        }
+    }
+
+    /// Tells peers of the targets that have lately said that they are leaving.
+    fn tell_leavers(&mut self, now: Instant) {
+        let lately = |row: &LeaverRow| row.noticed_at + TELLING_TIME > now;
+        let leavers = self.leavers.iter().filter(|(_, row)| lately(row));
+        let leavers = leavers.take(MAX_TOLD).map(|(target, row)| LeavingNotice {
+            target: target.clone(),
+            heartbeat: row.heartbeat,
+        });
+        let leavers: Vec<_> = leavers.collect();
+        if self.told_leavers() != leavers {
+            self.registry_log_mut().set_leavers(leavers);
+        }
+    }
+
+    /// Lets the new `row` take over the pause that its target asked for before it was removed: its entry may
+    /// have lapsed while it ran.
+    pub(super) fn restore_departed(&mut self, target: &TargetId, row: &TargetRow, now: Instant) {
+        if let Some(departed) = self.departed.remove(target)
+            && departed.address == row.record.address
+        {
+            row.gauge.adopt_hold(&departed.gauge, now);
+        }
+    }
+
+    /// Whether `entry` was written by a heartbeat from before what is known of its target.
+    pub(super) fn is_outdated(&self, entry: &RegistryEntry) -> bool {
+        let (target, heartbeat) = (&entry.record.target, entry.record.heartbeat);
+        if let Some(row) = self.targets.get(target) {
+            return heartbeat.precedes(row.record.heartbeat);
+        }
+        let leaver = self.leavers.get(target);
+        let departed = self.departed.get(target);
+        leaver.is_some_and(|leaver| heartbeat.has_same_start(leaver.heartbeat))
+            || departed.is_some_and(|departed| heartbeat.precedes(departed.heartbeat))
+    }
+
+    /// Replaces outdated entries of a listing by what is known of their targets, and leaves out those of
+    /// targets that have left.
+    pub(super) fn without_outdated(&mut self, entries: Vec<RegistryEntry>) -> Vec<RegistryEntry> {
+        let mut outdated = HashMap::new();
+        let mut current = Vec::with_capacity(entries.len());
+        for entry in entries {
+            if !self.is_outdated(&entry) {
+                current.push(entry);
+                continue;
+            }
+            let target = entry.record.target;
+            current.extend(self.targets.get(&target).map(|row| RegistryEntry {
+                record: row.record.clone(),
+                written: row.written,
+            }));
+            if self.outdated.get(&target) != Some(&entry.written) {
+                let transition = TargetTransition::Outdated(target.clone());
+                self.transitions.push(transition);
+            }
+            outdated.insert(target, entry.written);
+        }
+        self.outdated = outdated;
+        current
+    }
+}
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -11,9 +11,11 @@
 mod choice;
 mod cold;
 mod demand;
+mod departed;
 mod document;
 mod events;
 mod groups;
+mod heartbeat;
 mod parts;
 mod patience;
 mod quarantine;
@@ -45,12 +47,14 @@
     DEMAND_TIME, DemandAnswer, DemandLedger, DemandReport, DemandTable, GrantedLoan, LOAN_TIME,
     LevelDemand, ReportRefusal, ReportVersion, ServiceDemand, WaitingDemand,
 };
+pub use departed::LeavingMark;
 pub use document::{
     ConfigDocument, ConfigFinding, DocumentChange, FindingLevel, UnusableRow, WorkspaceKeys,
     check_document, compare_documents,
 };
 pub use events::{EventId, EventScanner, OversizedEvent};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
+pub use heartbeat::HeartbeatMark;
 pub use parts::{
     AnswerTiming, PartMemory, PartTable, PromptPart, SavingGauge, SavingSample, TableLimits,
 };
@@ -63,8 +67,8 @@
     PartVerdict, QuarantineDigest, QuarantineNews, RefusedParts, SuspectSet, VerdictSubject,
     request_mark,
 };
-pub use registry::{LeavingMark, RegistryEntry, RegistryListing, TargetRow, TargetTransition};
-pub use registry_log::{RegistryChange, RegistryLog, RegistryNews};
+pub use registry::{RegistryEntry, RegistryListing, TargetRow, TargetTransition};
+pub use registry_log::{LeavingNotice, RegistryChange, RegistryLog, RegistryNews};
 pub use roster::{GatewayRoster, RosterEntry, RosterReading};
 pub use routes::{
     CallLimits, ExpertShape, KeyHolder, LookupError, RouteKind, RouteRow, RouteTable, ServiceRow,
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -9,7 +9,8 @@
 use tokio::time::Instant;
 
 use super::{
-    GatewayWorld, GroupGauge, RegistryChange, RegistryLog, RegistryNews, TargetGauge, TargetRecord,
+    GatewayWorld, GroupGauge, LeavingMark, LeavingNotice, RegistryChange, RegistryLog,
+    RegistryNews, TargetGauge, TargetRecord,
 };
 
 /// Shortest time without knowledge of the registry in which entries of live targets can expire: an
@@ -57,15 +58,6 @@
     pub leaving: Option<LeavingMark>,
 }
 
-/// When a target's answer that says that it is leaving was noticed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeavingMark {
-    noticed_at: Instant,
-    /// Revision of the first listing that began after that. An entry that was written later says more
-    /// than the answer.
-    as_of: Option<StoreRevision>,
-}
-
 impl TargetRow {
     /// Creates the row of a target first seen at `now`, as not cold.
     fn new(entry: &RegistryEntry, now: Instant) -> Self {
@@ -80,22 +72,6 @@
             leaving: None,
         }
     }
-
-    /// Whether `entry` was written after the target said in an answer that it is leaving, as far as
-    /// is known.
-    fn outlives_leaving(&self, entry: &RegistryEntry) -> bool {
-        let Some(mark) = self.leaving else {
-            return true;
-        };
-        mark.as_of.is_some_and(|as_of| entry.written > as_of)
-    }
-}
-
-/// A target that is not registered any more and wants no requests for a while.
-#[derive(Debug)]
-pub(super) struct PausedTarget {
-    address: SocketAddr,
-    gauge: Arc<TargetGauge>,
 }
 
 /// A change of a target's registration.
@@ -107,6 +83,8 @@
     Draining(TargetId),
     /// It said in an answer that it is leaving.
     Leaving(TargetId),
+    /// Its entry was overwritten by an older heartbeat, which is ignored.
+    Outdated(TargetId),
     /// It entered its slow start, in which it is cold.
     Cold(TargetId),
     /// Not listed any more, but kept as its entry may have expired in an outage of the registry.
@@ -181,7 +159,8 @@
         self.registry
             .record_known(listing.asked_at, self.bounds.return_time);
         self.registry.is_failing = false;
-        let holders = self.newest_by_address(listing.entries);
+        let entries = self.without_outdated(listing.entries);
+        let holders = self.newest_by_address(entries);
         for entry in holders.values() {
             self.adopt_entry(entry, now);
         }
@@ -215,6 +194,7 @@
         for change in news.changes {
             self.adopt_change(change, now);
         }
+        self.adopt_leavers(news.leavers, now);
         let is_complete = news.after <= self.registry.as_of && news.as_of >= self.registry.as_of;
         if is_complete {
             self.registry.as_of = news.as_of;
@@ -248,35 +228,17 @@
         let expired = self.targets.iter().filter(|(_, row)| is_expired(row));
         let expired: Vec<_> = expired.map(|(target, _)| target.clone()).collect();
         for target in expired {
-            self.remove_target(target, self.registry.as_of);
+            self.remove_target(target, self.registry.as_of, now);
         }
     }
 
-    /// Forgets removed targets whose pauses are over.
-    pub(super) fn forget_paused(&mut self, now: Instant) {
-        self.paused.retain(|_, paused| paused.gauge.is_held(now));
-    }
-
-    /// Takes targets that said in an answer that they are leaving out of service. Peers that know the
-    /// registry up to an earlier revision are told.
+    /// Takes targets that said in an answer that they are leaving out of service, and tells peers of them.
     pub(super) fn note_leaving(&mut self, now: Instant) {
-        let as_of = self.registry.as_of;
-        let is_new = |row: &&mut TargetRow| row.gauge.is_leaving() && row.leaving.is_none();
-        for row in self.targets.rows_mut().filter(is_new) {
-            row.leaving = Some(LeavingMark {
-                noticed_at: now,
-                as_of: None,
-            });
-            row.record.is_draining = true;
-            let target = row.record.target.clone();
-            let change = RegistryChange {
-                target: target.clone(),
-                revision: as_of,
-                record: Some(row.record.clone()),
-            };
-            Arc::make_mut(&mut self.registry.log).push(change);
-            self.transitions.push(TargetTransition::Leaving(target));
-            self.is_changed = true;
+        let is_new = |row: &&TargetRow| row.gauge.is_leaving() && row.leaving.is_none();
+        let leavers = self.targets.rows().filter(is_new);
+        let leavers: Vec<_> = leavers.map(|row| row.record.target.clone()).collect();
+        for target in leavers {
+            self.take_leaver_out(&target, now);
         }
     }
 
@@ -294,8 +256,12 @@
         if let Some(record) = record {
             let written = revision;
             let entry = RegistryEntry { record, written };
+            if self.is_outdated(&entry) {
+                self.transitions.push(TargetTransition::Outdated(target));
+                return;
+            }
             if self.is_configured(&entry) {
-                self.drop_older_at(&entry);
+                self.drop_older_at(&entry, now);
             }
             self.adopt_entry(&entry, now);
         } else if self
@@ -303,12 +269,12 @@
             .get(&target)
             .is_some_and(|row| row.written <= revision)
         {
-            self.remove_target(target, revision);
+            self.remove_target(target, revision, now);
         }
     }
 
     /// Removes other targets at the address of `entry` whose entries are older.
-    fn drop_older_at(&mut self, entry: &RegistryEntry) {
+    fn drop_older_at(&mut self, entry: &RegistryEntry, now: Instant) {
         let is_older = |row: &&TargetRow| {
             row.record.address == entry.record.address
                 && row.record.target != entry.record.target
@@ -317,7 +283,7 @@
         let older = self.targets.rows().filter(is_older);
         let older: Vec<_> = older.map(|row| row.record.target.clone()).collect();
         for target in older {
-            self.remove_target(target, entry.written);
+            self.remove_target(target, entry.written, now);
         }
     }
 
@@ -348,19 +314,13 @@
             }
         }
         for target in gone {
-            self.remove_target(target, as_of);
+            self.remove_target(target, as_of, now);
         }
     }
 
-    fn remove_target(&mut self, target: TargetId, revision: StoreRevision) {
-        if let Some(row) = self.targets.remove(&target)
-            && row.gauge.was_held()
-        {
-            let paused = PausedTarget {
-                address: row.record.address,
-                gauge: row.gauge,
-            };
-            self.paused.insert(target.clone(), paused);
+    fn remove_target(&mut self, target: TargetId, revision: StoreRevision, now: Instant) {
+        if let Some(row) = self.targets.remove(&target) {
+            self.remember_departed(target.clone(), row, now);
         }
         self.is_changed = true;
         let change = RegistryChange {
@@ -368,7 +328,7 @@
             revision,
             record: None,
         };
-        Arc::make_mut(&mut self.registry.log).push(change);
+        self.log_change(change);
         self.transitions.push(TargetTransition::Gone(target));
     }
 
@@ -384,12 +344,7 @@
             self.transitions.push(seen);
             self.is_changed = true;
             let row = TargetRow::new(entry, now);
-            // Its entry may have lapsed while the target ran.
-            if let Some(paused) = self.paused.remove(&target)
-                && paused.address == entry.record.address
-            {
-                row.gauge.adopt_hold(&paused.gauge, now);
-            }
+            self.restore_departed(&target, &row, now);
             self.targets.insert(target.clone(), row);
             self.log_entry(entry);
         }
@@ -451,12 +406,26 @@
         !self.routes.is_known() || self.routes.services.contains(&entry.record.service)
     }
 
+    /// The leaving targets of which peers are told.
+    pub(super) fn told_leavers(&self) -> &[LeavingNotice] {
+        self.registry.log.leavers()
+    }
+
+    pub(super) fn registry_log_mut(&mut self) -> &mut RegistryLog {
+        Arc::make_mut(&mut self.registry.log)
+    }
+
+    /// Adds a change for peers.
+    pub(super) fn log_change(&mut self, change: RegistryChange) {
+        self.registry_log_mut().push(change);
+    }
+
     fn log_entry(&mut self, entry: &RegistryEntry) {
         let change = RegistryChange {
             target: entry.record.target.clone(),
             revision: entry.written,
             record: Some(entry.record.clone()),
         };
-        Arc::make_mut(&mut self.registry.log).push(change);
+        self.log_change(change);
     }
 }
--- a/crates/fleet/src/gateway/registry_log.rs
+++ b/crates/fleet/src/gateway/registry_log.rs
@@ -6,7 +6,7 @@
 use amaranthgw_core::{MilliSpan, StoreRevision, TargetId};
 use serde::{Deserialize, Serialize};
 
-use super::TargetRecord;
+use super::{HeartbeatMark, TargetRecord};
 
 /// Most changes that are kept: more than targets leave within a few gossip rounds.
 const MAX_CHANGES: usize = 256;
@@ -24,6 +24,15 @@
     pub record: Option<TargetRecord>,
 }
 
+/// A target that said in an answer that it is leaving, which holds until it starts again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// The target.
+    pub target: TargetId,
+    /// Its last known heartbeat.
+    pub heartbeat: HeartbeatMark,
+}
+
 /// What a gateway tells a peer about the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegistryNews {
@@ -35,6 +44,9 @@
     pub age: Option<MilliSpan>,
     /// The changes, oldest first.
     pub changes: Vec<RegistryChange>,
+    /// Targets that have lately said that they are leaving, whatever their registration.
+    #[serde(default)]
+    pub leavers: Vec<LeavingNotice>,
 }
 
 /// The most recent changes of the registry, oldest first.
@@ -43,6 +55,7 @@
     /// Revision after which no change is left out.
     complete_after: StoreRevision,
     changes: VecDeque<RegistryChange>,
+    leavers: Vec<LeavingNotice>,
 }
 
 impl RegistryLog {
@@ -52,9 +65,20 @@
         Self {
             complete_after: revision,
             changes: VecDeque::new(),
+            leavers: Vec::new(),
         }
     }
 
+    /// Targets that have lately said that they are leaving.
+    pub(super) fn leavers(&self) -> &[LeavingNotice] {
+        &self.leavers
+    }
+
+    /// Sets the targets that have lately said that they are leaving.
+    pub(super) fn set_leavers(&mut self, leavers: Vec<LeavingNotice>) {
+        self.leavers = leavers;
+    }
+
     /// Adds `change` in place of an earlier one of its target; drops the oldest change beyond
     /// `MAX_CHANGES`.
     pub fn push(&mut self, change: RegistryChange) {
@@ -98,6 +122,7 @@
             as_of: up_to,
             age: (up_to == as_of).then(|| MilliSpan::from_duration(age)),
             changes,
+            leavers: self.leavers.clone(),
         }
     }
 }
--- a/crates/fleet/src/gateway/systems.rs
+++ b/crates/fleet/src/gateway/systems.rs
@@ -17,7 +17,7 @@
         .with_system(ForgetPeers)
         .with_system(NoteLeaving)
         .with_system(ExpireMissing)
-        .with_system(ForgetPaused)
+        .with_system(ForgetDeparted)
         .with_system(ShareBounds)
         .with_system(DivideRoom)
 }
@@ -106,16 +106,16 @@
     }
 }
 
-/// Forgets removed targets whose pauses are over.
+/// Forgets targets that were removed long ago and whose pauses are over.
 #[derive(Debug)]
-struct ForgetPaused;
+struct ForgetDeparted;
 
-impl TickSystem<GatewayWorld> for ForgetPaused {
+impl TickSystem<GatewayWorld> for ForgetDeparted {
     fn name(&self) -> &'static str {
-        "forget_paused"
+        "forget_departed"
     }
 
     fn run(&mut self, world: &mut GatewayWorld, now: Instant) {
-        world.forget_paused(now);
+        world.forget_departed(now);
     }
 }
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -13,6 +13,7 @@
 
 use super::cold::{ColdCounter, ColdShare};
 use super::groups::GroupGauge;
+use super::heartbeat::HeartbeatMark;
 use super::window::SendWindow;
 use super::work::{
     EngineFigures, RUNNING_SHARE, RankLoad, ReportOutcome, TargetWork, WorkEstimate, whole_millis,
@@ -35,6 +36,9 @@
     pub is_draining: bool,
     /// Remaining time of its slow start, in which it is cold.
     pub cold_left: MilliSpan,
+    /// Heartbeat that wrote the entry.
+    #[serde(default)]
+    pub heartbeat: HeartbeatMark,
 }
 
 /// Load and health of one target, updated by all traffic threads of this process.
@@ -292,12 +296,6 @@
         }
     }
 
-    /// Whether the target has ever asked for a pause.
-    #[must_use]
-    pub fn was_held(&self) -> bool {
-        self.held_until_ms.load(Ordering::Relaxed) > 0
-    }
-
     /// Whether the target wants no requests at `now`.
     #[must_use]
     pub fn is_held(&self, now: Instant) -> bool {
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -10,7 +10,8 @@
 };
 use tokio::time::Instant;
 
-use super::registry::{PausedTarget, RegistryView};
+use super::departed::{DepartedTarget, LeaverRow};
+use super::registry::RegistryView;
 use super::{
     ColdShare, DemandLedger, GroupGauge, RosterReading, RouteTable, ServiceAdmission,
     TargetCandidate, TargetRow, TargetTransition, WindowBudget, WindowSettings,
@@ -63,8 +64,12 @@
     /// Time of the first snapshot, before which an earlier process may have served this VM.
     started_at: Option<Instant>,
     is_stopping: bool,
-    /// Removed targets that want no requests for a while, as their entries may come back.
-    pub(super) paused: EntityTable<TargetId, PausedTarget>,
+    /// Targets that were removed lately, as their entries may come back.
+    pub(super) departed: EntityTable<TargetId, DepartedTarget>,
+    /// Targets that have lately said that they are leaving.
+    pub(super) leavers: EntityTable<TargetId, LeaverRow>,
+    /// Revisions of the outdated entries in the last listing.
+    pub(super) outdated: HashMap<TargetId, StoreRevision>,
     pub(super) registry: RegistryView,
     pub(super) transitions: Vec<TargetTransition>,
 }
@@ -100,7 +105,9 @@
             snapshot_gateway_count: DEFAULT_GATEWAY_COUNT,
             started_at: None,
             is_stopping: false,
-            paused: EntityTable::new(),
+            departed: EntityTable::new(),
+            leavers: EntityTable::new(),
+            outdated: HashMap::new(),
             registry: RegistryView::default(),
             transitions: Vec::new(),
         }
--- /dev/null
+++ b/crates/fleet/tests/it/gateway/departed.rs
@@ -0,0 +1,244 @@
+//! Targets that left, and old heartbeats that the store executes late.
+
+use std::time::Duration;
+
+use amaranthgw_core::{HeartbeatNumber, StartMark, StoreRevision, TargetId, TickSchedule};
+use amaranthgw_fleet::gateway::{
+    GatewayWorld, HeartbeatMark, RegistryEntry, RegistryListing, TargetTransition, gateway_schedule,
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+use yare::parameterized;
+
+use super::entry;
+use super::world::{routed_targets, world};
+
+/// Time after which a removed target is forgotten.
+const LONG_TIME: Duration = Duration::from_secs(61);
+
+/// Entry of the target `a`, written by heartbeat `number` of its start `born` and executed at `revision`.
+fn heartbeat(born: u64, number: u64, revision: u64) -> RegistryEntry {
+    let mut entry = entry("a", 1, revision);
+    entry.record.heartbeat = HeartbeatMark {
+        born: Some(StartMark::new(born)),
+        number: HeartbeatNumber::new(number),
+    };
+    entry
+}
+
+fn draining(mut entry: RegistryEntry) -> RegistryEntry {
+    entry.record.is_draining = true;
+    entry
+}
+
+fn list(
+    world: &mut GatewayWorld,
+    entries: Vec<RegistryEntry>,
+    as_of: u64,
+    now: Instant,
+) -> Vec<TargetTransition> {
+    let listing = RegistryListing {
+        entries,
+        as_of: StoreRevision::new(as_of),
+        asked_at: now,
+    };
+    world.adopt_registry(listing, now)
+}
+
+fn tick(world: &mut GatewayWorld, now: Instant) {
+    let mut schedule: TickSchedule<GatewayWorld> = gateway_schedule();
+    schedule.run(world, now);
+    world.take_transitions();
+}
+
+/// Lets the target `a` say in an answer that it is leaving.
+fn say_leaving(world: &mut GatewayWorld, now: Instant) {
+    let target: TargetId = "a".parse().expect("target");
+    let row = world.targets.get(&target).expect("row");
+    row.gauge.record_leaving(true);
+    tick(world, now);
+}
+
+/// A world that has read heartbeat 3 of the start 5 of the target `a`.
+fn listed_world() -> (GatewayWorld, Instant) {
+    let (mut world, now) = (world(), Instant::now());
+    list(&mut world, vec![heartbeat(5, 3, 30)], 30, now);
+    (world, now)
+}
+
+// Guards against DRAIN: the late heartbeat of a target that had said that it leaves brought it back.
+#[parameterized(
+    older = { 2 },
+    same = { 3 },
+    newer = { 4 },
+)]
+fn adopt_registry_late_heartbeat_of_leaver(number: u64) {
+    let (mut world, now) = listed_world();
+    say_leaving(&mut world, now);
+    list(&mut world, Vec::new(), 40, now);
+    let later = now + Duration::from_secs(6);
+    tick(&mut world, later);
+    list(&mut world, vec![heartbeat(5, number, 50)], 50, later);
+    assert!(routed_targets(&mut world, later).is_empty());
+    // The target starts again.
+    list(&mut world, vec![heartbeat(6, 1, 60)], 60, later);
+    assert_eq!(routed_targets(&mut world, later), ["a"]);
+}
+
+// Guards against DRAIN: an entry that is still there when the target says that it leaves, or is written
+// again by the same start.
+#[test]
+fn adopt_registry_leaver_still_listed() {
+    let (mut world, now) = listed_world();
+    say_leaving(&mut world, now);
+    for (number, revision) in [(3, 30), (4, 40), (5, 50)] {
+        let later = now + Duration::from_secs(number);
+        list(
+            &mut world,
+            vec![heartbeat(5, number, revision)],
+            revision,
+            later,
+        );
+        assert!(routed_targets(&mut world, later).is_empty());
+    }
+    list(&mut world, vec![heartbeat(6, 1, 60)], 60, now);
+    assert_eq!(routed_targets(&mut world, now), ["a"]);
+}
+
+#[test]
+fn adopt_registry_late_heartbeat_of_removed() {
+    let (mut world, now) = listed_world();
+    list(&mut world, Vec::new(), 40, now);
+    list(&mut world, vec![heartbeat(5, 2, 50)], 50, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+    // The entry had lapsed; the target lives and writes it again.
+    list(&mut world, vec![heartbeat(5, 9, 60)], 60, now);
+    assert_eq!(routed_targets(&mut world, now), ["a"]);
+}
+
+// Guards against DRAIN: a late heartbeat from before turned a draining target ready again.
+#[test]
+fn adopt_registry_late_heartbeat_of_draining() {
+    let (mut world, now) = listed_world();
+    list(&mut world, vec![draining(heartbeat(5, 4, 40))], 40, now);
+    let late = || vec![heartbeat(5, 2, 50)];
+    let outdated = TargetTransition::Outdated("a".parse().expect("target"));
+    assert_eq!(list(&mut world, late(), 50, now), [outdated]);
+    assert!(list(&mut world, late(), 51, now).is_empty());
+    assert!(routed_targets(&mut world, now).is_empty());
+}
+
+#[test]
+fn adopt_registry_late_heartbeat_hides_none() {
+    let (mut world, now) = listed_world();
+    list(&mut world, Vec::new(), 40, now);
+    let successor = entry("b", 1, 45);
+    let entries = vec![successor, heartbeat(5, 2, 50)];
+    list(&mut world, entries, 50, now);
+    assert_eq!(routed_targets(&mut world, now), ["b"]);
+}
+
+#[test]
+fn adopt_registry_ready_target_kept() {
+    let (mut world, now) = listed_world();
+    list(&mut world, vec![heartbeat(5, 2, 50)], 50, now);
+    assert_eq!(routed_targets(&mut world, now), ["a"]);
+}
+
+// Guards against DRAIN: a peer that never got an answer of the leaving target knows as much as the gateway
+// that did, whatever it has read meanwhile.
+#[parameterized(
+    listed = { true, false },
+    removed = { true, true },
+    unknown = { false, true },
+)]
+fn adopt_news_left_target(is_known: bool, is_removed: bool) {
+    let mut peer = world();
+    let (mut world, now) = listed_world();
+    if is_known {
+        list(&mut peer, vec![heartbeat(5, 3, 30)], 30, now);
+    }
+    if is_removed {
+        list(&mut peer, Vec::new(), 40, now);
+    }
+    say_leaving(&mut world, now);
+    let (log, _known_at) = world.registry_log().expect("log");
+    let told = log.news_after(
+        peer.registry_as_of(),
+        world.registry_as_of(),
+        Duration::ZERO,
+    );
+    assert!(told.changes.is_empty());
+    peer.adopt_news(told, now, now);
+    assert!(routed_targets(&mut peer, now).is_empty());
+    list(&mut peer, vec![heartbeat(5, 4, 50)], 50, now);
+    assert!(routed_targets(&mut peer, now).is_empty());
+}
+
+#[test]
+fn forget_departed_after_long_time() {
+    let (mut world, now) = listed_world();
+    list(&mut world, Vec::new(), 40, now);
+    let later = now + LONG_TIME;
+    tick(&mut world, later);
+    list(&mut world, vec![heartbeat(5, 2, 50)], 50, later);
+    assert_eq!(routed_targets(&mut world, later), ["a"]);
+}
+
+/// What the store executes, each followed by a listing.
+#[derive(Clone, Copy, Debug)]
+enum StoreStep {
+    /// A heartbeat: start, number, and whether it drains from then on.
+    Write(u64, u64),
+    Remove,
+    /// The target says in an answer that it is leaving.
+    Leave,
+}
+
+fn store_steps() -> impl Strategy<Value = Vec<StoreStep>> {
+    let step = prop_oneof![
+        (1_u64..4, 1_u64..8).prop_map(|(born, number)| StoreStep::Write(born, number)),
+        Just(StoreStep::Remove),
+        Just(StoreStep::Leave),
+    ];
+    proptest::collection::vec(step, 1..40)
+}
+
+/// Number of the heartbeat from which each start of the target drains.
+const DRAINS_FROM: u64 = 5;
+
+proptest! {
+    // Heartbeats of some starts of a target are executed in any order, late ones too. Once a start is known
+    // to drain or to leave, nothing is sent to it.
+    #[test]
+    fn adopt_heartbeats_of_any_order(steps in store_steps()) {
+        let (mut world, now) = (world(), Instant::now());
+        let mut stored: Option<RegistryEntry> = None;
+        let mut revision = 1;
+        list(&mut world, Vec::new(), revision, now);
+        // The start that was known last, and whether it drains or leaves.
+        let mut known: Option<(StartMark, bool)> = None;
+        for step in steps {
+            revision += 1;
+            match step {
+                StoreStep::Write(born, number) => {
+                    let written = heartbeat(born, number, revision);
+                    let drains = number >= DRAINS_FROM;
+                    stored = Some(if drains { draining(written) } else { written });
+                    let born = StartMark::new(born);
+                    let was_over = known.is_some_and(|(last, is_over)| last == born && is_over);
+                    known = Some((born, was_over || drains));
+                }
+                StoreStep::Remove => stored = None,
+                StoreStep::Leave if world.targets.is_empty() => {}
+                StoreStep::Leave => {
+                    say_leaving(&mut world, now);
+                    known = known.map(|(born, _is_over)| (born, true));
+                }
+            }
+            list(&mut world, stored.clone().into_iter().collect(), revision, now);
+            let is_over = known.is_some_and(|(_born, is_over)| is_over);
+            prop_assert!(!is_over || routed_targets(&mut world, now).is_empty());
+        }
+    }
+}
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod cold;
 mod demand;
+mod departed;
 mod events;
 mod fleet_budget;
 mod groups;
@@ -22,7 +23,7 @@
 mod world;
 
 use amaranthgw_core::{MilliSpan, SlotCount, StoreRevision};
-use amaranthgw_fleet::gateway::{RegistryEntry, RegistryListing, TargetRecord};
+use amaranthgw_fleet::gateway::{HeartbeatMark, RegistryEntry, RegistryListing, TargetRecord};
 use tokio::time::Instant;
 
 /// Registry entry of the target `id` at `port`, written at revision `written`.
@@ -36,6 +37,7 @@
             slots: SlotCount::new(4),
             is_draining: false,
             cold_left: MilliSpan::new(0),
+            heartbeat: HeartbeatMark::default(),
         },
         written: StoreRevision::new(written),
     }
--- a/crates/fleet/tests/it/gateway/registry.rs
+++ b/crates/fleet/tests/it/gateway/registry.rs
@@ -49,6 +49,7 @@
         as_of: StoreRevision::new(as_of),
         age: Some(MilliSpan::new(0)),
         changes,
+        leavers: Vec::new(),
     }
 }
 
