A response with a status that no answer has is no answer

Cause: the HTTP library takes 101 as final and any three digits from 100 on as a status; nothing else looked at it.

Evidence: run_call_odd_status over ten statuses and four kinds of calls, call_odd_status over agents, peers and the store; with the check switched off, 101, 600 and 999 fail in both, the other seven hold.

Change: check_status lets only 200 to 599 end a call. All connections of gateways and agents check it in HttpConnection::send, the client of the older roles calls it. Such a target is at fault, its connection is dropped, and the outcome is unknown, also beside a header that says not run.

Why it works: one place decides before any answer, stream, listing or report is looked at.

--- a/crates/amaranthgw/src/platform/http.rs
+++ b/crates/amaranthgw/src/platform/http.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranthgw_net::check_status;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -56,6 +57,7 @@
                 .request(request)
                 .await
                 .map_err(|error| error_from_client(&error))?;
+            check_status(response.status()).map_err(|_invalid| ServiceError::AnswerLost)?;
             let (parts, body) = response.into_parts();
             let collected = body
                 .collect()
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod keys;
 mod late_heads;
 mod leaving;
+mod odd_statuses;
 mod odd_targets;
 mod quarantine;
 mod quarantined_requests;
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -118,8 +118,9 @@
     /// # Errors
     ///
     /// Returns [`NetError::Unsent`] if the connection closed before any byte was sent,
-    /// [`NetError::OnlyInformational`] after `MAX_INFORMATIONAL` such responses, else
-    /// [`NetError::Broken`].
+    /// [`NetError::OnlyInformational`] after `MAX_INFORMATIONAL` such responses,
+    /// [`NetError::InvalidStatus`] if the response is no answer, else [`NetError::Broken`]. After an error,
+    /// the connection must not be used again.
     pub async fn send(&mut self, mut request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         self.is_fresh = false;
         let excess = limit_informational(&mut request);
@@ -128,15 +129,29 @@
             sent = sending => sent,
             () = excess.notified() => return Err(NetError::OnlyInformational),
         };
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_unsent) => NetError::Unsent,
             None => NetError::Broken {
                 source: error.into_error(),
             },
-        })
+        })?;
+        check_status(response.status())?;
+        Ok(response)
     }
 }
 
+/// Checks the status of the final response to a request that asked for no upgrade.
+///
+/// # Errors
+///
+/// Returns [`NetError::InvalidStatus`] if it is none that HTTP has for that: 101, or 600 and above.
+pub fn check_status(status: StatusCode) -> Result<()> {
+    let is_final = (200..600).contains(&status.as_u16());
+    is_final
+        .then_some(())
+        .ok_or(NetError::InvalidStatus { status })
+}
+
 /// Returns a notification of the informational response to `request` that exceeds the limit.
 fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
     let excess = Arc::new(Notify::new());
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
+
 /// Error of a call to another process.
 #[derive(Debug)]
 pub enum NetError {
@@ -24,6 +26,11 @@
     },
     /// The peer sent only informational responses, too many to wait for its answer.
     OnlyInformational,
+    /// The status of the response is none of an answer, so the peer may or may not have done what was asked.
+    InvalidStatus {
+        /// The status.
+        status: StatusCode,
+    },
     /// The answer belongs to another call; the peer may have received this one.
     ForeignAnswer,
     /// The body of the answer is longer than allowed.
@@ -62,6 +69,13 @@
             Self::Unsent => f.write_str("connection closed before the request was sent"),
             Self::Broken { source } => write!(f, "connection lost during the request: {source}"),
             Self::OnlyInformational => f.write_str("informational responses without an answer"),
+            Self::InvalidStatus { status } => {
+                write!(
+                    f,
+                    "response with the status {}, which no answer has",
+                    status.as_u16()
+                )
+            }
             Self::ForeignAnswer => f.write_str("answer to another call"),
             Self::TooLong { limit } => write!(f, "answer longer than {limit} bytes"),
             Self::TimedOut { waited } => {
@@ -80,6 +94,7 @@
             Self::Malformed { source } => Some(source),
             Self::Unsent
             | Self::OnlyInformational
+            | Self::InvalidStatus { .. }
             | Self::ForeignAnswer
             | Self::TooLong { .. }
             | Self::TimedOut { .. } => None,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,7 @@
 mod pooled;
 
 pub use body::read_whole;
-pub use dial::{DialSettings, HttpConnection, dial};
+pub use dial::{DialSettings, HttpConnection, check_status, dial};
 pub use error::NetError;
 pub use pool::ConnectionPool;
 pub use pooled::{PooledClient, WholeReply};
