A stream that crashes targets after its first event is contained

Cause: a crash was looked for only where no event had been delivered, and a first event, or any signed answer, cleared the request for all earlier crashes at all gateways.

Evidence: with the old behaviour in each of the three places, run_call_deadly_stream_refused (both cases), stream_response_beside_deadly_stream_resumed, check_request_of_two_crashes_begun_between and run_call_deadly_request_beside_failing_target (6 crashes, an error of another target cleared it) fail.

Change: a stream that breaks off is looked at whether it had begun or not; if it had, the whole request is suspected and the look holds it up for 30 ms at most. Only a whole success clears a request. Of streams that were cut in the same crashes, none is refused before the third.

Why it works: nothing that a dying target can write clears a request, and its second or third crash is told to all gateways before it comes again.

TestCalls::answer now calls record_answered, which does what record_begun did.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use amaranthgw_platform::answer::{AnswerHead, AnswerKind, decode_head};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
@@ -290,6 +290,12 @@
         );
     }
 
+    /// Whether the answer tells where it ends. Another may have been cut by a crash of the target.
+    pub(super) fn is_framed(&self) -> bool {
+        self.headers.contains_key(header::CONTENT_LENGTH)
+            || self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Target that runs the request.
     pub(super) const fn target(&self) -> &TargetCandidate {
         &self.mark.target
--- a/crates/amaranthgw/src/gateway/run.rs
+++ b/crates/amaranthgw/src/gateway/run.rs
@@ -141,14 +141,16 @@
     async fn whole_answer(&mut self, attempt: OpenAttempt) -> Option<Response<AnswerBody>> {
         let (status, headers) = (attempt.head.status, caller_headers(&attempt.headers));
         let gauge = Arc::clone(attempt.gauge());
-        let mark = attempt.mark.clone();
+        let (mark, is_framed) = (attempt.mark.clone(), attempt.is_framed());
         let thread = Arc::clone(&self.thread);
         let reader = Some(self.caller());
         let reading = attempt.collect(&thread, thread.shared.max_answer, reader);
         let broken = match timeout_at(self.call.deadline, reading).await {
             Ok(Ok(body)) => {
                 gauge.record_success();
-                self.record_begun();
+                if status.is_success() && is_framed {
+                    self.record_answered();
+                }
                 let mut response = Response::new(self.deliver(body));
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
@@ -164,7 +166,7 @@
         };
         gauge.record_failure(Instant::now());
         self.record_attempt(&mark, "broken_answer", broken);
-        self.report_broken_off(&mark.target).await;
+        self.report_broken_off(&mark.target, false).await;
         None
     }
 
--- a/crates/amaranthgw/src/gateway/sends.rs
+++ b/crates/amaranthgw/src/gateway/sends.rs
@@ -214,7 +214,7 @@
             self.count_run();
         }
         match failure {
-            AttemptFailure::Broken(_) => self.report_broken_off(&mark.target).await,
+            AttemptFailure::Broken(_) => self.report_broken_off(&mark.target, false).await,
             AttemptFailure::NotRun(status) => {
                 self.refused_by.push(target.clone());
                 let is_full = *status == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/amaranthgw/src/gateway/shared.rs
+++ b/crates/amaranthgw/src/gateway/shared.rs
@@ -48,10 +48,21 @@
 }
 
 impl GatewayShared {
-    /// Records that `target` crashed at `at` with the request `marks` under way, and wakes those who tell
-    /// others if that is news.
-    pub(super) fn record_crash(&self, target: &TargetId, marks: &CallMarks<'_>, at: Instant) {
-        if self.quarantine.record_crash(target, marks, at) {
+    /// Records that `target` crashed at `at` with the request `marks` under way, which it may have begun to
+    /// answer, and wakes those who tell others if that is news.
+    pub(super) fn record_crash(
+        &self,
+        target: &TargetId,
+        marks: &CallMarks<'_>,
+        has_begun: bool,
+        at: Instant,
+    ) {
+        let is_news = if has_begun {
+            self.quarantine.record_crash_in_answer(target, marks, at)
+        } else {
+            self.quarantine.record_crash(target, marks, at)
+        };
+        if is_news {
             self.announce_quarantine();
         }
     }
--- a/crates/amaranthgw/src/gateway/stream.rs
+++ b/crates/amaranthgw/src/gateway/stream.rs
@@ -298,6 +298,9 @@
     fn finish(&mut self) -> ReadResult {
         if let Some(attempt) = self.attempt.take() {
             attempt.gauge().record_success();
+            if attempt.is_framed() {
+                self.run.record_answered();
+            }
             attempt.finish(&self.run.thread);
         }
         ReadResult::End
@@ -336,8 +339,9 @@
         let last_event = self.scanner.last_event().cloned().unwrap_or_default();
         self.run.record_attempt(&mark, cause.name(), last_event);
         let is_break = matches!(cause, BreakCause::Connection | BreakCause::CutEvent);
-        if !std::mem::take(&mut self.has_begun) && is_break {
-            self.run.report_broken_off(&mark.target).await;
+        let has_begun = std::mem::take(&mut self.has_begun);
+        if is_break {
+            self.run.report_broken_off(&mark.target, has_begun).await;
         }
     }
 }
--- a/crates/amaranthgw/src/gateway/suspicion.rs
+++ b/crates/amaranthgw/src/gateway/suspicion.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::TargetId;
+use amaranthgw_core::{PartId, WorkspaceId};
 use amaranthgw_fleet::gateway::{CallMarks, PartVerdict, TargetCandidate};
 use amaranthgw_net::HttpConnection;
-use compact_str::ToCompactString;
-use tokio::time::{Instant, sleep};
+use compact_str::{CompactString, ToCompactString};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::attempt::{DEFAULT_KEEP_ALIVE_TIMEOUT, dial_target};
 use super::refusal::CallRefusal;
 use super::run::CallRun;
+use super::shared::GatewayThread;
 use crate::telemetry::NodeEvent;
 
 /// Time after which a new connection to a target that is down is mostly closed.
@@ -20,6 +21,9 @@
 /// Time after which it is closed even if the target's machine is busy.
 const LATE_CHECK_DELAY: Duration = Duration::from_millis(250);
 
+/// Time for which a stream that broke off waits for the look at its target before it goes on elsewhere.
+const STREAM_CHECK_TIME: Duration = Duration::from_millis(30);
+
 /// What a request has to do with crashes of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallStanding {
@@ -83,66 +87,108 @@
         }
     }
 
-    /// Finds out whether `target`, which broke off before it began to write, has crashed, and records
-    /// the request as a suspect if so.
-    pub(super) async fn report_broken_off(&mut self, target: &TargetCandidate) {
-        let broke_at = Instant::now();
-        let address = target.record.address;
-        let connection = connect_again(address).await;
-        let is_down = connection.is_none();
-        self.record_broken_off(&target.record.target, is_down);
-        if let Some(connection) = connection {
-            self.watch_connection(target, connection, broke_at);
-            return;
+    /// Records that a target answered with a whole success.
+    pub(super) fn record_answered(&self) {
+        let shared = &self.thread.shared;
+        if shared
+            .quarantine
+            .record_answered(&self.marks(), Instant::now())
+        {
+            shared.announce_quarantine();
         }
-        let shared = Arc::clone(&self.thread.shared);
-        shared.parts.forget_target(&target.record.target);
-        let is_new = !shared.quarantine.are_parts_in_use(&self.marks(), broke_at);
-        if is_new || self.standing == CallStanding::Trial {
+    }
+
+    /// Finds out whether `target`, which broke off, has crashed, and records the request as a suspect if so.
+    /// Had it begun to write, the request itself is suspected, not the parts of its prompt, and the stream
+    /// goes on elsewhere meanwhile.
+    pub(super) async fn report_broken_off(&mut self, target: &TargetCandidate, has_begun: bool) {
+        let check = CrashCheck {
+            thread: Arc::clone(&self.thread),
+            target: target.clone(),
+            request: self.call.name(),
+            workspace: self.call.workspace.clone(),
+            parts: self.call.terms.shared_parts.clone(),
+            mark: self.call.mark,
+            has_begun,
+            broke_at: Instant::now(),
+        };
+        let is_new = !has_begun && !self.are_parts_in_use();
+        let checking = tokio::spawn(check.run());
+        let is_down = if has_begun {
+            let checked = timeout(STREAM_CHECK_TIME, checking).await;
+            checked.is_ok_and(|down| down.unwrap_or(false))
+        } else {
+            checking.await.unwrap_or(false)
+        };
+        if is_down && (is_new || self.standing == CallStanding::Trial) {
             self.standing = CallStanding::Suspect;
         }
-        let target = &target.record.target;
-        shared.record_crash(target, &self.marks(), broke_at);
     }
 
-    /// Records a crash at `broke_at` after all if `connection`, which was opened to `target` since, is
-    /// closed at once: the target's operating system still accepts connections for a moment.
-    fn watch_connection(
-        &self,
-        target: &TargetCandidate,
-        connection: HttpConnection,
-        broke_at: Instant,
-    ) {
-        let thread = Arc::clone(&self.thread);
-        let record = target.record.clone();
-        let workspace = self.call.workspace.clone();
-        let parts = self.call.terms.shared_parts.clone();
-        let request = self.call.mark;
+    fn are_parts_in_use(&self) -> bool {
+        let quarantine = &self.thread.shared.quarantine;
+        quarantine.are_parts_in_use(&self.marks(), Instant::now())
+    }
+}
+
+/// Look at a target that broke off a request.
+struct CrashCheck {
+    thread: Arc<GatewayThread>,
+    target: TargetCandidate,
+    /// Name of the request in the log.
+    request: CompactString,
+    workspace: Option<WorkspaceId>,
+    /// Parts of the prompt that may have crashed the target.
+    parts: Vec<PartId>,
+    mark: PartId,
+    has_begun: bool,
+    broke_at: Instant,
+}
+
+impl CrashCheck {
+    /// Returns whether the target is down, and records the request as a suspect if so. The target's operating
+    /// system may still accept connections for a moment, so that a second look follows.
+    async fn run(self) -> bool {
+        let connection = connect_again(self.target.record.address).await;
+        self.record_broken_off(connection.is_none());
+        let Some(connection) = connection else {
+            self.record_crash();
+            return true;
+        };
         tokio::spawn(async move {
             sleep(LATE_CHECK_DELAY).await;
             if connection.is_ready() {
                 let idle_timeout = DEFAULT_KEEP_ALIVE_TIMEOUT;
-                thread.pool.put(record.address, connection, idle_timeout);
-                return;
+                let address = self.target.record.address;
+                self.thread.pool.put(address, connection, idle_timeout);
+            } else {
+                self.record_crash();
             }
-            let marks = CallMarks {
-                workspace: workspace.as_ref(),
-                parts: &parts,
-                request,
-            };
-            thread.shared.record_crash(&record.target, &marks, broke_at);
         });
+        false
     }
 
-    fn record_broken_off(&self, target: &TargetId, is_down: bool) {
-        let parts = self.call.terms.shared_parts.iter();
-        let parts: Vec<_> = parts.map(ToCompactString::to_compact_string).collect();
+    fn record_crash(&self) {
+        let marks = CallMarks {
+            workspace: self.workspace.as_ref(),
+            parts: &self.parts,
+            request: self.mark,
+        };
+        let (shared, target) = (&self.thread.shared, &self.target.record.target);
+        shared.parts.forget_target(target);
+        shared.record_crash(target, &marks, self.has_begun, self.broke_at);
+    }
+
+    fn record_broken_off(&self, is_down: bool) {
+        let parts = self.parts.iter().map(ToCompactString::to_compact_string);
+        let parts: Vec<_> = parts.collect();
         self.thread.log.record(NodeEvent::CallBrokenOff {
-            request: self.call.name(),
-            target: target.clone(),
-            workspace: self.call.workspace.clone(),
+            request: self.request.clone(),
+            target: self.target.record.target.clone(),
+            workspace: self.workspace.clone(),
             parts: parts.join(",").into(),
-            mark: self.call.mark,
+            mark: self.mark,
+            has_begun: self.has_begun,
             is_down,
         });
     }
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -425,7 +425,7 @@
         version: ConfigVersion,
     }
     /// A target broke off a request whose prompt has shared parts before it began to write.
-    3104 Info CallBrokenOff "call broken off before its first event" {
+    3104 Info CallBrokenOff "call broken off" {
         /// The request.
         request: CompactString,
         /// The target.
@@ -436,6 +436,8 @@
         parts: CompactString,
         /// Mark of the whole request: its caller, method, path and body.
         mark: PartId,
+        /// Whether the target had begun to write the answer.
+        has_begun: bool,
         /// Whether the target can't be connected to any more, so that it probably crashed.
         is_down: bool,
     }
--- a/crates/amaranthgw/tests/it/gateway/quarantined_requests.rs
+++ b/crates/amaranthgw/tests/it/gateway/quarantined_requests.rs
@@ -5,6 +5,7 @@
 
 use amaranthgw::gateway::GatewayProcess;
 use amaranthgw_standins::site::{SiteTarget, TargetBehaviour};
+use futures_util::future::{join, join_all};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -18,6 +19,8 @@
 const MAX_CRASHES: usize = 3;
 /// Time within which a crashed target is back.
 const RECOVERY_TIME: Duration = Duration::from_millis(400);
+/// Time within which reports of crashes of one target mean the same crash.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(2_100);
 /// Path and query of the request that crashes targets, behind the prefix of its route.
 const DEADLY_PATH: &str = "tins/17?size=2";
 
@@ -83,6 +86,97 @@
     }
 }
 
+// Guards against BUDGET: a stream that crashed targets after its first event was never recognised, as the event
+// cleared the request.
+#[parameterized(
+    second_event = { 10 },
+    late = { 120 },
+)]
+#[test_macro(tokio::test)]
+async fn run_call_deadly_stream_refused(crash_ms: u64) {
+    let mut site = TestSite::with_routes();
+    let stream = TargetBehaviour::Stream {
+        events: 40,
+        gap: Duration::from_millis(5),
+        breaks_in: 0,
+    };
+    let targets = add_targets(&mut site, "draft", "/draft/", &stream);
+    for target in &targets {
+        target.set_deadly_after(Duration::from_millis(crash_ms));
+    }
+    let first = site.start_gateway().await;
+    let seeds = json!({ "vm": "gateway-2", "seeds": [first.node_address()] });
+    let second = site.start_gateway_with(&seeds).await;
+    let gateways = [first.address(), second.address()];
+    let path = format!("/draft/{DEADLY_PATH}");
+    send_often(&gateways, "POST", &path, "which tin").await;
+    assert!(crashes(&targets) <= MAX_CRASHES, "{}", crashes(&targets));
+    for gateway in gateways {
+        let refused = send(gateway, "POST", &path, "which tin").await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.header("retry-after").is_some());
+        // A request that differs in its body alone would crash them as well; others are served whole.
+        let other = send(gateway, "POST", &format!("{path}0"), "which tin").await;
+        assert_eq!(other.status, StatusCode::OK);
+        assert!(other.is_whole);
+    }
+}
+
+// Guards against BUDGET: the error of a failing target cleared a request that crashes others.
+#[tokio::test]
+async fn run_call_deadly_request_beside_failing_target() {
+    let mut site = TestSite::with_routes();
+    let path = format!("/look/{DEADLY_PATH}");
+    let crashing = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    crashing.set_deadly_path(&path);
+    site.add_target("i-2", "desk", TargetBehaviour::Answer(500));
+    let gateway = site.start_gateway_with(&ample_retries()).await;
+    // Each call may run twice: at the one target that crashes, and at the one that fails.
+    for _ in 0..6 {
+        send(gateway.address(), "GET", &path, "").await;
+        sleep(SAME_CRASH_TIME).await;
+    }
+    assert!(crashing.crashes() > 1, "the crashing target is not used");
+    assert!(crashing.crashes() <= MAX_CRASHES, "{}", crashing.crashes());
+}
+
+// Streams that a deadly one cuts go on elsewhere, and come again without being refused.
+#[tokio::test]
+async fn stream_response_beside_deadly_stream_resumed() {
+    let mut site = TestSite::with_routes();
+    let stream = TargetBehaviour::Stream {
+        events: 40,
+        gap: Duration::from_millis(5),
+        breaks_in: 0,
+    };
+    let targets = add_targets(&mut site, "draft", "/draft/", &stream);
+    for target in &targets {
+        target.set_deadly_after(Duration::from_millis(40));
+    }
+    let gateway = site.start_gateway_with(&ample_retries()).await;
+    let address = gateway.address();
+    let sound = (0..9).map(|number| async move {
+        let body = format!("tin {number}");
+        let mut statuses = Vec::new();
+        for _ in 0..12 {
+            let answer = send(address, "POST", "/draft/list", &body).await;
+            statuses.push((answer.status, answer.is_whole, answer.text()));
+        }
+        statuses
+    });
+    let (path, gateways) = (format!("/draft/{DEADLY_PATH}"), [address]);
+    let deadly = send_often(&gateways, "POST", &path, "");
+    let (answers, ()) = join(join_all(sound), deadly).await;
+    assert!(crashes(&targets) <= MAX_CRASHES, "{}", crashes(&targets));
+    let answers: Vec<_> = answers.into_iter().flatten().collect();
+    for (status, _is_whole, text) in &answers {
+        assert!(!text.contains("crashes_targets"), "{status} {text}");
+    }
+    // Two targets of three crash once each; what has met both is cut off.
+    let cut = answers.iter().filter(|answer| !answer.1).count();
+    assert!(cut <= 9, "{answers:?}");
+}
+
 // A deadly request differs from a sound one in its body only.
 #[tokio::test]
 async fn run_call_deadly_body_refused() {
--- a/crates/fleet/src/gateway/quarantine/call.rs
+++ b/crates/fleet/src/gateway/quarantine/call.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::crash::SuspectSet;
 use super::request::RequestConviction;
 use super::table::{PartQuarantine, PartVerdict, QuarantineDigest, QuarantineNews};
 use super::verdict::RefusedParts;
@@ -115,13 +116,31 @@
         self.parts.are_in_use(marks.parts, now)
     }
 
-    /// Records that a target began to answer a request; returns whether that changes what is known of
-    /// a crash.
+    /// Records that a target began to answer a request, which clears the parts of its prompt; returns whether
+    /// that changes what is known of a crash. The request itself may still crash the target.
     pub fn record_begun(&self, marks: &CallMarks<'_>, now: Instant) -> bool {
+        self.parts.record_begun(marks.parts, now)
+    }
+
+    /// Records that a target answered a request with a whole success, which clears the request and the parts
+    /// of its prompt; returns whether that changes what is known of a crash.
+    pub fn record_answered(&self, marks: &CallMarks<'_>, now: Instant) -> bool {
         let of_parts = self.parts.record_begun(marks.parts, now);
         self.requests.record_begun(&[marks.request], now) || of_parts
     }
 
+    /// Records that `target` crashed at `now`, after it had begun to answer a request and before it had answered
+    /// it; returns whether that is news. The parts of its prompt are not suspected.
+    pub fn record_crash_in_answer(
+        &self,
+        target: &TargetId,
+        marks: &CallMarks<'_>,
+        now: Instant,
+    ) -> bool {
+        let suspect = SuspectSet::new(marks.workspace.cloned(), &[marks.request]);
+        self.requests.record_suspect(target, suspect, true, now)
+    }
+
     /// Records that `target` crashed at `now`, after it had accepted a request and before it began to
     /// answer it; returns whether that is news.
     pub fn record_crash(&self, target: &TargetId, marks: &CallMarks<'_>, now: Instant) -> bool {
--- a/crates/fleet/src/gateway/quarantine/crash.rs
+++ b/crates/fleet/src/gateway/quarantine/crash.rs
@@ -9,8 +9,10 @@
 
 /// Time within which reports of a target's crash mean the same one: a target takes longer to start.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(2);
-/// Suspects of one crash that are kept; a target runs few requests that have not begun.
+/// Suspects of one crash that are kept; a target has few requests that have not begun.
 const MAX_SUSPECTS: usize = 16;
+/// Suspects with a single part, as whole requests, that are kept: all that a target runs and has queued.
+const MAX_SINGLE_SUSPECTS: usize = 48;
 /// Parts of one suspect that are kept.
 const MAX_PARTS: usize = 8;
 
@@ -41,8 +43,11 @@
     pub target: TargetId,
     /// Time since the crash.
     pub age: MilliSpan,
-    /// Requests that the target had accepted and not begun to answer.
+    /// Requests that the target had accepted and not answered.
     pub suspects: Vec<SuspectSet>,
+    /// Parts of suspects that the target had begun to answer.
+    #[serde(default)]
+    pub begun: BTreeSet<PartId>,
     /// Parts on which targets had begun to write shortly before the crash.
     #[serde(default)]
     pub trusted: BTreeSet<PartId>,
@@ -58,6 +63,7 @@
     pub(super) target: TargetId,
     pub(super) at: Instant,
     pub(super) suspects: BTreeSet<SuspectSet>,
+    pub(super) begun: BTreeSet<PartId>,
     pub(super) trusted: BTreeSet<PartId>,
     pub(super) cleared: BTreeSet<PartId>,
     /// Whether a request of this gateway is among the suspects.
@@ -71,6 +77,7 @@
             target,
             at,
             suspects: BTreeSet::new(),
+            begun: BTreeSet::new(),
             trusted: BTreeSet::new(),
             cleared: BTreeSet::new(),
             is_own: false,
@@ -88,7 +95,12 @@
     /// Adds what `report` holds.
     pub(super) fn merge(&mut self, report: &CrashReport) {
         for suspect in &report.suspects {
-            if self.suspects.len() < MAX_SUSPECTS && !suspect.parts.is_empty() {
+            let most = if suspect.parts.len() > 1 {
+                MAX_SUSPECTS
+            } else {
+                MAX_SINGLE_SUSPECTS
+            };
+            if self.suspects.len() < most && !suspect.parts.is_empty() {
                 let parts: Vec<_> = suspect.parts.iter().copied().collect();
                 let suspect = SuspectSet::new(suspect.workspace.clone(), &parts);
                 self.suspects.insert(suspect);
@@ -96,6 +108,7 @@
         }
         let known = self.parts();
         let of_suspects = |parts: &BTreeSet<PartId>| parts & &known;
+        self.begun.append(&mut of_suspects(&report.begun));
         self.trusted.append(&mut of_suspects(&report.trusted));
         self.cleared.append(&mut of_suspects(&report.cleared));
     }
@@ -123,6 +136,7 @@
             target: self.target.clone(),
             age: MilliSpan::from_duration(now.saturating_duration_since(self.at)),
             suspects: self.suspects.iter().cloned().collect(),
+            begun: self.begun.clone(),
             trusted: self.trusted.clone(),
             cleared: self.cleared.clone(),
         }
@@ -130,6 +144,6 @@
 
     /// Size of its sets, which changes with each piece of news.
     pub(super) fn size(&self) -> usize {
-        self.suspects.len() + self.trusted.len() + self.cleared.len()
+        self.suspects.len() + self.begun.len() + self.trusted.len() + self.cleared.len()
     }
 }
--- a/crates/fleet/src/gateway/quarantine/request.rs
+++ b/crates/fleet/src/gateway/quarantine/request.rs
@@ -13,7 +13,8 @@
 /// Crashes that convict a request that no target had begun to answer lately. A single crash convicts
 /// none: targets also crash for other reasons, and sound requests are in flight there.
 const NEW_REQUEST_CRASHES: usize = 2;
-/// Crashes that convict a request that a target had begun to answer shortly before.
+/// Crashes that convict a request that a target had answered shortly before, and one of several that targets
+/// had begun to answer and that share all their crashes.
 const KNOWN_REQUEST_CRASHES: usize = 3;
 
 /// Mark of the request of `workspace` with `method`, `path`, which includes the query, and `body`.
@@ -46,6 +47,8 @@
     evidence: usize,
     /// Whether the request was answered shortly before one of them.
     is_known: bool,
+    /// Crashes of targets that had begun to answer it.
+    begun: usize,
 }
 
 impl SuspectRow {
@@ -57,6 +60,12 @@
         };
         self.evidence >= needed
     }
+
+    /// Whether the request may as well be one that the crashes cut: others share them all.
+    fn is_ambiguous(&self, rivals: usize) -> bool {
+        let has_begun = self.begun == self.crashes.len();
+        rivals > 0 && has_begun && self.evidence < KNOWN_REQUEST_CRASHES
+    }
 }
 
 impl ConvictionPolicy for RequestConviction {
@@ -73,6 +82,9 @@
             let is_rival =
                 |it: &(&PartId, &SuspectRow)| it.0 != mark && row.crashes.is_subset(&it.1.crashes);
             let rivals = rows.iter().filter(is_rival);
+            if row.is_ambiguous(rivals.clone().count()) {
+                return None;
+            }
             refused.rivals = rivals.map(|(mark, _)| BTreeSet::from([*mark])).collect();
             if !refused.rivals.is_empty() {
                 // Only one of them need be the cause; the other is cleared by its trial.
@@ -96,7 +108,9 @@
     for (index, crash) in event.crashes.iter().enumerate() {
         for mark in crash.parts().difference(&crash.cleared) {
             seen.entry(*mark).or_default().insert(first + index);
-            rows.entry(*mark).or_default().is_known |= crash.trusted.contains(mark);
+            let row = rows.entry(*mark).or_default();
+            row.is_known |= crash.trusted.contains(mark);
+            row.begun += usize::from(crash.begun.contains(mark));
         }
     }
     for (mark, crashes) in seen {
--- a/crates/fleet/src/gateway/quarantine/table.rs
+++ b/crates/fleet/src/gateway/quarantine/table.rs
@@ -130,10 +130,33 @@
         parts: &[PartId],
         now: Instant,
     ) -> bool {
+        self.record_suspect(
+            target,
+            SuspectSet::new(workspace.cloned(), parts),
+            false,
+            now,
+        )
+    }
+
+    /// Records that `target` crashed at `now` before it had answered `suspect`; it may have begun to. Returns
+    /// whether that is news.
+    pub(super) fn record_suspect(
+        &self,
+        target: &TargetId,
+        suspect: SuspectSet,
+        has_begun: bool,
+        now: Instant,
+    ) -> bool {
+        let begun = if has_begun {
+            suspect.parts.clone()
+        } else {
+            BTreeSet::new()
+        };
         let report = CrashReport {
             target: target.clone(),
             age: MilliSpan::default(),
-            suspects: vec![SuspectSet::new(workspace.cloned(), parts)],
+            suspects: vec![suspect],
+            begun,
             trusted: BTreeSet::new(),
             cleared: BTreeSet::new(),
         };
@@ -376,6 +399,7 @@
             let content = (
                 &crash.target,
                 &crash.suspects,
+                &crash.begun,
                 &crash.trusted,
                 &crash.cleared,
             );
--- a/crates/fleet/tests/it/gateway/quarantined_requests.rs
+++ b/crates/fleet/tests/it/gateway/quarantined_requests.rs
@@ -47,6 +47,20 @@
     }
 
     fn answer(&self, request: u64) {
+        let workspace = workspace();
+        let marks = marks(&workspace, request);
+        self.quarantine.record_answered(&marks, self.now);
+    }
+
+    fn crash_in_answer(&self, target: &str, request: u64) {
+        let target: TargetId = target.parse().expect("target");
+        let workspace = workspace();
+        let marks = marks(&workspace, request);
+        self.quarantine
+            .record_crash_in_answer(&target, &marks, self.now);
+    }
+
+    fn begin(&self, request: u64) {
         let workspace = workspace();
         let marks = marks(&workspace, request);
         self.quarantine.record_begun(&marks, self.now);
@@ -78,6 +92,56 @@
     assert_eq!(calls.check(2), PartVerdict::Allowed);
 }
 
+// Streams that were cut twice together are refused once a third crash tells which of them it is.
+#[test]
+fn check_request_begun_rivals() {
+    let mut calls = TestCalls::new();
+    for target in ["i-1", "i-2"] {
+        calls.crash_in_answer(target, 1);
+        calls.crash_in_answer(target, 2);
+        calls.pass(Duration::from_secs(1));
+    }
+    assert_eq!(calls.check(1), PartVerdict::Allowed);
+    assert_eq!(calls.check(2), PartVerdict::Allowed);
+    calls.answer(2);
+    calls.crash_in_answer("i-3", 1);
+    assert!(matches!(calls.check(1), PartVerdict::Refused(_)));
+    assert_eq!(calls.check(2), PartVerdict::Allowed);
+}
+
+// Guards against BUDGET: the first event of a stream cleared a request that crashes targets after it.
+#[test]
+fn check_request_of_two_crashes_begun_between() {
+    let mut calls = TestCalls::new();
+    calls.begin(1);
+    calls.crash_in_answer("i-1", 1);
+    calls.pass(Duration::from_millis(60));
+    calls.begin(1);
+    calls.crash_in_answer("i-2", 1);
+    assert_eq!(calls.check(1), PartVerdict::Refused(TRIAL_DELAY));
+    calls.pass(Duration::from_millis(60));
+    calls.answer(1);
+    assert_eq!(calls.check(1), PartVerdict::Allowed);
+}
+
+// All that a target runs and has queued is suspected, not the first few.
+#[test]
+fn check_request_among_many_suspects() {
+    let mut calls = TestCalls::new();
+    for target in ["i-1", "i-2"] {
+        for request in 2..34 {
+            calls.crash(target, request);
+        }
+        calls.crash(target, 1);
+        calls.pass(Duration::from_secs(3));
+        for request in 2..34 {
+            calls.answer(request);
+        }
+    }
+    assert!(matches!(calls.check(1), PartVerdict::Refused(_)));
+    assert_eq!(calls.check(2), PartVerdict::Allowed);
+}
+
 // Two reports of one crash are one crash.
 #[test]
 fn check_request_of_one_crash_told_twice() {
--- a/crates/standins/src/site/target.rs
+++ b/crates/standins/src/site/target.rs
@@ -107,8 +107,10 @@
     arrivals: Vec<SiteArrival>,
     /// Part of a prompt on which the target crashes; empty for none.
     deadly_part: CompactString,
-    /// Path and query of requests on which the target crashes without an answer; empty for none.
+    /// Path and query of requests on which the target crashes; empty for none.
     deadly_path: CompactString,
+    /// Time after which it crashes on such a request while it answers; `None` if it doesn't answer.
+    deadly_after: Option<Duration>,
     /// Pause of streams, if any.
     pause: Option<StreamPause>,
     /// Path and query of requests whose answers begin late, and by how much.
@@ -144,6 +146,7 @@
             arrivals: Vec::new(),
             deadly_part: CompactString::default(),
             deadly_path: CompactString::default(),
+            deadly_after: None,
             pause: None,
             late_head: None,
             crashes: 0,
@@ -178,6 +181,11 @@
         lock(&self.world).deadly_path = path.into();
     }
 
+    /// Lets the target answer requests on the deadly path and crash `time` after their arrival.
+    pub fn set_deadly_after(&self, time: Duration) {
+        lock(&self.world).deadly_after = Some(time);
+    }
+
     /// Sets a pause of later streams.
     pub fn set_pause(&self, pause: StreamPause) {
         lock(&self.world).pause = Some(pause);
@@ -235,6 +243,11 @@
         !world.deadly_path.is_empty() && path == world.deadly_path
     }
 
+    /// Whether the request `line` gets no answer, as the target crashes on it.
+    fn is_unanswered(&self, line: &str) -> bool {
+        self.has_deadly_path(line) && lock(&self.world).deadly_after.is_none()
+    }
+
     /// Serves until the target crashes.
     async fn serve_until_crash(&self, listener: TcpListener) {
         let handler = Arc::new(SiteTargetHandler {
@@ -309,7 +322,8 @@
         }
         let last_event = run.header("last-event-id").and_then(|id| id.parse().ok());
         let body = run.body.clone();
-        if self.begin_run(run) {
+        let answers_deadly = lock(&self.world).deadly_after.is_some();
+        if self.begin_run(run) && !answers_deadly {
             return Ok(self.with_server_headers(stalled_stream_reply(0, 0), &request));
         }
         let answer = match behaviour {
@@ -346,11 +360,12 @@
             world.deadly_runs.push(run.clone());
         }
         world.runs.push(run);
+        let delay = world.deadly_after.unwrap_or(CRASH_DELAY);
         drop(world);
         if is_deadly {
             let target = self.clone();
             tokio::spawn(async move {
-                sleep(CRASH_DELAY).await;
+                sleep(delay).await;
                 target.crash();
             });
         }
@@ -393,7 +408,7 @@
     fn handle(self: Arc<Self>, call: Call) -> ReplyFuture {
         Box::pin(async move {
             let is_hanging = lock(&self.target.world).behaviour == TargetBehaviour::Hang
-                || self.target.has_deadly_path(&call.request_line());
+                || self.target.is_unanswered(&call.request_line());
             let answer = self.target.answer(&call);
             sleep(self.target.head_delay(&call.request_line())).await;
             if is_hanging {
