Stand-in targets keep their port while they are down

What was seen: stops::run_stop_requests_in_each_tenth failed once in a gateway suite, with 22 arrivals at its targets for 6 requests of its own, beside two review cases and a release build; not again in 14 runs alone and 3 whole suites.

Cause, inferred: a stand-in target that crashes gave its port back for 300 ms. Another test's target, with the same name i-1, could get it, and with it the requests for the crashed one. All tests of a suite share the machine's ports.

Evidence: crash_keeps_port binds the port of a crashed target; it succeeded before.

Change: a target on a free port reserves it for its life.

--- a/crates/standins/src/site/target.rs
+++ b/crates/standins/src/site/target.rs
@@ -22,6 +22,7 @@
     bind, bytes_reply, empty_reply, serve, stream_reply,
 };
 use crate::lock::lock;
+use crate::reserved::ReservedPort;
 use crate::running::{RunningStandin, Standin};
 
 /// How a target answers requests.
@@ -383,10 +384,20 @@
 
 impl Standin for SiteTarget {
     fn start(&self, listen: SocketAddr) -> Result<RunningStandin> {
+        // Another server must not get the port while the target is down, with requests for this one.
+        let reserved = if listen.port() == 0 {
+            Some(ReservedPort::new(&[listen.ip()])?)
+        } else {
+            None
+        };
+        let listen = reserved
+            .as_ref()
+            .map_or(listen, |port| port.address(listen.ip()));
         let (listener, address) = bind(listen)?;
         let target = self.clone();
         let running = RunningStandin::new().with_address(address);
         Ok(running.with_task(async move {
+            let _reserved = reserved;
             let mut listener = Some(listener);
             loop {
                 if let Some(listener) = listener.take() {
--- a/crates/standins/tests/it/main.rs
+++ b/crates/standins/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod plain;
 mod proxy;
 mod reserved;
+mod site;
 mod store;
 mod vms;
 mod weights;
