Gateways tell peers no more of the registry than what they act on

Cause: a gateway back from a cut keeps missing entries for 2 s, as they may return, but told peers that it knew the registry as of its read. They believed it and skipped their own. The property test found a second way: a target that came and went between two listings of the teller is in no change.

Change: while entries are missing, the revision and time told to peers stay as they were, later changes are told beside them, and peers are asked from there.

Why it works: a peer skips its read only if it uses the same targets as a gateway that misses none.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::operators::{EvacuatedDomains, StoredConfig};
-use super::peers::PeerRegistry;
+use super::peers::{PeerRegistry, RegistryKnowledge};
 use super::shared::GatewayShared;
 use crate::runtime::StopPhase;
 use crate::telemetry::{EventLog, NodeEvent, set_admission, set_demand_share, set_held_parts};
@@ -215,7 +215,7 @@
 
     fn publish(&mut self) {
         self.peer_registry
-            .set_registry(self.world.registry_as_of(), self.world.registry_log());
+            .set_registry(RegistryKnowledge::new(&self.world));
         if self.world.is_changed {
             let previous = self.world.snapshot_gateway_count();
             let snapshot = Arc::new(self.world.snapshot(Instant::now()));
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use amaranthgw_core::{ConfigVersion, StoreRevision, VmId};
-use amaranthgw_fleet::gateway::{CallNews, CallQuarantine, PEER_TIMEOUT, RegistryLog};
+use amaranthgw_fleet::gateway::{
+    CallNews, CallQuarantine, GatewayWorld, PEER_TIMEOUT, RegistryLog,
+};
 use amaranthgw_net::{DialSettings, PooledClient};
 use bytes::Bytes;
 use serde_json::Value;
@@ -23,6 +25,28 @@
     asked_at: Option<Instant>,
 }
 
+/// What a gateway knows of the registry, as it tells peers and asks them.
+#[derive(Debug, Default)]
+pub(super) struct RegistryKnowledge {
+    /// Revision as of which the registry is in force.
+    as_of: StoreRevision,
+    /// Revision after which peers are asked for changes.
+    asked_after: StoreRevision,
+    /// Recent changes, and when `as_of` was last known to be the current revision.
+    told: Option<(Arc<RegistryLog>, Instant)>,
+}
+
+impl RegistryKnowledge {
+    /// Creates what `world` knows.
+    pub(super) fn new(world: &GatewayWorld) -> Self {
+        Self {
+            as_of: world.registry_as_of(),
+            asked_after: world.registry_asked_after(),
+            told: world.registry_log(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct SharedState {
     version: ConfigVersion,
@@ -30,9 +54,7 @@
     /// Whether this or an earlier configuration had workspaces.
     requires_keys: bool,
     evacuated: EvacuatedDomains,
-    registry_as_of: StoreRevision,
-    /// Recent changes of the registry, and when it was last known to be current.
-    registry: Option<(Arc<RegistryLog>, Instant)>,
+    registry: RegistryKnowledge,
     peers: HashMap<SocketAddr, PeerRow>,
 }
 
@@ -70,8 +92,7 @@
                 config: Vec::new(),
                 requires_keys: false,
                 evacuated: EvacuatedDomains::default(),
-                registry_as_of: StoreRevision::default(),
-                registry: None,
+                registry: RegistryKnowledge::default(),
                 peers: HashMap::new(),
             }),
         }
@@ -95,16 +116,9 @@
         self.state().evacuated.clone_from(evacuated);
     }
 
-    /// Sets what is known of the registry: the revision, the recent changes, and when that was last
-    /// known to be the current revision.
-    pub(super) fn set_registry(
-        &self,
-        as_of: StoreRevision,
-        registry: Option<(Arc<RegistryLog>, Instant)>,
-    ) {
-        let mut state = self.state();
-        state.registry_as_of = as_of;
-        state.registry = registry;
+    /// Sets what is known of the registry.
+    pub(super) fn set_registry(&self, registry: RegistryKnowledge) {
+        self.state().registry = registry;
     }
 
     /// Address at which peers reach this gateway.
@@ -114,10 +128,9 @@
 
     /// When the registry was last known to be current; `None` before the first listing.
     pub(super) fn registry_known_at(&self) -> Option<Instant> {
-        self.state()
-            .registry
-            .as_ref()
-            .map(|(_log, known_at)| *known_at)
+        let state = self.state();
+        let told = state.registry.told.as_ref();
+        told.map(|(_log, known_at)| *known_at)
     }
 
     /// Client of the peer at `address`.
@@ -199,7 +212,7 @@
             vm: self.vm.clone(),
             address: self.address,
             version: state.version,
-            registry: state.registry_as_of,
+            registry: state.registry.asked_after,
             quarantine: quarantine.digest(),
             crashes,
             demand,
@@ -216,8 +229,9 @@
         demand: Option<Value>,
     ) -> GossipReply {
         let state = self.state();
-        let registry = state.registry.as_ref().map(|(log, known_at)| {
-            log.news_after(query.registry, state.registry_as_of, known_at.elapsed())
+        let told = state.registry.told.as_ref();
+        let registry = told.map(|(log, known_at)| {
+            log.news_after(query.registry, state.registry.as_of, known_at.elapsed())
         });
         GossipReply {
             registry,
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -9,8 +9,8 @@
 use tokio::time::Instant;
 
 use super::{
-    GatewayWorld, GroupGauge, LeavingMark, LeavingNotice, RegistryChange, RegistryLog,
-    RegistryNews, TargetGauge, TargetRecord,
+    GatewayWorld, GroupGauge, LeavingMark, LeavingNotice, RegistryChange, RegistryDigest,
+    RegistryLog, RegistryNews, TargetGauge, TargetRecord,
 };
 
 /// Shortest time without knowledge of the registry in which entries of live targets can expire: an
@@ -95,6 +95,14 @@
     Gone(TargetId),
 }
 
+/// A revision up to which all changes of the registry are known, and when it was last known to be the current
+/// one.
+#[derive(Clone, Copy, Debug)]
+struct KnownRevision {
+    as_of: StoreRevision,
+    known_at: Instant,
+}
+
 /// How far and since when the registry is known.
 #[derive(Debug, Default)]
 pub(super) struct RegistryView {
@@ -102,6 +110,9 @@
     as_of: StoreRevision,
     /// When that was last known to be the current revision; `None` before the first listing.
     known_at: Option<Instant>,
+    /// The same when all that was known was last in force; later unless entries are missing. Peers are told
+    /// of no more, as they would take a missing entry for one that is still there.
+    in_force: Option<KnownRevision>,
     /// Whether the last call failed.
     is_failing: bool,
     /// Time until which entries that expired in the last outage may return.
@@ -134,18 +145,54 @@
         self.registry.is_failing = true;
     }
 
-    /// Revision up to which the registry is known.
+    /// Revision after which a peer is asked for changes.
+    #[must_use]
+    pub fn registry_asked_after(&self) -> StoreRevision {
+        if self.has_missing() {
+            // A peer that wasn't cut off knows which entries are gone.
+            self.registry_as_of()
+        } else {
+            self.registry.as_of
+        }
+    }
+
+    /// Revision up to which all changes of the registry are in force, as told to peers.
     #[must_use]
     pub fn registry_as_of(&self) -> StoreRevision {
-        self.registry.as_of
+        let in_force = self.registry.in_force;
+        in_force.map_or_else(StoreRevision::default, |known| known.as_of)
     }
 
-    /// Changes for peers, and when the registry was last known to be current; `None` before the
-    /// first listing.
+    /// Changes for peers, and when the registry was last known to be as of [`Self::registry_as_of`]; `None`
+    /// before the first listing.
     #[must_use]
     pub fn registry_log(&self) -> Option<(Arc<RegistryLog>, Instant)> {
-        let known_at = self.registry.known_at?;
-        Some((Arc::clone(&self.registry.log), known_at))
+        let in_force = self.registry.in_force?;
+        Some((Arc::clone(&self.registry.log), in_force.known_at))
+    }
+
+    /// Whether entries are missing that may return.
+    fn has_missing(&self) -> bool {
+        self.targets.rows().any(|row| row.missing_until.is_some())
+    }
+
+    /// Digest of all targets.
+    fn digest(&self) -> RegistryDigest {
+        self.targets.ids().collect()
+    }
+
+    /// Records that all that is known of the registry is in force, unless entries are missing.
+    fn note_in_force(&mut self) {
+        if self.has_missing() {
+            return;
+        }
+        let as_of = self.registry.as_of;
+        let known_at = self.registry.known_at;
+        self.registry.in_force = known_at.map(|known_at| KnownRevision { as_of, known_at });
+        let digest = self.digest();
+        if self.registry.log.digest() != digest {
+            self.registry_log_mut().set_digest(digest);
+        }
     }
 
     /// Applies a listing that arrived at `now`, except what is older than what is known; returns the
@@ -177,6 +224,7 @@
         if !std::mem::replace(&mut self.is_registry_known, true) {
             self.registry.log = Arc::new(RegistryLog::new(as_of));
         }
+        self.note_in_force();
         self.take_transitions()
     }
 
@@ -196,13 +244,17 @@
         }
         self.adopt_leavers(news.leavers, now);
         let is_complete = news.after <= self.registry.as_of && news.as_of >= self.registry.as_of;
-        if is_complete {
+        let is_same = news.digest.is_none_or(|digest| digest == self.digest());
+        if is_complete && is_same {
             self.registry.as_of = news.as_of;
             // The peer's answer is no older than the question; one of an unknown age tells nothing.
             let age = news.age.map(MilliSpan::duration);
             if let Some(known_at) = age.and_then(|age| asked_at.checked_sub(age)) {
                 self.record_listed(known_at);
             }
+            if news.digest.is_some() {
+                self.note_in_force();
+            }
         }
         self.take_transitions()
     }
@@ -230,6 +282,7 @@
         for target in expired {
             self.remove_target(target, self.registry.as_of, now);
         }
+        self.note_in_force();
     }
 
     /// Takes targets that said in an answer that they are leaving out of service, and tells peers of them.
--- a/crates/fleet/src/gateway/registry_log.rs
+++ b/crates/fleet/src/gateway/registry_log.rs
@@ -1,6 +1,14 @@
 //! Recent changes of the registry, which gateways tell each other.
+//!
+//! A gateway tells no more than what it acts on: once a peer that knew the registry as of
+//! [`RegistryNews::after`] has applied the changes, it uses no target that the registry no longer had as of
+//! [`RegistryNews::as_of`]. A peer relies on that and doesn't read the registry itself. The changes alone don't
+//! hold it: they are found by comparing listings, so that a target that came and went between two of them is
+//! in none. A peer therefore relies on news only if it ends up with the same targets, by
+//! [`RegistryNews::digest`].
 
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use amaranthgw_core::{MilliSpan, StoreRevision, TargetId};
@@ -33,6 +41,22 @@
     pub heartbeat: HeartbeatMark,
 }
 
+/// Digest of the names of all targets of the registry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RegistryDigest(u64);
+
+impl<'a> FromIterator<&'a TargetId> for RegistryDigest {
+    fn from_iter<T: IntoIterator<Item = &'a TargetId>>(iter: T) -> Self {
+        let digests = iter.into_iter().map(|target| {
+            let mut hasher = DefaultHasher::new();
+            target.hash(&mut hasher);
+            hasher.finish()
+        });
+        Self(digests.fold(0, u64::wrapping_add))
+    }
+}
+
 /// What a gateway tells a peer about the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegistryNews {
@@ -42,8 +66,11 @@
     pub as_of: StoreRevision,
     /// Time since the registry was known to have that revision; `None` if it has a later one.
     pub age: Option<MilliSpan>,
-    /// The changes, oldest first.
+    /// The changes, oldest first, and later ones as far as they are known.
     pub changes: Vec<RegistryChange>,
+    /// Digest of all targets as of `as_of`; `None` if the changes end earlier.
+    #[serde(default)]
+    pub digest: Option<RegistryDigest>,
     /// Targets that have lately said that they are leaving, whatever their registration.
     #[serde(default)]
     pub leavers: Vec<LeavingNotice>,
@@ -56,6 +83,8 @@
     complete_after: StoreRevision,
     changes: VecDeque<RegistryChange>,
     leavers: Vec<LeavingNotice>,
+    /// Digest of all targets in force.
+    digest: RegistryDigest,
 }
 
 impl RegistryLog {
@@ -66,9 +95,20 @@
             complete_after: revision,
             changes: VecDeque::new(),
             leavers: Vec::new(),
+            digest: RegistryDigest::default(),
         }
     }
 
+    /// Digest of all targets that were in force when it was last set.
+    pub(super) const fn digest(&self) -> RegistryDigest {
+        self.digest
+    }
+
+    /// Sets the digest of all targets in force.
+    pub(super) fn set_digest(&mut self, digest: RegistryDigest) {
+        self.digest = digest;
+    }
+
     /// Targets that have lately said that they are leaving.
     pub(super) fn leavers(&self) -> &[LeavingNotice] {
         &self.leavers
@@ -113,15 +153,16 @@
     ) -> RegistryNews {
         let newer = || self.changes.iter().filter(|it| it.revision > known);
         // Changes of one revision stay together, as the peer asks for what comes after it.
-        let last = newer().nth(MAX_NEWS - 1);
-        let up_to = last.map_or(as_of, |last| as_of.min(last.revision));
-        let changes = newer().take_while(|it| it.revision <= up_to);
+        let last = newer().nth(MAX_NEWS - 1).map(|last| last.revision);
+        let up_to = last.map_or(as_of, |last| as_of.min(last));
+        let changes = newer().take_while(|it| last.is_none_or(|last| it.revision <= last));
         let changes = changes.cloned().collect();
         RegistryNews {
             after: self.complete_after.max(known),
             as_of: up_to,
             age: (up_to == as_of).then(|| MilliSpan::from_duration(age)),
             changes,
+            digest: (up_to == as_of).then_some(self.digest),
             leavers: self.leavers.clone(),
         }
     }
--- a/crates/fleet/tests/it/gateway/mod.rs
+++ b/crates/fleet/tests/it/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod quarantined_requests;
 mod registry;
+mod registry_news;
 mod roster;
 mod routes;
 mod shared_read;
