--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -146,7 +146,7 @@
             silent: HashSet::new(),
             awaiting_reply: HashSet::new(),
             plan_deadline: None,
-            known_revision: StoreRevision::new(held.fence.get()),
+            known_revision: held.written,
             known_map: None,
             loads: GatheredLoads::default(),
             started: None,
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{FencingNumber, GroupId, LeaseId, MilliSpan, RankId, VmId};
+use amaranthgw_core::{FencingNumber, GroupId, LeaseId, MilliSpan, RankId, StoreRevision, VmId};
 use amaranthgw_groups::rebalance::CoordinatorMark;
 use amaranthgw_platform::PlatformError;
 use amaranthgw_platform::rank::RankReport;
@@ -58,10 +58,22 @@
     pub(super) fence: FencingNumber,
     /// Id of the lease in the store.
     pub(super) lease: LeaseId,
+    /// Revision of its key.
+    pub(super) written: StoreRevision,
     /// Time until which the lease is certainly held.
     pub(super) expires_at: Instant,
 }
 
+/// Fencing token of the lease whose key was written at `written`: above those of earlier revisions, and of
+/// all revisions of earlier eras.
+fn fencing_number(written: StoreRevision) -> FencingNumber {
+    /// Bits of the revision's number. Versions of maps begin at a multiple of the token, and have to stay
+    /// exact as a JSON number.
+    const NUMBER_BITS: u32 = 32;
+    let of_era = written.era().get() << NUMBER_BITS;
+    FencingNumber::new(of_era.saturating_add(written.get()))
+}
+
 impl LeaseElection {
     /// Waits until this agent holds the lease of its group, and returns it.
     pub(super) async fn acquire(&self) -> HeldLease {
@@ -116,7 +128,7 @@
             Err(PlatformError::Conflict) => return Ok(None),
             Err(error) => return Err(error),
         };
-        let fence = FencingNumber::new(revision.get());
+        let fence = fencing_number(revision);
         let previous = self.direct_predecessor(&key).await;
         self.log.record(NodeEvent::LeaseWon {
             group: group.clone(),
@@ -128,6 +140,7 @@
             rank,
             previous,
             fence,
+            written: revision,
             lease: granted.lease,
             expires_at: requested_at + granted.ttl.duration(),
         }))
@@ -163,6 +176,9 @@
             }
             let renewed = self.store.renew(held.lease, self.ttl.duration() / 2).await;
             count_store_call("renew_lease", &renewed);
+            if self.is_of_earlier_era(held) {
+                break "store_returned";
+            }
             match renewed {
                 Ok(renewed) => {
                     expires_at.send_replace(requested_at + renewed.ttl.duration());
@@ -179,9 +195,18 @@
         });
     }
 
+    /// Whether the store has come back from an older copy since the lease was granted. The copy may lack the
+    /// lease, or have given its id to another.
+    fn is_of_earlier_era(&self, held: &HeldLease) -> bool {
+        self.store.known_era() > held.written.era()
+    }
+
     /// Releases the lease, so that another agent can acquire it at once.
-    pub(super) async fn release(&self, lease: LeaseId) {
-        let ended = self.store.end(lease, STORE_TIMEOUT).await;
+    pub(super) async fn release(&self, held: &HeldLease) {
+        if self.is_of_earlier_era(held) {
+            return;
+        }
+        let ended = self.store.end(held.lease, STORE_TIMEOUT).await;
         // If this fails, the lease expires by itself.
         count_store_call("end_lease", &ended);
     }
--- a/crates/amaranthgw/src/agent/process.rs
+++ b/crates/amaranthgw/src/agent/process.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use amaranthgw_fleet::settings::AgentSettings;
-use amaranthgw_platform::store::PlatformStore;
+use amaranthgw_platform::store::{KnownEra, PlatformStore};
 use tokio::sync::watch;
 
 use super::coordinator::GroupCoordinator;
@@ -99,7 +99,9 @@
     log: &EventLog,
     stop: &StopSignal,
 ) {
-    let store = Arc::new(PlatformStore::new(settings.store));
+    let era = Arc::new(KnownEra::default());
+    let client = || PlatformStore::new(settings.store).with_known_era(Arc::clone(&era));
+    let store = Arc::new(client());
     let election = LeaseElection {
         store: Arc::clone(&store),
         rank: Arc::clone(&rank),
@@ -118,17 +120,17 @@
         let service = settings.service.clone();
         let roster = RankRoster::new(service.clone(), Arc::clone(&relay), Arc::clone(&rank));
         // A separate client, so that lease renewals never queue behind the coordinator's reads.
-        let reads = Arc::new(PlatformStore::new(settings.store));
+        let reads = Arc::new(client());
         let coordinator =
             GroupCoordinator::new(&held, reads, service, roster, end_receiver, log.clone());
         tokio::select! {
             () = coordinator.run() => {}
             () = election.renew_until_lost(&held, &lease_end) => continue,
             () = stop.reached(StopPhase::Announcing) => {
-                election.release(held.lease).await;
+                election.release(&held).await;
                 return;
             }
         }
-        election.release(held.lease).await;
+        election.release(&held).await;
     }
 }
--- a/crates/amaranthgw/src/gateway/operators.rs
+++ b/crates/amaranthgw/src/gateway/operators.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{DomainId, LeaseId, StoreRevision};
+use amaranthgw_core::{DomainId, LeaseId, StoreEra, StoreRevision};
 use amaranthgw_fleet::gateway::RouteTable;
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::store::{
@@ -139,6 +139,7 @@
         shared,
         control,
         log,
+        era: None,
         evacuated: BTreeSet::new(),
         key_mark: KeyMark::Unknown,
         requires_keys: false,
@@ -170,6 +171,8 @@
     shared: Arc<GatewayShared>,
     control: ActorRef<ControlMessage>,
     log: EventLog,
+    /// Era of the last listing.
+    era: Option<StoreEra>,
     evacuated: BTreeSet<DomainId>,
     key_mark: KeyMark,
     /// Whether a configuration that was read here has workspaces.
@@ -199,6 +202,7 @@
         count_store_call("list_operators", &listed);
         let listed = listed?;
         self.record_success();
+        self.note_era(listed.as_of).await?;
         self.evacuated.clear();
         for item in listed.items {
             self.apply(item);
@@ -212,6 +216,18 @@
         }
     }
 
+    /// Notes the era of a listing. In a later one than before, the store has come back from an older copy,
+    /// which may lack the mark.
+    async fn note_era(&mut self, as_of: StoreRevision) -> Result<()> {
+        let previous = self.era.replace(as_of.era());
+        if previous.is_none_or(|previous| previous >= as_of.era()) {
+            return Ok(());
+        }
+        self.log.record(NodeEvent::StoreReturned { as_of });
+        self.key_mark = KeyMark::Unknown;
+        self.read_key_mark().await
+    }
+
     /// Reads once whether an earlier configuration had workspaces.
     async fn read_key_mark(&mut self) -> Result<()> {
         if self.key_mark != KeyMark::Unknown {
--- a/crates/amaranthgw/src/gateway/process.rs
+++ b/crates/amaranthgw/src/gateway/process.rs
@@ -13,7 +13,7 @@
 };
 use amaranthgw_fleet::settings::GatewaySettings;
 use amaranthgw_net::ConnectionPool;
-use amaranthgw_platform::store::PlatformStore;
+use amaranthgw_platform::store::{KnownEra, PlatformStore};
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
 use tokio::sync::{Notify, watch};
@@ -232,7 +232,11 @@
         ..
     } = link;
     // Each feed has its own client, so that none waits for another's connection.
-    let store = || Arc::new(PlatformStore::new(settings.store));
+    let era = Arc::new(KnownEra::default());
+    let store = || {
+        let store = PlatformStore::new(settings.store);
+        Arc::new(store.with_known_era(Arc::clone(&era)))
+    };
     let (shared, control) = (Arc::clone(shared), control.clone());
     let (operators, check) =
         operator_feed(store(), Arc::clone(&shared), control.clone(), log.clone());
--- a/crates/amaranthgw/src/telemetry/event.rs
+++ b/crates/amaranthgw/src/telemetry/event.rs
@@ -68,6 +68,11 @@
         /// Error of the accept call.
         reason: CompactString,
     }
+    /// The key-value service has come back from an older copy of itself and has lost recent writes.
+    1108 Warning StoreReturned "key-value service returned from an older copy" {
+        /// Revision of the first listing after that, with its era.
+        as_of: StoreRevision,
+    }
     /// The entry published a new set of routes.
     1201 Debug RoutesPublished "routes published" {
         /// Change in force.
--- a/crates/amaranthgw/tests/it/agents.rs
+++ b/crates/amaranthgw/tests/it/agents.rs
@@ -199,6 +199,29 @@
     group.check_steps().await;
 }
 
+// Guards against MAP: revisions that went back gave a later coordinator a lower token than its predecessor's.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_store_returned_from_copy() {
+    let group = TestGroup::start(80);
+    let copy = group.store.copy();
+    // The token of the first coordinator is far above what the copy gives out again.
+    for number in 0..300 {
+        group.store.put("other/key", &json!(number));
+    }
+    group.trigger_switch(0).await;
+    let before: Vec<_> = (0..3).map(|rank| group.event_count(rank, "g-1")).collect();
+    group.store.return_from(copy);
+    let is_lost = || async {
+        let lost = (0..3).any(|rank| group.event_count(rank, "store_returned") > 0);
+        lost.then_some(())
+    };
+    eventually("the end of the lease", is_lost).await;
+    group.trigger_switch(7).await;
+    let after: Vec<_> = (0..3).map(|rank| group.event_count(rank, "g-1")).collect();
+    assert!(before < after, "{before:?}, {after:?}");
+    group.check_steps().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_orders_unanswered() {
     let group = TestGroup::start(73);
--- a/crates/amaranthgw/tests/it/gateway/mod.rs
+++ b/crates/amaranthgw/tests/it/gateway/mod.rs
@@ -24,5 +24,6 @@
 mod silent_streams;
 mod slow_readers;
 mod stops;
+mod store_return;
 mod streams;
 mod unreached;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod numbers;
 mod parse;
 mod rates;
+mod revision;
 mod shares;
 mod sizes;
 mod spans;
@@ -21,10 +22,11 @@
 pub use numbers::{
     AttemptNumber, CallUrgency, ChangeNumber, ChunkSequence, ConfigVersion, ExpertId,
     FencingNumber, GroupGeneration, HeartbeatNumber, LayerId, LeaseId, MapVersion, PartId,
-    PriorityLevel, RankId, StartMark, StepNumber, StoreRevision, WaiterNumber, saturating_whole,
+    PriorityLevel, RankId, StartMark, StepNumber, WaiterNumber, saturating_whole,
 };
 pub use parse::{ParseError, Result};
 pub use rates::{ByteRate, RequestRate, TokenRate};
+pub use revision::{StoreEra, StoreRevision};
 pub use shares::DemandShare;
 pub use sizes::{ByteCount, DemandRate, DemandWork, SlotCount, TokenCount};
 pub use spans::MilliSpan;
--- a/crates/core/src/numbers.rs
+++ b/crates/core/src/numbers.rs
@@ -3,10 +3,6 @@
 use crate::macros::{number_type, serde_as_text, value_type};
 use crate::parse::{ParseError, Result};
 
-number_type!(
-    /// Revision that the key-value service assigns to a value at each write.
-    StoreRevision, u64
-);
 number_type!(
     /// Number of a change in the configuration log, starting at 1.
     ChangeNumber, u64
--- a/crates/core/tests/it/parse.rs
+++ b/crates/core/tests/it/parse.rs
@@ -1,4 +1,6 @@
-use amaranthgw_core::{DemandShare, MapVersion, MilliSpan, PartId, RequestRate, VmId};
+use amaranthgw_core::{
+    DemandShare, MapVersion, MilliSpan, PartId, RequestRate, StoreEra, StoreRevision, VmId,
+};
 use yare::parameterized;
 
 #[parameterized(
@@ -113,3 +115,36 @@
     let error = text.parse::<DemandShare>().expect_err("invalid share");
     assert!(error.to_string().contains("DemandShare"), "{error}");
 }
+
+#[parameterized(
+    first_era = { "57", StoreRevision::new(57) },
+    later_era = { "3-57", StoreRevision::in_era(StoreEra::new(3), 57) },
+)]
+fn parse_revision(text: &str, revision: StoreRevision) {
+    assert_eq!(text.parse(), Ok(revision));
+    assert_eq!(revision.to_string(), text);
+    let json = serde_json::to_string(&revision).expect("serialises");
+    assert_eq!(
+        serde_json::from_str::<StoreRevision>(&json).ok(),
+        Some(revision)
+    );
+}
+
+#[parameterized(
+    empty = { "" },
+    no_number = { "3-" },
+    no_era = { "-57" },
+    negative = { "3--57" },
+)]
+fn parse_revision_rejected(text: &str) {
+    text.parse::<StoreRevision>().expect_err("invalid revision");
+}
+
+// Numbers go back when the store returns from a copy; the order of revisions doesn't.
+#[test]
+fn revision_of_later_era_is_later() {
+    let earlier = StoreRevision::new(1_000);
+    let later = StoreRevision::in_era(StoreEra::new(1), 700);
+    assert!(later > earlier);
+    assert!(later.next() > later);
+}
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod demand;
 mod departed;
 mod document;
+mod evacuation;
 mod events;
 mod groups;
 mod heartbeat;
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -206,6 +206,10 @@
         self.registry
             .record_known(listing.asked_at, self.bounds.return_time);
         self.registry.is_failing = false;
+        if self.is_registry_known && as_of.era() > self.registry.as_of.era() {
+            // The copy lacks entries that live targets write again.
+            self.registry.returns_until = Some(now + self.bounds.return_time);
+        }
         let entries = self.without_outdated(listing.entries);
         let holders = self.newest_by_address(entries);
         for entry in holders.values() {
--- a/crates/fleet/src/gateway/systems.rs
+++ b/crates/fleet/src/gateway/systems.rs
@@ -17,6 +17,7 @@
         .with_system(ForgetPeers)
         .with_system(NoteLeaving)
         .with_system(ExpireMissing)
+        .with_system(ExpireEvacuations)
         .with_system(ForgetDeparted)
         .with_system(ShareBounds)
         .with_system(DivideRoom)
@@ -106,6 +107,20 @@
     }
 }
 
+/// Ends evacuations that were held after the key-value service came back from an older copy.
+#[derive(Debug)]
+struct ExpireEvacuations;
+
+impl TickSystem<GatewayWorld> for ExpireEvacuations {
+    fn name(&self) -> &'static str {
+        "expire_evacuations"
+    }
+
+    fn run(&mut self, world: &mut GatewayWorld, now: Instant) {
+        world.expire_evacuations(now);
+    }
+}
+
 /// Forgets targets that were removed long ago and whose pauses are over.
 #[derive(Debug)]
 struct ForgetDeparted;
--- a/crates/fleet/src/gateway/world.rs
+++ b/crates/fleet/src/gateway/world.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use amaranthgw_core::{
-    DemandShare, DomainId, EntityTable, GroupId, MilliSpan, RequestRate, ServiceId, StoreRevision,
-    TargetId, VmId,
+    DemandShare, DomainId, EntityTable, GroupId, RequestRate, ServiceId, StoreRevision, TargetId,
+    VmId,
 };
 use tokio::time::Instant;
 
 use super::departed::{DepartedTarget, LeaverRow};
+use super::evacuation::EvacuationView;
 use super::registry::RegistryView;
 use super::{
     ColdShare, DemandLedger, GroupGauge, RosterReading, RouteTable, ServiceAdmission,
@@ -45,7 +46,9 @@
     pub targets: EntityTable<TargetId, TargetRow>,
     /// Failure domains that operators took out of service (evacuated).
     pub evacuated: BTreeSet<DomainId>,
-    /// Store revision at which `evacuated` was read.
+    /// What of them is read, and what is held.
+    pub(super) evacuations: EvacuationView,
+    /// Store revision at which the evacuations were read.
     pub evacuated_as_of: StoreRevision,
     /// Other gateways that were heard of directly, with the time each was last seen.
     pub peers: EntityTable<VmId, Instant>,
@@ -93,6 +96,7 @@
             routes: Arc::default(),
             targets: EntityTable::new(),
             evacuated: BTreeSet::new(),
+            evacuations: EvacuationView::default(),
             evacuated_as_of: StoreRevision::default(),
             peers: EntityTable::new(),
             roster: RosterReading::default(),
@@ -162,35 +166,6 @@
         }
     }
 
-    /// Replaces the failure domains that are out of service with those read at revision `as_of`,
-    /// unless a later revision is known; returns whether the set changed.
-    ///
-    /// Targets of a domain that returns get the rate of cold ones at first: their entries are read
-    /// less often than the domain's state, and not at all by a gateway that the store turns away.
-    pub fn adopt_evacuated(
-        &mut self,
-        evacuated: BTreeSet<DomainId>,
-        as_of: StoreRevision,
-        now: Instant,
-    ) -> bool {
-        if as_of < self.evacuated_as_of {
-            return false;
-        }
-        self.evacuated_as_of = as_of;
-        let has_changed = self.evacuated != evacuated;
-        for row in self.targets.rows_mut() {
-            let domain = &row.record.domain;
-            if self.evacuated.contains(domain) && !evacuated.contains(domain) {
-                let service = self.routes.services.get(&row.record.service);
-                let cold_time = service.map_or(MilliSpan::default(), |service| service.cold_time);
-                row.maybe_cold_until = now + cold_time.duration();
-            }
-        }
-        self.evacuated = evacuated;
-        self.is_changed |= has_changed;
-        has_changed
-    }
-
     /// Records that `target` belongs to `group`, as the agent of its rank reported at `now`.
     pub fn adopt_group(&mut self, target: &TargetId, group: &GroupId, now: Instant) {
         let known = self.targets.rows().find_map(|row| {
--- a/crates/net/src/pooled.rs
+++ b/crates/net/src/pooled.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use tokio::time::{Instant, timeout};
 
@@ -17,6 +17,8 @@
 pub struct WholeReply {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -129,9 +131,13 @@
         if let Some((naming, name)) = named {
             idle.accept(naming.origin(response.headers(), &name))?;
         }
-        let status = response.status();
-        let body = read_whole(response.into_body(), MAX_REPLY_BYTES).await?;
-        Ok(WholeReply { status, body })
+        let (parts, body) = response.into_parts();
+        let body = read_whole(body, MAX_REPLY_BYTES).await?;
+        Ok(WholeReply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
     }
 
     fn request(&self, method: &Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>> {
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -10,5 +10,5 @@
 
 pub use config::site_config;
 pub use group::{SiteGroup, SiteRank};
-pub use store::{ListingFault, SiteStore, StoreFault};
+pub use store::{ListingFault, SiteStore, StoreCopy, StoreFault};
 pub use target::{SiteArrival, SiteRun, SiteTarget, StreamPause, TargetBehaviour};
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -8,7 +8,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use compact_str::CompactString;
-use http::StatusCode;
+use http::{HeaderName, HeaderValue, StatusCode};
 use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -22,6 +22,8 @@
 use crate::lock::lock;
 use crate::running::{RunningStandin, Standin};
 
+/// Header of all answers: number of returns from a copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 /// Poll interval of a waiting watch.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -83,6 +85,17 @@
     listing_faults: HashMap<CompactString, VecDeque<ListingFault>>,
     /// Number of the next writes to reject, by key.
     rejected_writes: HashMap<CompactString, u32>,
+    /// Number of returns from a copy.
+    era: u64,
+}
+
+/// Copy of a store, from which it may come back.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<CompactString, ItemRow>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    next_lease: u64,
 }
 
 /// Stand-in for the platform's metadata store.
@@ -150,6 +163,30 @@
         world.history.clear();
     }
 
+    /// Copies the store as it is.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let world = lock(&self.world);
+        StoreCopy {
+            revision: world.revision,
+            items: world.items.clone(),
+            leases: world.leases.clone(),
+            next_lease: world.next_lease,
+        }
+    }
+
+    /// Comes back from `copy`: what was written since is lost, revisions are given out again, and watches from
+    /// later revisions get status 410.
+    pub fn return_from(&self, copy: StoreCopy) {
+        let mut world = lock(&self.world);
+        world.revision = copy.revision;
+        world.items = copy.items;
+        world.leases = copy.leases;
+        world.next_lease = copy.next_lease;
+        world.history.retain(|row| row.revision <= copy.revision);
+        world.era += 1;
+    }
+
     /// Number of calls received so far, including failed ones.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -229,7 +266,12 @@
 
 impl CallHandler for SiteStoreHandler {
     fn handle(self: Arc<Self>, call: Call) -> ReplyFuture {
-        Box::pin(async move { self.store.answer(&call).await })
+        Box::pin(async move {
+            let mut reply = self.store.answer(&call).await?;
+            let era = HeaderValue::from(lock(&self.store.world).era);
+            reply.headers_mut().insert(STORE_ERA, era);
+            Ok(reply)
+        })
     }
 }
 
@@ -412,7 +454,7 @@
     /// Changes under `prefix` after revision `after` and the current revision; `None` if changes
     /// after `after` were compacted away.
     fn changes(&self, prefix: &str, after: u64) -> Option<(Vec<Value>, u64)> {
-        if after < self.compacted_revision {
+        if after < self.compacted_revision || after > self.revision {
             return None;
         }
         let history = self.history.iter();
