Streams that break off go on at once unless they are suspected already

Change: only a stream whose request is suspected of an earlier crash waits, as one crash refuses nothing.

--- a/crates/amaranthgw/src/gateway/suspicion.rs
+++ b/crates/amaranthgw/src/gateway/suspicion.rs
@@ -21,7 +21,8 @@
 /// Time after which it is closed even if the target's machine is busy.
 const LATE_CHECK_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for which a stream that broke off waits for the look at its target before it goes on elsewhere.
+/// Time for which a suspected stream that broke off waits for the look at its target before it goes on
+/// elsewhere.
 const STREAM_CHECK_TIME: Duration = Duration::from_millis(30);
 
 /// What a request has to do with crashes of targets.
@@ -100,7 +101,7 @@
 
     /// Finds out whether `target`, which broke off, has crashed, and records the request as a suspect if so.
     /// Had it begun to write, the request itself is suspected, not the parts of its prompt, and the stream
-    /// goes on elsewhere meanwhile.
+    /// goes on elsewhere meanwhile, unless another crash is known that it may have caused.
     pub(super) async fn report_broken_off(&mut self, target: &TargetCandidate, has_begun: bool) {
         let check = CrashCheck {
             thread: Arc::clone(&self.thread),
@@ -113,7 +114,13 @@
             broke_at: Instant::now(),
         };
         let is_new = !has_begun && !self.are_parts_in_use();
+        let may_go_on = has_begun
+            && self.standing != CallStanding::Trial
+            && !self.thread.shared.quarantine.is_suspected(&self.marks());
         let checking = tokio::spawn(check.run());
+        if may_go_on {
+            return;
+        }
         let is_down = if has_begun {
             let checked = timeout(STREAM_CHECK_TIME, checking).await;
             checked.is_ok_and(|down| down.unwrap_or(false))
--- a/crates/fleet/src/gateway/quarantine/call.rs
+++ b/crates/fleet/src/gateway/quarantine/call.rs
@@ -111,6 +111,11 @@
             || self.requests.is_refused(marks.workspace, &[marks.request])
     }
 
+    /// Whether a crash is known that the request may have caused. One alone refuses nothing.
+    pub fn is_suspected(&self, marks: &CallMarks<'_>) -> bool {
+        self.requests.is_suspected(marks.request)
+    }
+
     /// Whether targets have begun to write on all shared parts of the request's prompt lately.
     pub fn are_parts_in_use(&self, marks: &CallMarks<'_>, now: Instant) -> bool {
         self.parts.are_in_use(marks.parts, now)
--- a/crates/fleet/src/gateway/quarantine/table.rs
+++ b/crates/fleet/src/gateway/quarantine/table.rs
@@ -227,6 +227,13 @@
         !parts.is_empty() && verdicts.any(|verdict| verdict.matches(workspace, parts))
     }
 
+    /// Whether a crash is known that a request with `part` may have caused.
+    pub(super) fn is_suspected(&self, part: PartId) -> bool {
+        let part = BTreeSet::from([part]);
+        let state = self.lock();
+        state.crashes.iter().any(|it| it.is_explained_by(&part))
+    }
+
     /// Whether targets have begun to write on all of `parts` lately, so that a request with them is
     /// not likely to have crashed one.
     pub fn are_in_use(&self, parts: &[PartId], now: Instant) -> bool {
