--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -1,10 +1,13 @@
 //! Cases of the review that are scripts: `stage CASE RECORD`, run from the root of the repository. Exits with 1
 //! if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
+mod cold;
 mod group;
 mod http;
 mod json;
+mod leave;
 mod map;
+mod plant;
 mod stage;
 mod store;
 
@@ -42,6 +45,9 @@
     };
     let verdict = match case {
         "map" => map::run(&mut stage, has_trouble),
+        "drill" => leave::run_drill(&mut stage, has_trouble),
+        "beat" => leave::run_late_beat(&mut stage, has_trouble),
+        "cold" => cold::run(&mut stage, has_trouble),
         _ => Ok(Verdict::CouldNotRun("unknown case".to_owned())),
     };
     stage.end();
--- a/review/stage/store.rs
+++ b/review/stage/store.rs
@@ -44,9 +44,13 @@
     conditional: Vec<(Instant, String, Vec<u8>)>,
 }
 
+/// Runs once, just before the next listing of a prefix is answered.
+type Hook = Box<dyn FnOnce() + Send>;
+
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
+    hook: Arc<Mutex<Option<(String, Hook)>>>,
 }
 
 impl Store {
@@ -97,6 +101,11 @@
         Some((found.0, String::from_utf8_lossy(&found.2).into_owned()))
     }
 
+    /// Runs `hook` just before the next listing of `prefix` is answered.
+    pub fn before_next_listing(&self, prefix: &str, hook: Hook) {
+        *self.hook.lock().unwrap_or_else(|it| it.into_inner()) = Some((prefix.to_owned(), hook));
+    }
+
     /// Takes the copy from which `come_back` returns.
     pub fn take_copy(&self) {
         let mut state = self.lock();
@@ -160,11 +169,7 @@
         };
         let era = self.lock().era;
         let reply = reply.with("Content-Type", "application/json");
-        Outcome::Answer(if era > 0 {
-            reply.with("Store-Era", era.to_string())
-        } else {
-            reply.with("Store-Era", "0")
-        })
+        Outcome::Answer(reply.with("Store-Era", era.to_string()))
     }
 
     fn read(&self, request: &Request) -> Reply {
@@ -180,8 +185,15 @@
     }
 
     fn range(&self, request: &Request) -> Reply {
-        let state = self.lock();
         let prefix = request.parameter("prefix").unwrap_or_default();
+        let hook = {
+            let mut hook = self.hook.lock().unwrap_or_else(|it| it.into_inner());
+            hook.take_if(|(wanted, _)| *wanted == prefix)
+        };
+        if let Some((_, hook)) = hook {
+            hook();
+        }
+        let state = self.lock();
         let after = request.parameter("after").unwrap_or_default();
         let items = state.content.items.iter();
         let items = items.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
