--- a/review/stage/cold.rs
+++ b/review/stage/cold.rs
@@ -28,21 +28,29 @@
         let address = SocketAddr::new(stage.ip(20 + number as u8), 0);
         let id = format!("i-{number}");
         let work = (12, Duration::from_millis(30));
-        let target =
-            Target::new(&id, address, ("desk", zone), work, &store, &record).unlogged();
+        let target = Target::new(&id, address, ("desk", zone), work, &store, &record).unlogged();
         target.start(Duration::ZERO)?;
         targets.push(target);
     }
     let mut fronts = Vec::new();
     for (number, (zone, host)) in GATEWAYS.into_iter().enumerate() {
         let seeds = GATEWAYS.map(|(_, host)| host);
-        fronts.push(stage.add_gateway(&format!("edge-{number}"), host, zone, &seeds[..3])?.1);
+        fronts.push(
+            stage
+                .add_gateway(&format!("edge-{number}"), host, zone, &seeds[..3])?
+                .1,
+        );
     }
     std::thread::sleep(Duration::from_secs(4));
     let interval = Duration::from_millis(200);
     let clients = Clients::start(50, interval, &fronts, ("GET", "/shelf/2f", 2_500), None);
     let bookers = Clients::start(10, interval, &fronts, ("POST", "/book/2f", 2_500), None);
-    let is_served = || clients.answers.lock().is_ok_and(|it| it.get(&200).is_some_and(|it| *it > 300));
+    let is_served = || {
+        clients
+            .answers
+            .lock()
+            .is_ok_and(|it| it.get(&200).is_some_and(|it| *it > 300))
+    };
     if !wait_until(Duration::from_secs(10), is_served) {
         return Ok(Verdict::CouldNotRun("no answers".to_owned()));
     }
@@ -57,10 +65,16 @@
         }
         let cold_from = Instant::now();
         let arrivals = || -> Vec<Arrival> {
-            target.arrivals().into_iter().filter(|it| it.at >= cold_from).collect()
+            target
+                .arrivals()
+                .into_iter()
+                .filter(|it| it.at >= cold_from)
+                .collect()
         };
         let is_overrun = || {
-            let lately = arrivals().into_iter().filter(|it| it.at.elapsed() < Duration::from_secs(1));
+            let lately = arrivals()
+                .into_iter()
+                .filter(|it| it.at.elapsed() < Duration::from_secs(1));
             has_trouble && lately.count() as f64 >= FALL_PER_S
         };
         if wait_until(COLD_TIME, is_overrun) {
@@ -85,20 +99,37 @@
     bookers.stop();
     clients.stop();
     std::thread::sleep(Duration::from_millis(500));
-    let answers = bookers.answers.lock().map(|it| it.clone()).unwrap_or_default();
-    record.line(&format!("cold servers fell over {falls} times; answers to bookings by status: {answers:?}"));
+    let answers = bookers
+        .answers
+        .lock()
+        .map(|it| it.clone())
+        .unwrap_or_default();
+    record.line(&format!(
+        "cold servers fell over {falls} times; answers to bookings by status: {answers:?}"
+    ));
     let bound = COLD_PER_S * COLD_OVER + COLD_SLACK;
     record.line(&format!("the bound is {bound} requests in one second"));
-    Ok(if has_trouble && most as f64 > bound { Verdict::Broken } else { Verdict::Held })
+    Ok(if has_trouble && most as f64 > bound {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// The largest number of requests that were sent and arrived inside one second, and when it began.
-fn most_in_a_second(arrivals: &[Arrival], sent: &HashMap<String, Instant>) -> (usize, Option<Instant>) {
-    let times: Vec<(Instant, Instant)> =
-        arrivals.iter().filter_map(|it| Some((*sent.get(&it.id)?, it.at))).collect();
+fn most_in_a_second(
+    arrivals: &[Arrival],
+    sent: &HashMap<String, Instant>,
+) -> (usize, Option<Instant>) {
+    let times: Vec<(Instant, Instant)> = arrivals
+        .iter()
+        .filter_map(|it| Some((*sent.get(&it.id)?, it.at)))
+        .collect();
     let windows = times.iter().map(|(from, _)| {
         let until = *from + Duration::from_secs(1);
-        let inside = times.iter().filter(|(sent, at)| sent >= from && *at < until);
+        let inside = times
+            .iter()
+            .filter(|(sent, at)| sent >= from && *at < until);
         (inside.count(), Some(*from))
     });
     windows.max_by_key(|(count, _)| *count).unwrap_or((0, None))
--- a/review/stage/group.rs
+++ b/review/stage/group.rs
@@ -78,8 +78,15 @@
     pub fn new(ranks: usize, record: Record) -> Self {
         // Map 0 assigns experts in turn.
         let initial: Map = (0..SETS)
-            .map(|_| (0..ranks).map(|rank| (0..EXPERTS as u16)
-                .filter(|it| usize::from(*it) % ranks == rank).collect()).collect())
+            .map(|_| {
+                (0..ranks)
+                    .map(|rank| {
+                        (0..EXPERTS as u16)
+                            .filter(|it| usize::from(*it) % ranks == rank)
+                            .collect()
+                    })
+                    .collect()
+            })
             .collect();
         let initial = Arc::new(initial);
         let rank = Rank {
@@ -159,10 +166,6 @@
         (state.answered, state.lost)
     }
 
-    pub fn held_rank(&self) -> Option<usize> {
-        self.lock().ranks.iter().position(|rank| rank.held.is_some())
-    }
-
     fn run_pass(&self) {
         let mut state = self.lock();
         let now = Instant::now();
@@ -187,15 +190,21 @@
             state.switches += u64::from(has_switched);
             let first = state.ranks[0].map.clone();
             if state.ranks.iter().any(|rank| rank.map != first) {
-                let versions: Vec<String> =
-                    state.ranks.iter().map(|rank| rank.map.0.to_string()).collect();
+                let versions: Vec<String> = state
+                    .ranks
+                    .iter()
+                    .map(|rank| rank.map.0.to_string())
+                    .collect();
                 let line = format!("pass {next} begins with maps {}", versions.join(" "));
                 if state.mixed.is_empty() {
                     self.record.line(&format!("MIXED {line}"));
                 }
                 state.mixed.push(line);
             } else if has_switched {
-                self.record.line(&format!("pass {next} begins: all ranks switch to map {}", first.0));
+                self.record.line(&format!(
+                    "pass {next} begins: all ranks switch to map {}",
+                    first.0
+                ));
             }
             count_choices(&mut state, next);
         }
@@ -220,8 +229,15 @@
              \"seq\":{},\"waiting\":0,\"running\":6,\"kv_used\":9000,\"kv_total\":372000,\"handles\":0,\
              \"group\":{{\"name\":\"g1\",\"epoch\":{},\"rank\":{index},\"state\":\"open\"}},\"size\":{},\
              \"step\":{},\"map\":{},\"prepared\":{},\"armed\":{armed},\"held\":{},\"pace\":1.0,\"born\":{}}}",
-            rank.copying.is_some(), rank.orders, state.epoch, state.ranks.len(), state.step, rank.map.0,
-            number(rank.prepared.as_ref().map(|it| it.0)), number(rank.held), self.born,
+            rank.copying.is_some(),
+            rank.orders,
+            state.epoch,
+            state.ranks.len(),
+            state.step,
+            rank.map.0,
+            number(rank.prepared.as_ref().map(|it| it.0)),
+            number(rank.held),
+            self.born,
         )
     }
 
@@ -232,8 +248,15 @@
             ("POST", "/order") => return self.order(index, request),
             _ => Reply::new(404, "{}"),
         };
-        let id = request.header("x-amaranthgw-request-id").unwrap_or_default().to_owned();
-        Outcome::Answer(reply.with("Content-Type", "application/json").with("X-Amaranthgw-Request-Id", id))
+        let id = request
+            .header("x-amaranthgw-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        Outcome::Answer(
+            reply
+                .with("Content-Type", "application/json")
+                .with("X-Amaranthgw-Request-Id", id),
+        )
     }
 
     fn report_for(&self, index: usize) -> String {
@@ -242,7 +265,9 @@
             return self.report(&state, index);
         }
         let reports = &state.ranks[index].reports;
-        reports.front().map_or_else(|| self.report(&state, index), |(_, report)| report.clone())
+        reports
+            .front()
+            .map_or_else(|| self.report(&state, index), |(_, report)| report.clone())
     }
 
     fn picked(&self, index: usize, query: &str) -> String {
@@ -250,20 +275,28 @@
         let rank = &state.ranks[index];
         if query.contains("lists") {
             let lists = |version: u64, map: &Map| {
-                let sets: Vec<String> = map.iter().map(|set| {
-                    let experts: Vec<String> = set[index].iter().map(u16::to_string).collect();
-                    format!("[{}]", experts.join(","))
-                }).collect();
+                let sets: Vec<String> = map
+                    .iter()
+                    .map(|set| {
+                        let experts: Vec<String> = set[index].iter().map(u16::to_string).collect();
+                        format!("[{}]", experts.join(","))
+                    })
+                    .collect();
                 format!("{{\"version\":{version},\"experts\":[{}]}}", sets.join(","))
             };
             let prepared = rank.prepared.as_ref();
             let prepared = prepared.map_or("null".to_owned(), |it| lists(it.0, &it.1));
-            return format!("{{\"map\":{},\"prepared\":{prepared}}}", lists(rank.map.0, &rank.map.1));
+            return format!(
+                "{{\"map\":{},\"prepared\":{prepared}}}",
+                lists(rank.map.0, &rank.map.1)
+            );
         }
         let counts: Vec<String> = rank.counts.iter().map(u64::to_string).collect();
         format!(
             "{{\"step\":{},\"epoch\":{},\"counts\":[{}]}}",
-            state.step, state.epoch, counts.join(","),
+            state.step,
+            state.epoch,
+            counts.join(","),
         )
     }
 
@@ -277,16 +310,24 @@
             fence: body.whole("fence"),
             body,
         };
-        let judge = self.judge.lock().unwrap_or_else(|it| it.into_inner()).clone();
+        let judge = self
+            .judge
+            .lock()
+            .unwrap_or_else(|it| it.into_inner())
+            .clone();
         let fate = judge.map_or(Fate::Normal, |judge| judge(self, &order));
         if let Fate::Lost = fate {
             self.lock().lost += 1;
-            self.record.line(&format!("{} gets no answer", text_of(&order)));
+            self.record
+                .line(&format!("{} gets no answer", text_of(&order)));
             return Outcome::Silent(Duration::from_secs(2));
         }
         let status = self.carry_out(&order, "");
         self.lock().answered += 1;
-        let id = request.header("x-amaranthgw-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-amaranthgw-request-id")
+            .unwrap_or_default()
+            .to_owned();
         Outcome::Answer(
             Reply::new(status, "{}")
                 .with("Content-Type", "application/json")
@@ -298,7 +339,8 @@
     pub fn carry_out(&self, order: &Order, note: &str) -> u16 {
         let mut state = self.lock();
         let status = apply(&mut state, order);
-        self.record.line(&format!("{}{note}: {status}", text_of(order)));
+        self.record
+            .line(&format!("{}{note}: {status}", text_of(order)));
         status
     }
 }
@@ -310,7 +352,11 @@
     };
     format!(
         "order to rank {}: {}{}{}, fence {}",
-        order.rank, order.op, number("version"), number("step"), order.fence,
+        order.rank,
+        order.op,
+        number("version"),
+        number("step"),
+        order.fence,
     )
 }
 
@@ -339,14 +385,18 @@
                     let (set, known) = (&set[order.rank], &known[order.rank]);
                     set.iter().filter(|it| !known.contains(it)).count()
                 };
-                let new: Vec<usize> =
-                    map.iter().zip(rank.map.1.iter()).map(|(set, known)| new(set, known)).collect();
+                let new: Vec<usize> = map
+                    .iter()
+                    .zip(rank.map.1.iter())
+                    .map(|(set, known)| new(set, known))
+                    .collect();
                 if new.iter().any(|it| *it > SPARE) {
                     409
                 } else {
                     let copies = new.iter().sum::<usize>() as u32;
                     rank.highest = version;
-                    rank.copying = Some((version, Arc::new(map), Instant::now() + COPY_TIME * copies));
+                    rank.copying =
+                        Some((version, Arc::new(map), Instant::now() + COPY_TIME * copies));
                     202
                 }
             }
@@ -398,8 +448,16 @@
 
 fn read_map(body: &Json) -> Map {
     let sets = body.get("map").map_or(&[][..], Json::list);
-    let experts = |rank: &Json| rank.list().iter().filter_map(Json::number).map(|it| it as u16).collect();
-    sets.iter().map(|set| set.list().iter().map(experts).collect()).collect()
+    let experts = |rank: &Json| {
+        rank.list()
+            .iter()
+            .filter_map(Json::number)
+            .map(|it| it as u16)
+            .collect()
+    };
+    sets.iter()
+        .map(|set| set.list().iter().map(experts).collect())
+        .collect()
 }
 
 /// Adds what the requests of a pass chose: some experts are liked more, others every few seconds.
--- a/review/stage/http.rs
+++ b/review/stage/http.rs
@@ -30,7 +30,9 @@
         let bytes = value.as_bytes();
         let mut at = 0;
         while at < bytes.len() {
-            let escaped = (bytes[at] == b'%').then(|| value.get(at + 1..at + 3)).flatten();
+            let escaped = (bytes[at] == b'%')
+                .then(|| value.get(at + 1..at + 3))
+                .flatten();
             match escaped.and_then(|it| u8::from_str_radix(it, 16).ok()) {
                 Some(byte) => {
                     out.push(byte);
@@ -82,7 +84,9 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
--- a/review/stage/leave.rs
+++ b/review/stage/leave.rs
@@ -25,7 +25,14 @@
     for (number, zone) in ["brum", "notts", "leics"].into_iter().enumerate() {
         let address = SocketAddr::new(stage.ip(20 + number as u8), 0);
         let id = format!("i-{number}");
-        let target = Target::new(&id, address, ("desk", zone), (6, WORK_TIME), &store, &record);
+        let target = Target::new(
+            &id,
+            address,
+            ("desk", zone),
+            (6, WORK_TIME),
+            &store,
+            &record,
+        );
         target.start(Duration::ZERO)?;
         targets.push(target);
     }
@@ -35,14 +42,23 @@
     let interval = Duration::from_millis(250);
     let clients = Clients::start(8, interval, &[front], route, Some(record));
     let answers = Arc::clone(&clients.answers);
-    let is_served = || answers.lock().is_ok_and(|it| it.get(&200).is_some_and(|it| *it > 100));
+    let is_served = || {
+        answers
+            .lock()
+            .is_ok_and(|it| it.get(&200).is_some_and(|it| *it > 100))
+    };
     let scene = Scene { targets, clients };
     Ok(wait_until(Duration::from_secs(15), is_served).then_some(scene))
 }
 
 /// Requests that were sent after `bound` and reached `target`.
 fn late_requests(scene: &Scene, target: &Target, bound: Instant) -> Vec<String> {
-    let sent = scene.clients.sent.lock().map(|it| it.clone()).unwrap_or_default();
+    let sent = scene
+        .clients
+        .sent
+        .lock()
+        .map(|it| it.clone())
+        .unwrap_or_default();
     let arrivals = target.arrivals().into_iter();
     let late = arrivals.filter(|it| sent.get(&it.id).is_some_and(|sent| *sent > bound));
     late.map(|it| it.id).collect()
@@ -52,13 +68,23 @@
     scene.clients.stop();
     std::thread::sleep(Duration::from_millis(500));
     let late = late_requests(scene, target, bound);
-    let answers = scene.clients.answers.lock().map(|it| it.clone()).unwrap_or_default();
-    stage.record.line(&format!("answers by status: {answers:?}"));
+    let answers = scene
+        .clients
+        .answers
+        .lock()
+        .map(|it| it.clone())
+        .unwrap_or_default();
+    stage
+        .record
+        .line(&format!("answers by status: {answers:?}"));
     if late.is_empty() {
         return Verdict::Held;
     }
     stage.record.line(&format!(
-        "{} requests that were sent later reached server {}: {}", late.len(), target.id, late.join(" "),
+        "{} requests that were sent later reached server {}: {}",
+        late.len(),
+        target.id,
+        late.join(" "),
     ));
     Verdict::Broken
 }
@@ -81,24 +107,38 @@
     record.line("the copy of the store is taken");
     let left_at = Arc::new(Mutex::new(None));
     let (leaver, left) = (target.clone(), Arc::clone(&left_at));
-    store.before_next_listing("servers/", Box::new(move || {
-        leaver.say_leaving();
-        leaver.set_entry(None);
-        *left.lock().unwrap_or_else(|it| it.into_inner()) = Some(Instant::now());
-    }));
+    store.before_next_listing(
+        "servers/",
+        Box::new(move || {
+            leaver.say_leaving();
+            leaver.set_entry(None);
+            *left.lock().unwrap_or_else(|it| it.into_inner()) = Some(Instant::now());
+        }),
+    );
     let left_at = || left_at.lock().map(|it| *it).unwrap_or_default();
     if !wait_until(Duration::from_secs(3), || left_at().is_some()) {
         return Ok(Verdict::CouldNotRun("the registry is not read".to_owned()));
     }
     let left_at = left_at().unwrap_or_else(Instant::now);
     std::thread::sleep(Duration::from_millis(600));
-    let answered = scene.clients.answered.lock().map(|it| it.clone()).unwrap_or_default();
-    let passed_on = answered.iter().filter(|(_, server, at)| *server == target.id && *at > left_at + Duration::from_millis(5));
+    let answered = scene
+        .clients
+        .answered
+        .lock()
+        .map(|it| it.clone())
+        .unwrap_or_default();
+    let passed_on = answered
+        .iter()
+        .filter(|(_, server, at)| *server == target.id && *at > left_at + Duration::from_millis(5));
     let Some(passed_on) = passed_on.map(|(_, _, at)| *at).min() else {
-        return Ok(Verdict::CouldNotRun("no answer says that the server leaves".to_owned()));
+        return Ok(Verdict::CouldNotRun(
+            "no answer says that the server leaves".to_owned(),
+        ));
     };
     let bound = passed_on + DRAIN_TIME;
-    std::thread::sleep((bound + Duration::from_millis(300)).saturating_duration_since(Instant::now()));
+    std::thread::sleep(
+        (bound + Duration::from_millis(300)).saturating_duration_since(Instant::now()),
+    );
     if has_trouble {
         record.line("the store is away");
         store.go_away();
@@ -127,10 +167,15 @@
     let (store, record) = (stage.store.clone(), stage.record.clone());
     let target = scene.targets[0].clone();
     let key = format!("servers/{}", target.id);
-    let lost = if has_trouble { target.next_beat() } else { None };
+    let lost = if has_trouble {
+        target.next_beat()
+    } else {
+        None
+    };
     let lost_at = Instant::now();
     let at = |millis| {
-        let time = (lost_at + Duration::from_millis(millis)).saturating_duration_since(Instant::now());
+        let time =
+            (lost_at + Duration::from_millis(millis)).saturating_duration_since(Instant::now());
         std::thread::sleep(time);
     };
     if lost.is_some() {
--- a/review/stage/map.rs
+++ b/review/stage/map.rs
@@ -99,7 +99,9 @@
     let plan = Arc::new(Mutex::new(Plan::default()));
     let judging = Arc::clone(&plan);
     let known = store.clone();
-    group.set_judge(Box::new(move |group, order| judge(&judging, &known, group, order)));
+    group.set_judge(Box::new(move |group, order| {
+        judge(&judging, &known, group, order)
+    }));
     let is_due = || lock(&plan).kill_at.is_some_and(|at| at <= Instant::now());
     if !wait_until(Duration::from_secs(30), is_due) {
         return Ok(Verdict::CouldNotRun("no second switch of maps".to_owned()));
@@ -109,7 +111,9 @@
     };
     stage.process(agents[coordinator]).kill();
     group.set_own_machine(coordinator, false);
-    record.line(&format!("the agent beside rank {coordinator}, which coordinates, is killed"));
+    record.line(&format!(
+        "the agent beside rank {coordinator}, which coordinates, is killed"
+    ));
     let killed_at = Instant::now();
     while killed_at.elapsed() < Duration::from_secs(13) {
         std::thread::sleep(Duration::from_millis(10));
--- a/review/stage/plant.rs
+++ b/review/stage/plant.rs
@@ -31,9 +31,6 @@
     says_leaving: bool,
     running: usize,
     arrivals: Vec<Arrival>,
-    run: Vec<String>,
-    /// Times that requests with these ids take.
-    work: HashMap<String, Duration>,
 }
 
 /// A plain server.
@@ -69,11 +66,11 @@
             says_leaving: false,
             running: 0,
             arrivals: Vec::new(),
-            run: Vec::new(),
-            work: HashMap::new(),
         };
         // A free port, which the server keeps.
-        let port = TcpListener::bind(address).and_then(|it| it.local_addr()).map_or(0, |it| it.port());
+        let port = TcpListener::bind(address)
+            .and_then(|it| it.local_addr())
+            .map_or(0, |it| it.port());
         let target = Self {
             id: id.to_owned(),
             address: SocketAddr::new(address.ip(), port),
@@ -122,7 +119,11 @@
             state.entry = Some("ready");
             state.says_leaving = false;
         }
-        let text = format!("server {} starts, cold for {} ms", self.id, cold.as_millis());
+        let text = format!(
+            "server {} starts, cold for {} ms",
+            self.id,
+            cold.as_millis()
+        );
         self.record.line(&text);
         self.beat();
         Ok(())
@@ -130,7 +131,12 @@
 
     /// The server ends without a word: its connections close, new ones are refused.
     pub fn crash(&self) {
-        if let Some(server) = self.server.lock().unwrap_or_else(|it| it.into_inner()).take() {
+        if let Some(server) = self
+            .server
+            .lock()
+            .unwrap_or_else(|it| it.into_inner())
+            .take()
+        {
             server.stop();
         }
         self.lock().born = 0;
@@ -141,7 +147,8 @@
     pub fn set_entry(&self, entry: Option<&'static str>) {
         self.lock().entry = entry;
         let text = entry.unwrap_or("removed");
-        self.record.line(&format!("entry of server {}: {text}", self.id));
+        self.record
+            .line(&format!("entry of server {}: {text}", self.id));
         if entry.is_some() {
             self.beat();
         } else {
@@ -154,20 +161,15 @@
         self.lock().says_leaving = true;
     }
 
-    /// Sets the time that the request `id` takes.
-    pub fn set_work(&self, id: &str, work: Duration) {
-        self.lock().work.insert(id.to_owned(), work);
-    }
-
     /// The heartbeat that the server would write now.
     pub fn next_beat(&self) -> Option<String> {
         let mut state = self.lock();
         let entry = state.entry.filter(|_| state.born > 0)?;
         state.seq += 1;
         let now = Instant::now();
-        let cold = state.cold_until.map_or(0, |until| {
-            until.saturating_duration_since(now).as_millis()
-        });
+        let cold = state
+            .cold_until
+            .map_or(0, |until| until.saturating_duration_since(now).as_millis());
         Some(format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
              \"state\":\"{entry}\",\"cold_left_ms\":{cold},\"seq\":{},\"born\":{}}}",
@@ -204,41 +206,44 @@
         self.lock().arrivals.clone()
     }
 
-    /// Requests that it has begun to run.
-    pub fn run(&self) -> Vec<String> {
-        self.lock().run.clone()
-    }
-
     fn handle(&self, request: &Request) -> Outcome {
-        let id = request.header("x-amaranthgw-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-amaranthgw-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let expected = request.header("x-amaranthgw-expect-instance");
         if expected.is_some_and(|it| it != self.id) {
             return Outcome::Answer(
-                Reply::new(421, "").with("X-Amaranthgw-Instance-Id", self.id.clone())
+                Reply::new(421, "")
+                    .with("X-Amaranthgw-Instance-Id", self.id.clone())
                     .with("X-Amaranthgw-Request-Id", id),
             );
         }
         let born = {
             let mut state = self.lock();
-            state.arrivals.push(Arrival { id: id.clone(), at: Instant::now() });
+            state.arrivals.push(Arrival {
+                id: id.clone(),
+                at: Instant::now(),
+            });
             state.born
         };
         if self.is_logged {
-            self.record.line(&format!("request {id} reaches server {}", self.id));
+            self.record
+                .line(&format!("request {id} reaches server {}", self.id));
         }
-        let work = {
+        {
             let mut state = self.lock();
             while state.running >= self.slots {
                 let waited = self.state.1.wait(state);
                 state = waited.unwrap_or_else(|it| it.into_inner());
             }
             state.running += 1;
-            state.run.push(id.clone());
-            state.work.get(&id).copied().unwrap_or(self.work)
-        };
-        let ends_at = Instant::now() + work;
+        }
+        let ends_at = Instant::now() + self.work;
         while Instant::now() < ends_at && self.lock().born == born {
-            std::thread::sleep(Duration::from_millis(2).min(ends_at.saturating_duration_since(Instant::now())));
+            std::thread::sleep(
+                Duration::from_millis(2).min(ends_at.saturating_duration_since(Instant::now())),
+            );
         }
         let (says_leaving, is_up) = {
             let mut state = self.lock();
@@ -248,18 +253,27 @@
         };
         if !is_up {
             if self.is_logged {
-                self.record.line(&format!("request {id} is lost with server {}", self.id));
+                self.record
+                    .line(&format!("request {id} is lost with server {}", self.id));
             }
             return Outcome::Close;
         }
         if self.is_logged {
-            let leaving = if says_leaving { ", and says that it leaves" } else { "" };
-            self.record.line(&format!("server {} answers request {id}{leaving}", self.id));
+            let leaving = if says_leaving {
+                ", and says that it leaves"
+            } else {
+                ""
+            };
+            self.record
+                .line(&format!("server {} answers request {id}{leaving}", self.id));
         }
         let mut reply = Reply::new(200, format!("ran {id} at {}", self.id))
             .with("X-Amaranthgw-Request-Id", id)
             .with("X-Amaranthgw-Server-Stamp", format!("stamp.{}", self.id))
-            .with("X-Amaranthgw-Server-Load", format!("{},0,{}", self.lock().running, self.slots));
+            .with(
+                "X-Amaranthgw-Server-Load",
+                format!("{},0,{}", self.lock().running, self.slots),
+            );
         if says_leaving {
             reply = reply.with("Server-Leaving", "1");
         }
@@ -280,8 +294,14 @@
     Request {
         method: method.to_owned(),
         path: path.to_owned(),
-        headers: headers.map(|(name, value)| (name.to_owned(), value)).to_vec(),
-        body: if method == "POST" { b"book a tin".to_vec() } else { Vec::new() },
+        headers: headers
+            .map(|(name, value)| (name.to_owned(), value))
+            .to_vec(),
+        body: if method == "POST" {
+            b"book a tin".to_vec()
+        } else {
+            Vec::new()
+        },
         ..Request::default()
     }
 }
@@ -323,23 +343,38 @@
                 let mut client = Client::new(gateway, Duration::from_millis(deadline_ms + 500));
                 let mut next_at = Instant::now();
                 while !is_over.load(Ordering::SeqCst) {
-                    let id = format!("{:016x}", 0x5e00_0000_0000 + NEXT.fetch_add(1, Ordering::SeqCst));
+                    let id = format!(
+                        "{:016x}",
+                        0x5e00_0000_0000 + NEXT.fetch_add(1, Ordering::SeqCst)
+                    );
                     let now = Instant::now();
-                    sent.lock().unwrap_or_else(|it| it.into_inner()).insert(id.clone(), now);
+                    sent.lock()
+                        .unwrap_or_else(|it| it.into_inner())
+                        .insert(id.clone(), now);
                     if let Some(record) = &record {
                         record.line(&format!("client sends {method} {path} {id}"));
                     }
                     let reply = client.call(&request(method, path, &id, deadline_ms));
                     let status = reply.as_ref().map_or(0, |reply| reply.status);
-                    let stamp = reply.as_ref().ok().and_then(|it| it.header("x-amaranthgw-server-stamp"));
+                    let stamp = reply
+                        .as_ref()
+                        .ok()
+                        .and_then(|it| it.header("x-amaranthgw-server-stamp"));
                     if let Some(server) = stamp.and_then(|it| it.strip_prefix("stamp.")) {
                         let row = (id.clone(), server.to_owned(), Instant::now());
-                        answered.lock().unwrap_or_else(|it| it.into_inner()).push(row);
+                        answered
+                            .lock()
+                            .unwrap_or_else(|it| it.into_inner())
+                            .push(row);
                     }
                     if let Some(record) = &record {
                         record.line(&format!("client gets {status} to {id}"));
                     }
-                    *answers.lock().unwrap_or_else(|it| it.into_inner()).entry(status).or_default() += 1;
+                    *answers
+                        .lock()
+                        .unwrap_or_else(|it| it.into_inner())
+                        .entry(status)
+                        .or_default() += 1;
                     next_at = (next_at + interval).max(Instant::now());
                     std::thread::sleep(next_at.saturating_duration_since(Instant::now()));
                 }
@@ -355,16 +390,19 @@
 
 /// A configuration with one service of plain servers and its two routes.
 pub fn config(cold_s: f64, cold_per_s: f64) -> String {
-    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| format!(
-        "{{\"name\":\"{name}\",\"hostname\":\"tins.example\",\"prefix\":\"{prefix}\",\"route_kind\":\"{kind}\",\
+    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"hostname\":\"tins.example\",\"prefix\":\"{prefix}\",\"route_kind\":\"{kind}\",\
          \"timeout_ms\":2500,\"goal_ms\":150,\"priority\":2,\"service\":\"desk\",\"attempts\":{attempts},\
          \"public\":true}}"
-    );
+        )
+    };
     format!(
         "{{\"version\":7,\"routes\":[{},{}],\"services\":[{{\"name\":\"desk\",\"health_path\":\"/healthz\",\
          \"max_conns\":278,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":{cold_s:.1},\"cold_per_s\":{cold_per_s:.1}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
          \"idle_timeout_ms\":15000}},\"tenants\":[]}}",
-        route("shelf", "/shelf/", "idempotent", 2), route("book", "/book/", "non_idempotent", 1),
+        route("shelf", "/shelf/", "idempotent", 2),
+        route("book", "/book/", "non_idempotent", 1),
     )
 }
--- a/review/stage/stage.rs
+++ b/review/stage/stage.rs
@@ -73,14 +73,6 @@
         Ok(())
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&mut self, signal: &str) {
-        if let Some(child) = &self.child {
-            let command = format!("kill -{signal} {}", child.id());
-            drop(Command::new("sh").args(["-c", &command]).status());
-        }
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -94,14 +86,6 @@
         self.kill();
         self.start()
     }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let Some(child) = &mut self.child else {
-            return false;
-        };
-        child.try_wait().is_ok_and(|status| status.is_some())
-    }
 }
 
 impl Stage {
@@ -112,11 +96,14 @@
         std::fs::create_dir_all(&folder)?;
         let store = Store::new();
         let calls = store.clone();
-        let handler: Handler = Arc::new(move |request: &Request| -> Outcome { calls.handle(request) });
+        let handler: Handler =
+            Arc::new(move |request: &Request| -> Outcome { calls.handle(request) });
         let address = SocketAddr::new(ip(net, 1), 0);
         let server = Server::start(address, handler)?;
         let free = |host| -> std::io::Result<u16> {
-            Ok(TcpListener::bind(SocketAddr::new(ip(net, host), 0))?.local_addr()?.port())
+            Ok(TcpListener::bind(SocketAddr::new(ip(net, host), 0))?
+                .local_addr()?
+                .port())
         };
         Ok(Self {
             record,
@@ -167,7 +154,8 @@
         };
         let (front, ready) = (free()?, free()?);
         let node = SocketAddr::new(ip, self.node_port);
-        let seeds: Vec<String> = seeds.iter()
+        let seeds: Vec<String> = seeds
+            .iter()
             .map(|host| format!("\"{}\"", SocketAddr::new(self.ip(*host), self.node_port)))
             .collect();
         let settings = format!(
@@ -175,7 +163,10 @@
              \"ready_listen\":\"{ready}\",\"node_listen\":\"{node}\",\"metrics_listen\":\"{ip}:{}\",\
              \"store\":\"{}\",\"seeds\":[{}],\"agent_port\":{},\"grace\":\"8s\",\"retry_ratio\":0.2,\
              \"retry_slack\":88,\"retry_window\":\"10s\"}}",
-            self.metrics_port, self.store_address, seeds.join(","), self.agent_port,
+            self.metrics_port,
+            self.store_address,
+            seeds.join(","),
+            self.agent_port,
         );
         let process = self.add(name, "gateway", &settings)?;
         Ok((process, front))
@@ -203,10 +194,6 @@
         &mut self.children[number]
     }
 
-    pub fn processes(&mut self) -> &mut [Process] {
-        &mut self.children
-    }
-
     /// Ends all processes; keeps their logs beside the record if `AMARANTHGW_LOGS` names a folder.
     pub fn end(&mut self) {
         for child in &mut self.children {
--- a/review/stage/store.rs
+++ b/review/stage/store.rs
@@ -87,12 +87,6 @@
         self.state.1.notify_all();
     }
 
-    pub fn get(&self, key: &str) -> Option<String> {
-        let state = self.lock();
-        let item = state.content.items.get(key)?;
-        Some(String::from_utf8_lossy(&item.value).into_owned())
-    }
-
     /// What was last written under a condition, to a key with this end.
     pub fn last_conditional(&self, end: &str) -> Option<(Instant, String)> {
         let state = self.lock();
@@ -138,7 +132,10 @@
     fn expire(&self) {
         let mut state = self.lock();
         let now = Instant::now();
-        let over: Vec<u64> = state.content.leases.iter()
+        let over: Vec<u64> = state
+            .content
+            .leases
+            .iter()
             .filter(|(_, (until, _))| *until <= now)
             .map(|(lease, _)| *lease)
             .collect();
@@ -197,21 +194,31 @@
         let after = request.parameter("after").unwrap_or_default();
         let items = state.content.items.iter();
         let items = items.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-        let mut rows: Vec<String> = items.take(501)
+        let mut rows: Vec<String> = items
+            .take(501)
             .map(|(key, item)| format!("{{{}}}", fields_of(key, item)))
             .collect();
         let has_more = rows.len() > 500;
         rows.truncate(500);
-        Reply::new(200, format!(
-            "{{\"entries\":[{}],\"has_more\":{has_more},\"as_of\":{}}}",
-            rows.join(","), state.content.rev,
-        ))
+        Reply::new(
+            200,
+            format!(
+                "{{\"entries\":[{}],\"has_more\":{has_more},\"as_of\":{}}}",
+                rows.join(","),
+                state.content.rev,
+            ),
+        )
     }
 
     /// `None` if the watch is cut.
     fn watch(&self, request: &Request) -> Option<Reply> {
         let prefix = request.parameter("prefix").unwrap_or_default();
-        let number = |name| request.parameter(name).and_then(|it| it.parse().ok()).unwrap_or(0);
+        let number = |name| {
+            request
+                .parameter(name)
+                .and_then(|it| it.parse().ok())
+                .unwrap_or(0)
+        };
         let (after, wait): (u64, u64) = (number("after"), number("wait_ms"));
         let ends_at = Instant::now() + Duration::from_millis(wait);
         let mut state = self.lock();
@@ -223,24 +230,28 @@
             if after < state.history_from || after > state.content.rev {
                 return Some(Reply::new(410, "{}"));
             }
-            let events: Vec<String> = state.history.iter()
+            let events: Vec<String> = state
+                .history
+                .iter()
                 .filter(|(rev, _)| *rev > after)
                 .filter_map(|(_, change)| match change {
                     Change::Written(key, item) if key.starts_with(&prefix) => {
                         Some(format!("{{{}}}", fields_of(key, item)))
                     }
-                    Change::Removed(key, rev) if key.starts_with(&prefix) => {
-                        Some(format!("{{\"key\":{},\"rev\":{rev},\"tombstone\":true}}", quoted(key)))
-                    }
+                    Change::Removed(key, rev) if key.starts_with(&prefix) => Some(format!(
+                        "{{\"key\":{},\"rev\":{rev},\"tombstone\":true}}",
+                        quoted(key)
+                    )),
                     _ => None,
                 })
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= ends_at {
                 let as_of = state.content.rev;
-                return Some(Reply::new(200, format!(
-                    "{{\"events\":[{}],\"as_of\":{as_of}}}", events.join(","),
-                )));
+                return Some(Reply::new(
+                    200,
+                    format!("{{\"events\":[{}],\"as_of\":{as_of}}}", events.join(","),),
+                ));
             }
             let left = (ends_at - now).min(Duration::from_millis(100));
             let waited = self.state.1.wait_timeout(state, left);
@@ -255,7 +266,11 @@
         let mut state = self.lock();
         let rows = |name: &str| body.get(name).map_or(&[][..], Json::list);
         let is_met = rows("expect").iter().all(|row| {
-            let known = state.content.items.get(row.word("key")).map_or(0, |item| item.rev);
+            let known = state
+                .content
+                .items
+                .get(row.word("key"))
+                .map_or(0, |item| item.rev);
             known == row.whole("rev")
         });
         if !is_met {
@@ -297,12 +312,19 @@
         state.content.next_lease += 1;
         let lease = state.content.next_lease;
         let time = Duration::from_millis(ttl);
-        state.content.leases.insert(lease, (Instant::now() + time, time));
+        state
+            .content
+            .leases
+            .insert(lease, (Instant::now() + time, time));
         Reply::new(200, format!("{{\"lease\":{lease},\"ttl_ms\":{ttl}}}"))
     }
 
     fn keep(&self, path: &str) -> Reply {
-        let lease = path.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let lease = path
+            .rsplit('/')
+            .next()
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
         let mut state = self.lock();
         match state.content.leases.get_mut(&lease) {
             Some((until, ttl)) => {
@@ -315,7 +337,11 @@
     }
 
     fn end(&self, path: &str) -> Reply {
-        let lease = path.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let lease = path
+            .rsplit('/')
+            .next()
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
         let mut state = self.lock();
         if !state.content.leases.contains_key(&lease) {
             return Reply::new(404, "{}");
@@ -331,22 +357,32 @@
         self.content.rev += 1;
         let rev = self.content.rev;
         let created = self.content.items.get(key).map_or(rev, |item| item.created);
-        let item = Item { value, rev, created, lease };
+        let item = Item {
+            value,
+            rev,
+            created,
+            lease,
+        };
         self.content.items.insert(key.to_owned(), item.clone());
-        self.history.push((rev, Change::Written(key.to_owned(), item)));
+        self.history
+            .push((rev, Change::Written(key.to_owned(), item)));
     }
 
     fn remove(&mut self, key: &str) {
         if self.content.items.remove(key).is_some() {
             self.content.rev += 1;
             let rev = self.content.rev;
-            self.history.push((rev, Change::Removed(key.to_owned(), rev)));
+            self.history
+                .push((rev, Change::Removed(key.to_owned(), rev)));
         }
     }
 
     fn end_lease(&mut self, lease: u64) {
         self.content.leases.remove(&lease);
-        let keys: Vec<String> = self.content.items.iter()
+        let keys: Vec<String> = self
+            .content
+            .items
+            .iter()
             .filter(|(_, item)| item.lease == lease && lease != 0)
             .map(|(key, _)| key.clone())
             .collect();
@@ -359,7 +395,11 @@
 fn fields_of(key: &str, item: &Item) -> String {
     format!(
         "\"key\":{},\"value\":\"{}\",\"rev\":{},\"create_revision\":{},\"lease\":{}",
-        quoted(key), encode_base64(&item.value), item.rev, item.created, item.lease,
+        quoted(key),
+        encode_base64(&item.value),
+        item.rev,
+        item.created,
+        item.lease,
     )
 }
 
@@ -374,7 +414,11 @@
         }
         for at in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * at)) as usize & 63];
-            out.push(if at <= chunk.len() { char::from(digit) } else { '=' });
+            out.push(if at <= chunk.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     out
