--- a/review/stage/leave.rs
+++ b/review/stage/leave.rs
@@ -198,3 +198,71 @@
     std::thread::sleep(Duration::from_secs(2));
     Ok(verdict(stage, &scene, &target, bound))
 }
+
+const EVAC_TIME: Duration = Duration::from_millis(5_000);
+/// Time after the start of the second gateway, 0.6 s after the return of the store, at which the operator has written the evacuation again.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_secs(5);
+
+/// A zone is evacuated; the store comes back from a copy that lacks that, and a gateway starts just then.
+pub fn run_evacuation(stage: &mut Stage, has_trouble: bool) -> std::io::Result<Verdict> {
+    let Some(scene) = set_up(stage)? else {
+        return Ok(Verdict::CouldNotRun("no answers".to_owned()));
+    };
+    let (store, record) = (stage.store.clone(), stage.record.clone());
+    let (second, front) = stage.add_gateway("edge-1", 41, "leics", &[40])?;
+    std::thread::sleep(Duration::from_secs(3));
+    let interval = Duration::from_millis(250);
+    let route = ("POST", "/book/2f", 2_500);
+    let others = Clients::start(8, interval, &[front], route, Some(record.clone()));
+    std::thread::sleep(Duration::from_secs(2));
+    store.take_copy();
+    record.line("the copy of the store is taken");
+    std::thread::sleep(Duration::from_secs(1));
+    store.put("op/evacuate/notts", "{}");
+    let acknowledged_at = Instant::now();
+    record.line("zone notts is evacuated");
+    std::thread::sleep(Duration::from_millis(2_500));
+    if has_trouble {
+        record.line("the store is away, and the second gateway is killed");
+        store.go_away();
+        stage.process(second).kill();
+        std::thread::sleep(Duration::from_millis(400));
+        store.come_back();
+        record.line("the store is back from the copy");
+        for target in &scene.targets {
+            target.beat();
+        }
+        std::thread::sleep(Duration::from_millis(600));
+        stage.process(second).restart()?;
+        record.line("the second gateway starts again");
+    } else {
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let started_at = Instant::now();
+    let target = scene.targets[1].clone();
+    std::thread::sleep(WRITTEN_AGAIN_AFTER - Duration::from_millis(100));
+    // The zone is switched off.
+    target.crash();
+    std::thread::sleep(Duration::from_millis(100));
+    if has_trouble {
+        store.put("op/evacuate/notts", "{}");
+        record.line("the operator writes the evacuation again");
+    }
+    // Machines are in touch 3 s after their start and the end of the store's disruption.
+    let bound = (acknowledged_at + EVAC_TIME).max(started_at + Duration::from_millis(3_500));
+    std::thread::sleep(Duration::from_secs(2));
+    others.stop();
+    let more = others.sent.lock().map(|it| it.clone()).unwrap_or_default();
+    if let Ok(mut sent) = scene.clients.sent.lock() {
+        sent.extend(more);
+    }
+    let answers = others
+        .answers
+        .lock()
+        .map(|it| it.clone())
+        .unwrap_or_default();
+    record.line(&format!(
+        "answers of the second gateway by status: {answers:?}"
+    ));
+    Ok(verdict(stage, &scene, &target, bound))
+}
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -47,6 +47,7 @@
         "map" => map::run(&mut stage, has_trouble),
         "drill" => leave::run_drill(&mut stage, has_trouble),
         "beat" => leave::run_late_beat(&mut stage, has_trouble),
+        "evacuation" => leave::run_evacuation(&mut stage, has_trouble),
         "cold" => cold::run(&mut stage, has_trouble),
         _ => Ok(Verdict::CouldNotRun("unknown case".to_owned())),
     };
