Views of ranks tell how old their state can be

One rank of a group began a step under a new map alone, so that requests were answered by a model put together wrongly, after a coordinator was killed in a switch and its own rank carried an order to arm out late.

Cause: a view carried the time of its request, and the driver took a request after an event for a state after it. A rank whose agent doesn't answer is read from another VM and tells its state of some hundred ms ago. The next coordinator raised the fencing token, read that rank as it had been before, saw nothing armed and let the held rank go.

Change: a view carries a ViewTime, when it was requested and how old its state could be by then: 0 from the rank's agent, twice the published report lag from afar. Every comparison of a view with an event uses it; whether a rank replies is still judged by the request. A view that may be older than the known one doesn't replace it.

Why it works: a state later than the fencing includes all that an earlier coordinator could still order, as ranks refuse the rest.

--- a/crates/amaranthgw/src/agent/coordinator.rs
+++ b/crates/amaranthgw/src/agent/coordinator.rs
@@ -9,7 +9,8 @@
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_groups::rebalance::{
     ExpertDemand, GroupPlacement, OrderReply, PendingOrder, PlacementDelta, PlannerInput,
-    PlannerLimits, RankOrder, RankView, SelectionSample, SwitchDriver, SwitchPhase, plan_change,
+    PlannerLimits, RankOrder, RankView, SelectionSample, SwitchDriver, SwitchPhase, ViewTime,
+    plan_change,
 };
 use amaranthgw_platform::store::PlatformStore;
 use compact_str::ToCompactString;
@@ -53,11 +54,14 @@
 /// few seconds, and steps take longer while weights are copied.
 const COPY_TIME_BUDGET: Duration = Duration::from_millis(570);
 
+/// Age that a rank's report to another VM can have while the configuration is not known.
+const UNKNOWN_REPORT_AGE: Duration = Duration::from_secs(1);
+
 /// Result of a call that the coordinator started.
 #[derive(Debug)]
 pub(super) enum CoordinatorEvent {
-    /// The rank replied to the query made at the time.
-    Observed(GroupMember, RankReading, Instant),
+    /// The rank replied to a query.
+    Observed(GroupMember, RankReading),
     /// The rank at the address did not reply.
     Unanswered(SocketAddr, AgentError),
     /// The tree of agents didn't reach the rank at the address, which is then called directly.
@@ -266,7 +270,7 @@
             }
             match rank {
                 _ if *address == self.roster.local_address() => {
-                    self.dispatcher.query_directly(member, query.clone(), now);
+                    self.dispatcher.query_directly(member, query.clone());
                 }
                 Some(rank) => members.push((rank, member)),
                 None => strangers.push(member),
@@ -301,9 +305,9 @@
     fn handle_event(&mut self, event: CoordinatorEvent) {
         let now = Instant::now();
         match event {
-            CoordinatorEvent::Observed(member, reading, queried_at) => {
+            CoordinatorEvent::Observed(member, reading) => {
                 self.awaiting_reply.remove(&member.address);
-                self.observe(member, reading, queried_at, now);
+                self.observe(member, reading, now);
             }
             CoordinatorEvent::Unanswered(address, error) => {
                 self.awaiting_reply.remove(&address);
@@ -321,17 +325,14 @@
         }
     }
 
-    fn observe(
-        &mut self,
-        member: GroupMember,
-        reading: RankReading,
-        queried_at: Instant,
-        now: Instant,
-    ) {
+    fn observe(&mut self, member: GroupMember, reading: RankReading, now: Instant) {
+        let time = self.view_time(&reading);
         let RankReading {
             view,
+            requested_at,
             load,
             selections,
+            ..
         } = reading;
         if view.group != self.group {
             self.members.remove(&member.address);
@@ -340,11 +341,21 @@
         }
         self.record_reachability(member.address, None);
         add_selections(&mut self.selections, selections.as_ref());
-        self.loads.record(member.address, load, queried_at);
+        self.loads.record(member.address, load, requested_at);
         self.members.insert(member.address, view.rank);
         self.rank_links
             .insert(view.rank, (member.address, member.link));
-        self.driver.observe(view, queried_at, now);
+        self.driver.observe(view, time, now);
+    }
+
+    /// How old the state in a reading can be.
+    fn view_time(&self, reading: &RankReading) -> ViewTime {
+        let time = ViewTime::new(reading.requested_at);
+        if reading.is_current {
+            return time;
+        }
+        let age = self.shape.map(|shape| shape.max_report_age());
+        time.with_max_age(age.unwrap_or(UNKNOWN_REPORT_AGE))
     }
 
     /// Logs when a rank stops or resumes replying.
--- a/crates/amaranthgw/src/agent/dispatch.rs
+++ b/crates/amaranthgw/src/agent/dispatch.rs
@@ -82,8 +82,8 @@
     }
 
     /// Queries one rank without the tree.
-    pub(super) fn query_directly(&self, member: GroupMember, query: ViewQuery, now: Instant) {
-        tokio::spawn(self.sender().query_directly(member, query, now));
+    pub(super) fn query_directly(&self, member: GroupMember, query: ViewQuery) {
+        tokio::spawn(self.sender().query_directly(member, query));
     }
 
     /// Queries the ranks of `members` over the tree, in the order given. Returns the ranks that were
@@ -99,7 +99,7 @@
             .partition(|member| self.is_direct(member.address, now));
         let left_out = direct.split_off(direct.len().min(MAX_DIRECT_QUERIES));
         for member in direct {
-            self.query_directly(member, query.clone(), now);
+            self.query_directly(member, query.clone());
         }
         for branch in split(&relayed) {
             let (branch, query) = (branch.to_vec(), query.clone());
@@ -159,7 +159,7 @@
             }
             let head = branch.remove(0);
             self.emit(CoordinatorEvent::Bypassed(head.address));
-            tokio::spawn(self.clone().query_directly(head, query.clone(), now));
+            tokio::spawn(self.clone().query_directly(head, query.clone()));
             if branch.is_empty() {
                 return;
             }
@@ -185,20 +185,22 @@
             if let Some(MemberReply::View(view, load)) = replies.remove(&member.address) {
                 let reading = RankReading {
                     view: *view,
+                    requested_at: now,
+                    is_current: true,
                     load: Some(load),
                     selections: None,
                 };
-                self.emit(CoordinatorEvent::Observed(member, reading, now));
+                self.emit(CoordinatorEvent::Observed(member, reading));
             } else {
                 self.emit(CoordinatorEvent::Bypassed(member.address));
-                tokio::spawn(self.clone().query_directly(member, query.clone(), now));
+                tokio::spawn(self.clone().query_directly(member, query.clone()));
             }
         }
     }
 
-    async fn query_directly(self, member: GroupMember, query: ViewQuery, now: Instant) {
+    async fn query_directly(self, member: GroupMember, query: ViewQuery) {
         let event = match member.link.view(query).await {
-            Ok(reading) => CoordinatorEvent::Observed(member, reading, now),
+            Ok(reading) => CoordinatorEvent::Observed(member, reading),
             Err(error) => CoordinatorEvent::Unanswered(member.address, error),
         };
         self.emit(event);
--- a/crates/amaranthgw/src/agent/link.rs
+++ b/crates/amaranthgw/src/agent/link.rs
@@ -8,6 +8,7 @@
 use amaranthgw_groups::rebalance::{OrderReply, PendingOrder, RankView, SelectionSample};
 use amaranthgw_platform::rank::RankClient;
 use futures_util::future::BoxFuture;
+use tokio::time::Instant;
 
 use super::experts::ExpertCache;
 use super::local_rank::LocalRank;
@@ -34,7 +35,11 @@
 pub(super) struct RankReading {
     /// State of the rank.
     pub(super) view: RankView,
-    /// Load of the rank; `None` unless its agent read it, as others get an old one.
+    /// When the rank or its agent was asked.
+    pub(super) requested_at: Instant,
+    /// Whether its agent read it; readers on other VMs get an old state.
+    pub(super) is_current: bool,
+    /// Load of the rank; `None` unless current.
     pub(super) load: Option<RankLoad>,
     /// Selections of experts since the last query for them, if asked for and known.
     pub(super) selections: Option<SelectionSample>,
@@ -117,20 +122,26 @@
 impl RankLink for RemoteRank {
     fn view(&self, query: ViewQuery) -> BoxFuture<'_, Result<RankReading>> {
         Box::pin(async move {
+            let requested_at = Instant::now();
             let called = self.call_agent(GroupCall::View(query), AGENT_TIMEOUT);
             if let Some((MemberReply::View(view, load), selections)) = called.await {
                 return Ok(RankReading {
                     view: *view,
+                    requested_at,
+                    is_current: true,
                     load: Some(load),
                     selections,
                 });
             }
             // Without selections: reading them over the network would make the whole group pause.
+            let requested_at = Instant::now();
             let report = self.rank.report(REMOTE_RANK_TIMEOUT).await?;
             let mut view = report.ok_or(AgentError::NoGroup)?.view;
             self.experts.fill(&self.rank, &mut view).await?;
             Ok(RankReading {
                 view,
+                requested_at,
+                is_current: false,
                 load: None,
                 selections: None,
             })
--- a/crates/amaranthgw/src/agent/local_rank.rs
+++ b/crates/amaranthgw/src/agent/local_rank.rs
@@ -84,6 +84,7 @@
 
     /// Reads the state of the rank, with what the query asks for.
     pub(super) async fn read(&self, query: &ViewQuery) -> Result<RankReading> {
+        let requested_at = Instant::now();
         let RankReport { mut view, load } = self.report().await?;
         let selections = if query.with_selections {
             self.read_selections(&view).await
@@ -95,6 +96,8 @@
         }
         Ok(RankReading {
             view,
+            requested_at,
+            is_current: true,
             load: Some(load),
             selections,
         })
--- a/crates/amaranthgw/tests/it/agents.rs
+++ b/crates/amaranthgw/tests/it/agents.rs
@@ -81,7 +81,7 @@
                 "version": 1,
                 "services": [{ "name": "llm", "engine": {
                     "sets": SET_COUNT, "experts": EXPERT_COUNT * rank_count.div_ceil(RANK_COUNT), "places": 6, "spare": 4,
-                    "expert_mb": 1.0, "link_mbps": 1000.0,
+                    "expert_mb": 1.0, "link_mbps": 1000.0, "report_lag_ms": 200.0,
                 } }],
             }),
         );
@@ -258,6 +258,29 @@
     group.check_steps().await;
 }
 
+// Guards against MAP: a coordinator took the old report of a rank without an agent for its state after the
+// fencing, and let the group go while that rank alone was armed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_late_arm_beside_stopped_agent() {
+    let mut group = TestGroup::start(81);
+    group.trigger_switch(0).await;
+    let coordinator = group.coordinator().expect("coordinator");
+    group.group.stall_orders(coordinator);
+    group.group.set_popular_expert(7);
+    let standin = group.group.clone();
+    let gave_up = || async {
+        let is_disarmed = standin.armed_ranks() == 0;
+        (standin.has_stalled_arm(coordinator) && is_disarmed).then_some(())
+    };
+    eventually("the end of the switch", gave_up).await;
+    tokio::task::block_in_place(|| group.stop_agent(coordinator));
+    group.group.set_lagging(coordinator);
+    group.group.end_stall(coordinator);
+    group.check_steps().await;
+    group.trigger_switch(3).await;
+    group.check_steps().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_rebalances_large_group() {
     let group = TestGroup::start_with(75, LARGE_RANK_COUNT);
--- a/crates/fleet/src/gateway/routes.rs
+++ b/crates/fleet/src/gateway/routes.rs
@@ -117,9 +117,21 @@
     pub expert_bytes: ByteCount,
     /// Rate at which a rank copies weights.
     pub copy_rate: ByteRate,
+    /// Usual age of the state that a rank reports to other VMs.
+    pub report_lag: MilliSpan,
 }
 
+/// Multiple of the usual age of a report that none exceeds: reports are renewed at each step, and steps take
+/// longer on a slow VM.
+const REPORT_AGE_FACTOR: u32 = 2;
+
 impl ExpertShape {
+    /// Age that the state of a rank can have when it is reported to another VM.
+    #[must_use]
+    pub fn max_report_age(&self) -> Duration {
+        self.report_lag.duration() * REPORT_AGE_FACTOR
+    }
+
     /// Time for a rank to copy the weights of `copies` experts.
     #[must_use]
     pub fn copy_time(&self, copies: usize) -> Duration {
--- a/crates/fleet/tests/it/gateway/routes.rs
+++ b/crates/fleet/tests/it/gateway/routes.rs
@@ -125,6 +125,7 @@
         new_per_set: 4,
         expert_bytes: ByteCount::new(megabytes * 1_000_000),
         copy_rate: ByteRate::new(5_500_000_000),
+        report_lag: MilliSpan::new(200),
     }
 }
 
--- a/crates/fleet/tests/it/gateway/work.rs
+++ b/crates/fleet/tests/it/gateway/work.rs
@@ -68,6 +68,7 @@
         new_per_set: 2,
         expert_bytes: ByteCount::new(1),
         copy_rate: ByteRate::new(1),
+        report_lag: MilliSpan::new(200),
     };
     let service = ServiceRow {
         cold_rate: RequestRate::new(0),
--- a/crates/groups/src/rebalance/driver/mod.rs
+++ b/crates/groups/src/rebalance/driver/mod.rs
@@ -10,8 +10,10 @@
 
 mod phase;
 mod recovery;
+mod row;
 
 pub use phase::{DriverEvent, PendingOrder, SwitchPhase};
+pub use row::ViewTime;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -22,6 +24,7 @@
 };
 use tokio::time::Instant;
 
+use self::row::RankRow;
 use super::{ArmedMap, CoordinatorMark, GroupPlacement, OrderReply, RankOrder, RankView};
 
 /// Steps from the newest one that began to the one at which the map changes. Two suffice, because
@@ -54,17 +57,6 @@
 /// time for which a group may stall.
 const ARM_TIMEOUT: Duration = Duration::from_millis(600);
 
-#[derive(Clone, Debug)]
-struct RankRow {
-    view: RankView,
-    /// Time at which the view was requested.
-    viewed_at: Instant,
-    /// Whether the rank has completed the order of the current phase.
-    is_done: bool,
-    /// Whether an order of the current phase was sent and has no reply yet.
-    is_awaiting_reply: bool,
-}
-
 /// Drives the map switches of a group for its coordinator.
 #[derive(Clone, Debug)]
 pub struct SwitchDriver {
@@ -158,8 +150,8 @@
         self.ranks.values().map(|row| &row.view)
     }
 
-    /// Records a view of a rank that was requested at `requested_at` and arrived by `now`.
-    pub fn observe(&mut self, view: RankView, requested_at: Instant, now: Instant) {
+    /// Records a view of a rank that arrived by `now`.
+    pub fn observe(&mut self, view: RankView, time: ViewTime, now: Instant) {
         let is_new_generation = self
             .ranks
             .values()
@@ -174,18 +166,9 @@
         }
         let rank = view.rank;
         if let Some(row) = self.ranks.get_mut(&rank) {
-            if row.view.generation <= view.generation {
-                row.view = view;
-                row.viewed_at = requested_at;
-            }
+            row.record(view, time);
         } else {
-            let row = RankRow {
-                view,
-                viewed_at: requested_at,
-                is_done: false,
-                is_awaiting_reply: false,
-            };
-            self.ranks.insert(rank, row);
+            self.ranks.insert(rank, RankRow::new(view, time));
         }
         self.advance(now);
     }
@@ -201,7 +184,7 @@
             && self.ranks.values().all(|row| {
                 row.view.is_open
                     && row.view.generation == first.view.generation
-                    && now.saturating_duration_since(row.viewed_at) <= VIEW_MAX_AGE
+                    && now.saturating_duration_since(row.replied_at) <= VIEW_MAX_AGE
             })
     }
 
@@ -217,7 +200,7 @@
             row.view.map == map
                 && row.view.armed.is_none()
                 && row.view.held.is_none()
-                && row.viewed_at >= self.phase_since
+                && row.is_viewed_since(self.phase_since)
         };
         self.ranks.values().all(is_quiescent).then_some(map)
     }
@@ -443,6 +426,12 @@
         self.enter(SwitchPhase::Clearing { held }, now, cause);
     }
 
+    /// Age that the oldest of the views could have when it was requested.
+    fn max_view_age(&self) -> Duration {
+        let ages = self.ranks.values().map(RankRow::max_age);
+        ages.max().unwrap_or_default()
+    }
+
     fn all_done(&self) -> bool {
         self.ranks.values().all(|row| row.is_done)
     }
@@ -473,7 +462,8 @@
             SwitchPhase::Preparing {
                 version, copy_time, ..
             } => {
-                let timeout = copy_time * COPY_TIMEOUT_FACTOR + PREPARE_MARGIN;
+                let timeout =
+                    copy_time * COPY_TIMEOUT_FACTOR + PREPARE_MARGIN + self.max_view_age();
                 self.advance_preparing(version, elapsed > timeout, now);
             }
             SwitchPhase::Holding { armed, held_rank } => {
@@ -518,10 +508,10 @@
             self.fenced_at = Some(now);
         }
         // Once all ranks have accepted an order of this coordinator, they reject those of earlier
-        // coordinators. What is armed or held in views requested after that is an incomplete switch
-        // of an earlier coordinator.
+        // coordinators. What is armed or held in views of a later time is an incomplete switch of an
+        // earlier coordinator.
         let fenced_at = self.fenced_at;
-        let is_after_fencing = |row: &RankRow| fenced_at.is_some_and(|at| row.viewed_at > at);
+        let is_after_fencing = |row: &RankRow| fenced_at.is_some_and(|at| row.is_viewed_after(at));
         let is_prepared =
             |row: &RankRow| row.view.prepared == Some(version) && is_after_fencing(row);
         let has_switch_state = |row: &RankRow| row.view.armed.is_some() || row.view.held.is_some();
@@ -552,7 +542,7 @@
         let is_fresh = self
             .ranks
             .values()
-            .all(|row| row.viewed_at > self.phase_since);
+            .all(|row| row.is_viewed_after(self.phase_since));
         let is_partial =
             self.ranks.values().any(|row| row.view.armed.is_some()) && !self.has_common_armed_map();
         let is_lost = self
--- a/crates/groups/src/rebalance/driver/recovery.rs
+++ b/crates/groups/src/rebalance/driver/recovery.rs
@@ -30,7 +30,7 @@
             return false;
         };
         let is_fresh = |row: &RankRow| {
-            row.view.is_open && now.saturating_duration_since(row.viewed_at) <= VIEW_MAX_AGE
+            row.view.is_open && now.saturating_duration_since(row.replied_at) <= VIEW_MAX_AGE
         };
         let fresh = self.ranks.iter().filter(|(_, row)| is_fresh(row)).count();
         let Some(mark) = self.previous.filter(|mark| mark.rank != self.local_rank) else {
@@ -49,7 +49,7 @@
         previous.map(|mark| mark.rank)
     }
 
-    /// Snapshot from views requested after `since`; `None` until every reachable rank has one.
+    /// Snapshot from views of a time later than `since`; `None` until every reachable rank has one.
     fn snapshot_since(&self, since: Instant, now: Instant) -> Option<GroupSnapshot> {
         let is_previous_unreachable = self.is_previous_unreachable(now);
         let unreachable = self.unreachable_rank(is_previous_unreachable);
@@ -58,7 +58,7 @@
             .values()
             .filter(|row| Some(row.view.rank) != unreachable)
             .collect();
-        let is_polled = rows.iter().all(|row| row.viewed_at > since);
+        let is_polled = rows.iter().all(|row| row.is_viewed_after(since));
         if !is_polled || !(is_previous_unreachable || self.is_complete(now)) {
             return None;
         }
--- a/crates/groups/src/rebalance/mod.rs
+++ b/crates/groups/src/rebalance/mod.rs
@@ -26,7 +26,7 @@
 
 pub use delta::{DeltaError, PlacementDelta};
 pub use demand::ExpertDemand;
-pub use driver::{DriverEvent, PendingOrder, SwitchDriver, SwitchPhase};
+pub use driver::{DriverEvent, PendingOrder, SwitchDriver, SwitchPhase, ViewTime};
 pub use history::{BaseError, MapContent, MapHistory};
 pub use placement::{GroupPlacement, SetPlacement};
 pub use planner::{PlacementChange, PlannerInput, PlannerLimits, plan_change};
--- a/crates/groups/tests/it/rebalance/mod.rs
+++ b/crates/groups/tests/it/rebalance/mod.rs
@@ -5,5 +5,6 @@
 mod history;
 mod model;
 mod planner;
+mod recovery;
 mod selections;
 mod switches;
--- a/crates/groups/tests/it/rebalance/model.rs
+++ b/crates/groups/tests/it/rebalance/model.rs
@@ -1,5 +1,6 @@
 //! Model of a rank group and its coordinators, with late, lost and unanswered orders.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,11 +8,13 @@
     FencingNumber, GroupGeneration, MapVersion, RankId, StartMark, StepNumber, StoreRevision,
 };
 use amaranthgw_groups::rebalance::{
-    ArmedMap, GroupPlacement, OrderReply, PendingOrder, RankOrder, RankView, SwitchDriver,
+    ArmedMap, GroupPlacement, OrderReply, PendingOrder, RankOrder, RankView, SwitchDriver, ViewTime,
 };
 use tokio::time::Instant;
 
 pub(super) const RANKS: u16 = 4;
+/// Age of the views that a rank gives while its agent is down.
+const VIEW_LAG: Duration = Duration::from_millis(200);
 
 /// Fault rates and protections of one run.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +27,8 @@
     pub(super) replaced: u32,
     /// Actions per thousand that break the group.
     pub(super) broken: u32,
+    /// Views per thousand that are as old as [`VIEW_LAG`].
+    pub(super) lagging: u32,
     /// Whether ranks reject orders with a lower fencing token.
     pub(super) is_fenced: bool,
     /// Whether ranks obey holds; off only to check that the model then finds mixed steps.
@@ -62,6 +67,8 @@
     lease: u64,
     sent: Vec<(usize, PendingOrder)>,
     late: Vec<PendingOrder>,
+    /// Views of all ranks at some past times, oldest first.
+    history: VecDeque<(Instant, Vec<RankView>)>,
     pub(super) switches: u32,
     pub(super) mixed_step: Option<u64>,
 }
@@ -79,6 +86,7 @@
             lease: 0,
             sent: Vec::new(),
             late: Vec::new(),
+            history: VecDeque::new(),
             switches: 0,
             mixed_step: None,
         };
@@ -89,7 +97,8 @@
     /// Runs `actions` random actions.
     pub(super) fn run(&mut self, actions: u32) {
         for _ in 0..actions {
-            self.now += Duration::from_millis(self.rng.u64(1..25));
+            let pause = Duration::from_millis(self.rng.u64(1..25));
+            self.advance(pause);
             if self.chance(self.options.replaced) {
                 self.elect();
             }
@@ -114,6 +123,7 @@
             unanswered: 0,
             replaced: 0,
             broken: 0,
+            lagging: 0,
             ..self.options
         };
         self.elect();
@@ -121,7 +131,7 @@
         self.drivers.drain(..newest);
         self.sent.clear();
         for _ in 0..4_000 {
-            self.now += Duration::from_millis(5);
+            self.advance(Duration::from_millis(5));
             match self.rng.u32(0..4) {
                 0 => self.begin_step(),
                 1 => self.poll(),
@@ -133,6 +143,25 @@
         self.ranks.iter().all(is_quiescent)
     }
 
+    /// Lets `time` pass, and keeps the views of all ranks at its beginning for [`VIEW_LAG`].
+    fn advance(&mut self, time: Duration) {
+        if self.options.lagging > 0 {
+            let views = (0..self.ranks.len()).map(|index| self.view(index));
+            self.history.push_back((self.now, views.collect()));
+        }
+        self.now += time;
+        let is_past = |(at, _): &(Instant, Vec<RankView>)| *at + VIEW_LAG <= self.now;
+        while self.history.get(1).is_some_and(is_past) {
+            self.history.pop_front();
+        }
+    }
+
+    /// View of a rank at [`VIEW_LAG`] ago; `None` if the run is younger than that.
+    fn lagging_view(&self, index: usize) -> Option<RankView> {
+        let (at, views) = self.history.front()?;
+        (*at + VIEW_LAG <= self.now).then(|| views[index].clone())
+    }
+
     fn chance(&mut self, per_thousand: u32) -> bool {
         self.rng.u32(0..1_000) < per_thousand
     }
@@ -207,8 +236,14 @@
         let driver = self.rng.usize(0..self.drivers.len());
         for index in 0..self.ranks.len() {
             if self.rng.u32(0..10) > 0 {
-                let view = self.view(index);
-                self.drivers[driver].observe(view, self.now, self.now);
+                let is_lagging = self.chance(self.options.lagging);
+                let lagging = self.lagging_view(index).filter(|_| is_lagging);
+                let mut time = ViewTime::new(self.now);
+                if lagging.is_some() {
+                    time = time.with_max_age(VIEW_LAG * 2);
+                }
+                let view = lagging.unwrap_or_else(|| self.view(index));
+                self.drivers[driver].observe(view, time, self.now);
             }
         }
         self.send_pending(driver);
--- /dev/null
+++ b/crates/groups/tests/it/rebalance/recovery.rs
@@ -0,0 +1,109 @@
+//! Recovery of a coordinator from an incomplete switch of its predecessor.
+
+use std::time::Duration;
+
+use amaranthgw_core::{FencingNumber, GroupGeneration, MapVersion, RankId, StartMark, StepNumber};
+use amaranthgw_groups::rebalance::{
+    ArmedMap, OrderReply, PendingOrder, RankOrder, RankView, SwitchDriver, ViewTime,
+};
+use tokio::time::Instant;
+use yare::parameterized;
+
+const RANKS: u16 = 4;
+/// The rank beside the predecessor, whose views are old.
+const LAGGING_RANK: u16 = 3;
+/// Age that views of [`LAGGING_RANK`] can have.
+const MAX_AGE: Duration = Duration::from_millis(400);
+/// The map of the predecessor, for whose step rank 0 is held.
+const ARMED: ArmedMap = ArmedMap {
+    version: MapVersion::new(5),
+    step: StepNumber::new(10),
+};
+
+/// View of a rank that has prepared the predecessor's map.
+fn view(rank: u16, armed: Option<ArmedMap>) -> RankView {
+    RankView {
+        group: "g".parse().expect("group"),
+        generation: GroupGeneration::new(1),
+        rank: RankId::new(rank),
+        size: RANKS,
+        is_open: true,
+        born: StartMark::new(1),
+        step: StepNumber::new(9),
+        map: MapVersion::default(),
+        prepared: Some(ARMED.version),
+        armed,
+        held: (rank == 0).then_some(ARMED.step),
+        pace_milli: 1_000,
+        experts: Vec::new(),
+    }
+}
+
+/// Lets the driver observe all ranks; the view of [`LAGGING_RANK`] shows it as armed or not.
+fn observe(driver: &mut SwitchDriver, lagging: Option<ArmedMap>, max_age: Duration, now: Instant) {
+    for rank in 0..RANKS {
+        let mut time = ViewTime::new(now);
+        let mut armed = None;
+        if rank == LAGGING_RANK {
+            time = time.with_max_age(max_age);
+            armed = lagging;
+        }
+        driver.observe(view(rank, armed), time, now);
+    }
+}
+
+fn names(pending: &[PendingOrder]) -> Vec<&'static str> {
+    pending.iter().map(|pending| pending.order.name()).collect()
+}
+
+/// A driver whose ranks have all taken its fencing token by the time that is returned.
+fn fenced_driver(max_age: Duration) -> (SwitchDriver, Instant) {
+    let start = Instant::now();
+    let mut driver = SwitchDriver::new(RankId::new(1), FencingNumber::new(2), start);
+    let mut now = start + Duration::from_millis(500);
+    while driver.phase().name() != "fencing" {
+        observe(&mut driver, None, max_age, now);
+        now += Duration::from_millis(50);
+    }
+    let pending = driver.pending_orders(now);
+    assert_eq!(names(&pending), ["disarm"; RANKS as usize]);
+    for order in &pending {
+        driver.reply(order, OrderReply::Accepted, now);
+    }
+    (driver, now)
+}
+
+// Guards against MAP: the lagging rank has carried out a late order to arm just before it took the new token. A
+// view from before that hid the armed map, and the held rank was let go.
+#[parameterized(
+    told = { MAX_AGE, &[] },
+    untold = { Duration::ZERO, &["go"] },
+)]
+fn advance_fencing_lagging_view(max_age: Duration, expected: &[&str]) {
+    let (mut driver, fenced_at) = fenced_driver(max_age);
+    let soon = fenced_at + Duration::from_millis(50);
+    observe(&mut driver, None, max_age, soon);
+    assert_eq!(names(&driver.pending_orders(soon)), expected);
+}
+
+#[test]
+fn advance_fencing_current_view_of_lagging_rank() {
+    let (mut driver, fenced_at) = fenced_driver(MAX_AGE);
+    let later = fenced_at + MAX_AGE + Duration::from_millis(1);
+    observe(&mut driver, Some(ARMED), MAX_AGE, later);
+    let pending = driver.pending_orders(later);
+    assert!(pending.iter().all(|it| it.order == RankOrder::Arm(ARMED)));
+    assert_eq!(pending.len(), usize::from(RANKS) - 1);
+}
+
+// A view that arrives late doesn't replace a later one.
+#[test]
+fn observe_earlier_view() {
+    let (mut driver, now) = fenced_driver(MAX_AGE);
+    let current = ViewTime::new(now + Duration::from_millis(100));
+    driver.observe(view(2, Some(ARMED)), current, now);
+    let earlier = ViewTime::new(now + Duration::from_millis(50));
+    driver.observe(view(2, None), earlier, now);
+    let armed = driver.views().filter(|view| view.armed.is_some()).count();
+    assert_eq!(armed, 1);
+}
--- a/crates/groups/tests/it/rebalance/switches.rs
+++ b/crates/groups/tests/it/rebalance/switches.rs
@@ -10,6 +10,7 @@
     unanswered: 0,
     replaced: 0,
     broken: 0,
+    lagging: 0,
     is_fenced: true,
     has_hold: true,
 };
@@ -67,6 +68,13 @@
     );
 }
 
+/// Coordinators end often, and the ranks beside them give old views.
+const LAGGING: ModelOptions = ModelOptions {
+    replaced: 20,
+    lagging: 200,
+    ..FAULTY
+};
+
 /// Seeds of runs that failed, each with its cause.
 const REGRESSION_SEEDS: [(u64, &str); 6] = [
     (
@@ -114,6 +122,16 @@
         prop_assert_eq!(model.mixed_step, None);
     }
 
+    // Guards against MAP: a view from before the fencing hid an armed map, and the held rank was let go.
+    #[test]
+    fn switch_driver_one_map_per_step_lagging_views(seed in any::<u64>()) {
+        let mut model = GroupModel::new(seed, LAGGING);
+        model.run(ACTIONS);
+        prop_assert_eq!(model.mixed_step, None);
+        prop_assert!(model.settle());
+        prop_assert_eq!(model.mixed_step, None);
+    }
+
     #[test]
     fn switch_driver_leaves_nothing_held(seed in any::<u64>()) {
         let mut model = GroupModel::new(seed, FAULTY);
--- a/crates/standins/src/site/group.rs
+++ b/crates/standins/src/site/group.rs
@@ -8,18 +8,21 @@
 use http::header::{HeaderName, HeaderValue};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::error::Result;
 use crate::http::{
     Call, CallError, CallHandler, ConnectionCloser, NoAnswer, Reply, ReplyFuture, ReplyResult,
     bind, empty_reply, json_reply, serve,
 };
+use crate::lagged::LaggedValue;
 use crate::lock::lock;
 use crate::running::{RunningStandin, Standin};
 
 /// Time between the starts of two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
+/// Age of a rank's reports to other VMs.
+const REPORT_LAG: Duration = Duration::from_millis(200);
 /// Tokens that one step routes to the popular expert of each expert set; other experts get 2.
 const POPULAR_TOKENS_PER_STEP: u64 = 100;
 
@@ -39,6 +42,23 @@
     fencing_token: u64,
     /// Answer to the last call.
     last_answer: Option<RankAnswer>,
+    /// Whether readers get old reports, as no agent runs beside the rank.
+    is_lagging: bool,
+    stall: OrderStall,
+}
+
+/// Whether a rank leaves orders unanswered.
+#[derive(Clone, Debug, Default)]
+enum OrderStall {
+    /// It answers them.
+    #[default]
+    None,
+    /// It leaves the next order to arm unanswered, and those that follow.
+    FromNextArm,
+    /// It does so since this order to arm.
+    Since(OrderBody),
+    /// It carries this order to arm out just before the next order that arrives.
+    EndsWith(OrderBody),
 }
 
 #[derive(Debug)]
@@ -52,11 +72,13 @@
     unanswered_percent: u32,
     repeated_percent: u32,
     switches: u64,
+    /// Reports of all ranks as other VMs see them.
+    past_reports: LaggedValue<Vec<Value>>,
     /// First step that ranks began with different map versions.
     mixed_step: Option<u64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 struct OrderBody {
     op: String,
     #[serde(default)]
@@ -103,6 +125,7 @@
             unanswered_percent: 0,
             repeated_percent: 0,
             switches: 0,
+            past_reports: LaggedValue::new(REPORT_LAG, Vec::new()),
             mixed_step: None,
         };
         Self {
@@ -129,6 +152,42 @@
         lock(&self.world).repeated_percent = percent;
     }
 
+    /// Lets `rank` leave orders unanswered from its next order to arm on.
+    pub fn stall_orders(&self, rank: usize) {
+        lock(&self.world).ranks[rank].stall = OrderStall::FromNextArm;
+    }
+
+    /// Whether `rank` has left an order to arm unanswered.
+    #[must_use]
+    pub fn has_stalled_arm(&self, rank: usize) -> bool {
+        matches!(lock(&self.world).ranks[rank].stall, OrderStall::Since(_))
+    }
+
+    /// Ends the stall of `rank`: it carries the order to arm out just before the next order that arrives.
+    pub fn end_stall(&self, rank: usize) {
+        let mut world = lock(&self.world);
+        let stall = &mut world.ranks[rank].stall;
+        if let OrderStall::Since(arm) = std::mem::take(stall) {
+            *stall = OrderStall::EndsWith(arm);
+        }
+    }
+
+    /// Lets readers of the reports of `rank` get old ones, as when its agent is down.
+    pub fn set_lagging(&self, rank: usize) {
+        lock(&self.world).ranks[rank].is_lagging = true;
+    }
+
+    /// Number of ranks that are armed.
+    #[must_use]
+    pub fn armed_ranks(&self) -> usize {
+        let world = lock(&self.world);
+        world
+            .ranks
+            .iter()
+            .filter(|rank| rank.armed.is_some())
+            .count()
+    }
+
     /// Number of steps begun so far.
     #[must_use]
     pub fn steps(&self) -> u64 {
@@ -166,7 +225,21 @@
 }
 
 impl GroupWorld {
+    fn keep_reports(&mut self) {
+        let reports = (0..self.ranks.len()).map(|rank| self.report(rank));
+        let reports = reports.collect();
+        self.past_reports.set(Instant::now(), reports);
+    }
+
+    /// The report of a rank as its readers get it.
+    fn read_report(&self, rank: usize) -> Value {
+        let past = self.past_reports.get(Instant::now()).get(rank);
+        let past = past.filter(|_| self.ranks[rank].is_lagging);
+        past.cloned().unwrap_or_else(|| self.report(rank))
+    }
+
     fn begin_step(&mut self) {
+        self.keep_reports();
         let next = self.step + 1;
         if self.ranks.iter().any(|rank| rank.held_step == Some(next)) {
             return;
@@ -221,6 +294,24 @@
         })
     }
 
+    /// Takes an order; `None` if the rank leaves it unanswered.
+    fn take_order(&mut self, rank: usize, order: &OrderBody) -> Option<StatusCode> {
+        let stall = std::mem::take(&mut self.ranks[rank].stall);
+        let (stall, is_answered) = match stall {
+            OrderStall::FromNextArm if order.op == "arm" => {
+                (OrderStall::Since(order.clone()), false)
+            }
+            OrderStall::Since(arm) => (OrderStall::Since(arm), false),
+            OrderStall::EndsWith(arm) => {
+                self.order(rank, &arm);
+                (OrderStall::None, true)
+            }
+            OrderStall::None | OrderStall::FromNextArm => (stall, true),
+        };
+        self.ranks[rank].stall = stall;
+        is_answered.then(|| self.order(rank, order))
+    }
+
     fn order(&mut self, rank: usize, order: &OrderBody) -> StatusCode {
         let step = self.step;
         let row = &mut self.ranks[rank];
@@ -341,14 +432,16 @@
             return Ok(last.reply());
         }
         let (status, body) = match (call.method(), call.segments().as_slice()) {
-            ("GET", ["report"]) => (StatusCode::OK, Some(world.report(self.rank))),
+            ("GET", ["report"]) => (StatusCode::OK, Some(world.read_report(self.rank))),
             ("GET", ["picked"]) => match self.picked(&world, call) {
                 Ok(body) => (StatusCode::OK, Some(body)),
                 Err(error) => return Ok(error.reply()),
             },
             ("POST", ["order"]) => match call.json::<OrderBody>() {
                 Ok(order) => {
-                    let status = world.order(self.rank, &order);
+                    let Some(status) = world.take_order(self.rank, &order) else {
+                        return Err(NoAnswer);
+                    };
                     if fastrand::u32(0..100) < world.unanswered_percent {
                         return Err(NoAnswer);
                     }
