Heartbeats of an earlier start of a target are outdated

Bookings went to a draining target again, later than 2 s after the gateway was told to stop, and ended with 502 as the target exited.

Cause: the starts of a target were compared for equality only. A heartbeat of an earlier start that the store executed late counted as one of another start, and so as news: it made the draining target ready, and hid that a target that has just started is cold.

Seven tests of gateway::departed failed before, among them the property test, whose oracle had the fault's own assumption; it now takes the latest start for the present one. gateway::leaving::run_call_draining_target_heartbeat_of_earlier_start (a real gateway) failed 3 of 3 with the order of starts left out: 99 to 107 requests reached the draining target.

Change: a heartbeat of an earlier start precedes one of a later start, for a minute from the first entry of the later one; an entry that was found outdated stays so while it is listed. What is known of leaving targets is ordered the same way, also in news between gateways.

Why it works: only the target orders its own words. After a minute no late heartbeat is executed any more, so that a target whose clock was set back isn't refused for ever.

--- a/crates/amaranthgw/tests/it/gateway/leaving.rs
+++ b/crates/amaranthgw/tests/it/gateway/leaving.rs
@@ -232,6 +232,39 @@
     }
 }
 
+// Guards against DRAIN: a heartbeat of its earlier start, which the store executed late, made a draining target
+// ready again.
+#[tokio::test]
+async fn run_call_draining_target_heartbeat_of_earlier_start() {
+    let mut site = TestSite::with_routes();
+    let draining = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    site.add_target("i-2", "desk", TargetBehaviour::Answer(200));
+    let mut entry = site.entry("i-1");
+    entry["born"] = 5.into();
+    entry["seq"] = 3.into();
+    site.store.put("servers/i-1", &entry);
+    let gateway = site.start_gateway().await;
+    let late = {
+        let mut late = entry.clone();
+        late["seq"] = 4.into();
+        late
+    };
+    entry["born"] = 6.into();
+    entry["seq"] = 1.into();
+    entry["state"] = "draining".into();
+    site.store.put("servers/i-1", &entry);
+    sleep(DRAIN_TIME).await;
+    let before = draining.arrivals();
+    site.store.put("servers/i-1", &late);
+    let until = Instant::now() + TOUCH_TIME;
+    while Instant::now() < until {
+        let answer = call(gateway.address(), request("POST", "/pay/", "deposit")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(draining.arrivals(), before);
+}
+
 // Guards against BUDGET: targets that asked for a pause got requests during it.
 #[tokio::test]
 async fn run_call_held_target() {
--- a/crates/fleet/src/gateway/departed.rs
+++ b/crates/fleet/src/gateway/departed.rs
@@ -14,8 +14,9 @@
     TargetRow, TargetTransition,
 };
 
-/// Time for which a removed target is remembered. A heartbeat is executed seconds after it was sent at most.
-const DEPARTED_TIME: Duration = Duration::from_mins(1);
+/// Time after which a heartbeat that was sent is no longer executed; removed targets are remembered for as
+/// long.
+const LATE_HEARTBEAT_TIME: Duration = Duration::from_mins(1);
 /// Most removed targets, and most leaving ones, that are remembered.
 const MAX_DEPARTED: usize = 1_024;
 /// Time for which peers are told that a target is leaving; each of them tells others for as long.
@@ -92,7 +93,7 @@
             address: row.record.address,
             gauge: row.gauge,
             heartbeat: row.record.heartbeat,
-            remembered_until: now + DEPARTED_TIME,
+            remembered_until: now + LATE_HEARTBEAT_TIME,
         };
         self.departed.insert(target, departed);
     }
@@ -106,7 +107,7 @@
             return;
         }
         self.leavers
-            .retain(|_, row| row.noticed_at + DEPARTED_TIME > now);
+            .retain(|_, row| row.noticed_at + LATE_HEARTBEAT_TIME > now);
         self.tell_leavers(now);
     }
 
@@ -134,22 +135,38 @@
     /// Applies what a peer knows of targets that are leaving.
     pub(super) fn adopt_leavers(&mut self, leavers: Vec<LeavingNotice>, now: Instant) {
         for LeavingNotice { target, heartbeat } in leavers {
-            let known = self.leavers.get(&target);
-            if known.is_some_and(|known| known.heartbeat.has_same_start(heartbeat)) {
+            if self.is_known_leaver(&target, heartbeat) {
                 continue;
             }
-            let row = self.targets.get(&target);
-            if row.is_some_and(|row| row.record.heartbeat.has_same_start(heartbeat)) {
-                self.take_leaver_out(&target, now);
-            } else if row.is_none() {
+            let Some(row) = self.targets.get_mut(&target) else {
                 self.record_leaver(target, heartbeat, now);
+                continue;
+            };
+            let known = row.record.heartbeat;
+            if known.is_of_earlier_start(heartbeat) {
+                // The entry that was read is a late one of an earlier start.
+                row.record.heartbeat = heartbeat;
+            } else if !known.has_same_start(heartbeat) {
+                continue;
             }
+            self.take_leaver_out(&target, now);
         }
     }
 
+    /// Whether the start of `heartbeat`, or a later one, of `target` is known to leave.
+    fn is_known_leaver(&self, target: &TargetId, heartbeat: HeartbeatMark) -> bool {
+        let known = self.leavers.get(target).map(|row| row.heartbeat);
+        known.is_some_and(|known| {
+            heartbeat.has_same_start(known) || heartbeat.is_of_earlier_start(known)
+        })
+    }
+
     fn record_leaver(&mut self, target: TargetId, heartbeat: HeartbeatMark, now: Instant) {
+        let known = self.leavers.get(&target).map(|row| row.heartbeat);
+        let is_superseded = known.is_some_and(|known| heartbeat.is_of_earlier_start(known));
+        let has_room = known.is_some() || self.leavers.len() < MAX_DEPARTED;
         // Without its start, nothing tells a later entry of the target from an earlier one.
-        if heartbeat.born.is_some() && self.leavers.len() < MAX_DEPARTED {
+        if heartbeat.born.is_some() && has_room && !is_superseded {
             let noticed_at = now;
             let row = LeaverRow {
                 heartbeat,
@@ -185,24 +202,33 @@
     }
 
     /// Whether `entry` was written by a heartbeat from before what is known of its target.
-    pub(super) fn is_outdated(&self, entry: &RegistryEntry) -> bool {
+    pub(super) fn is_outdated(&self, entry: &RegistryEntry, now: Instant) -> bool {
         let (target, heartbeat) = (&entry.record.target, entry.record.heartbeat);
+        if self.outdated.get(target) == Some(&entry.written) {
+            return true;
+        }
         if let Some(row) = self.targets.get(target) {
-            return heartbeat.precedes(row.record.heartbeat);
+            let known = row.record.heartbeat;
+            // Later, an earlier start is one after the target's clock was set back.
+            let is_late = now < row.start_seen_at + LATE_HEARTBEAT_TIME;
+            return heartbeat.precedes(known) && (is_late || heartbeat.has_same_start(known));
         }
-        let leaver = self.leavers.get(target);
         let departed = self.departed.get(target);
-        leaver.is_some_and(|leaver| heartbeat.has_same_start(leaver.heartbeat))
+        self.is_known_leaver(target, heartbeat)
             || departed.is_some_and(|departed| heartbeat.precedes(departed.heartbeat))
     }
 
     /// Replaces outdated entries of a listing by what is known of their targets, and leaves out those of
     /// targets that have left.
-    pub(super) fn without_outdated(&mut self, entries: Vec<RegistryEntry>) -> Vec<RegistryEntry> {
+    pub(super) fn without_outdated(
+        &mut self,
+        entries: Vec<RegistryEntry>,
+        now: Instant,
+    ) -> Vec<RegistryEntry> {
         let mut outdated = HashMap::new();
         let mut current = Vec::with_capacity(entries.len());
         for entry in entries {
-            if !self.is_outdated(&entry) {
+            if !self.is_outdated(&entry, now) {
                 current.push(entry);
                 continue;
             }
--- a/crates/fleet/src/gateway/heartbeat.rs
+++ b/crates/fleet/src/gateway/heartbeat.rs
@@ -20,9 +20,16 @@
         self.born.is_some() && self.born == other.born
     }
 
-    /// Whether this heartbeat was sent before `other` by the same start of the target.
+    /// Whether this heartbeat is known to be of an earlier start of the target than `other`.
+    #[must_use]
+    pub fn is_of_earlier_start(self, other: Self) -> bool {
+        let starts = self.born.zip(other.born);
+        starts.is_some_and(|(born, other)| born < other)
+    }
+
+    /// Whether this heartbeat is known to have been sent before `other`.
     #[must_use]
     pub fn precedes(self, other: Self) -> bool {
-        self.has_same_start(other) && self.number < other.number
+        self.is_of_earlier_start(other) || self.has_same_start(other) && self.number < other.number
     }
 }
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -44,6 +44,8 @@
     pub record: TargetRecord,
     /// Store revision of that content.
     pub written: StoreRevision,
+    /// When an entry of the target's present start was first read.
+    pub start_seen_at: Instant,
     /// Load and health as seen by this process; shared with traffic threads.
     pub gauge: Arc<TargetGauge>,
     /// End of its slow start, until which it is cold, according to its registry entry.
@@ -64,6 +66,7 @@
         Self {
             record: entry.record.clone(),
             written: entry.written,
+            start_seen_at: now,
             gauge: Arc::new(TargetGauge::new(now)),
             cold_until: now,
             maybe_cold_until: now,
@@ -210,7 +213,7 @@
             // The copy lacks entries that live targets write again.
             self.registry.returns_until = Some(now + self.bounds.return_time);
         }
-        let entries = self.without_outdated(listing.entries);
+        let entries = self.without_outdated(listing.entries, now);
         let holders = self.newest_by_address(entries);
         for entry in holders.values() {
             self.adopt_entry(entry, now);
@@ -313,7 +316,7 @@
         if let Some(record) = record {
             let written = revision;
             let entry = RegistryEntry { record, written };
-            if self.is_outdated(&entry) {
+            if self.is_outdated(&entry, now) {
                 self.transitions.push(TargetTransition::Outdated(target));
                 return;
             }
@@ -430,6 +433,9 @@
         if row.record.address != record.address {
             row.gauge = Arc::new(TargetGauge::new(now));
         }
+        if record.heartbeat.born != row.record.heartbeat.born {
+            row.start_seen_at = now;
+        }
         row.gauge.record_entry(entry.written, now);
         let cold_until = now + record.cold_left.duration();
         let (was_cold, is_cold) = (row.cold_until > now, cold_until > now);
--- a/crates/fleet/tests/it/gateway/departed.rs
+++ b/crates/fleet/tests/it/gateway/departed.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use amaranthgw_core::{HeartbeatNumber, StartMark, StoreRevision, TargetId, TickSchedule};
+use amaranthgw_core::{
+    HeartbeatNumber, MilliSpan, StartMark, StoreRevision, TargetId, TickSchedule,
+};
 use amaranthgw_fleet::gateway::{
     GatewayWorld, HeartbeatMark, RegistryEntry, RegistryListing, TargetTransition, gateway_schedule,
 };
@@ -59,6 +61,18 @@
     tick(world, now);
 }
 
+/// Tells `peer` of leaving targets; `world` knows of no change of the registry that it doesn't know.
+fn tell(world: &GatewayWorld, peer: &mut GatewayWorld, now: Instant) {
+    let (log, _known_at) = world.registry_log().expect("log");
+    let told = log.news_after(
+        peer.registry_as_of(),
+        world.registry_as_of(),
+        Duration::ZERO,
+    );
+    assert!(told.changes.is_empty());
+    peer.adopt_news(told, now, now);
+}
+
 /// A world that has read heartbeat 3 of the start 5 of the target `a`.
 fn listed_world() -> (GatewayWorld, Instant) {
     let (mut world, now) = (world(), Instant::now());
@@ -128,6 +142,90 @@
     assert!(routed_targets(&mut world, now).is_empty());
 }
 
+// Guards against DRAIN: the late heartbeat of an earlier start turned a draining target ready again, or brought
+// back one that had left.
+#[parameterized(
+    drains = { true, false },
+    drains_until_removed = { true, true },
+    gone = { false, true },
+)]
+fn adopt_registry_late_heartbeat_of_earlier_start(is_draining: bool, is_removed: bool) {
+    let (mut world, now) = listed_world();
+    let restarted = heartbeat(7, 1, 40);
+    let restarted = if is_draining {
+        draining(restarted)
+    } else {
+        restarted
+    };
+    list(&mut world, vec![restarted], 40, now);
+    if is_removed {
+        list(&mut world, Vec::new(), 45, now);
+    }
+    let outdated = TargetTransition::Outdated("a".parse().expect("target"));
+    let late = || vec![heartbeat(5, 9, 50)];
+    assert_eq!(list(&mut world, late(), 50, now), [outdated]);
+    assert!(routed_targets(&mut world, now).is_empty());
+    // The entry stays as it is, as the target writes it only when more than the number has changed.
+    let later = now + LONG_TIME;
+    tick(&mut world, later);
+    list(&mut world, late(), 51, later);
+    assert!(routed_targets(&mut world, later).is_empty());
+}
+
+// Guards against FAILBACK: the late heartbeat of an earlier start hid that the target is cold.
+#[test]
+fn adopt_registry_late_heartbeat_hides_no_cold_target() {
+    let (mut world, now) = listed_world();
+    let mut restarted = heartbeat(7, 1, 40);
+    restarted.record.cold_left = MilliSpan::new(3_000);
+    list(&mut world, vec![restarted], 40, now);
+    list(&mut world, vec![heartbeat(5, 9, 50)], 50, now);
+    let target: TargetId = "a".parse().expect("target");
+    let row = world.targets.get(&target).expect("row");
+    assert_eq!(row.cold_until, now + Duration::from_secs(3));
+}
+
+// A target whose clock was set back between its starts isn't taken for its own past for ever.
+#[test]
+fn adopt_registry_start_after_clock_set_back() {
+    let (mut world, now) = listed_world();
+    list(&mut world, vec![draining(heartbeat(5, 4, 40))], 40, now);
+    let later = now + LONG_TIME;
+    list(&mut world, vec![heartbeat(4, 1, 50)], 50, later);
+    assert_eq!(routed_targets(&mut world, later), ["a"]);
+}
+
+// Guards against DRAIN: news of an earlier start that left replaced what was known of a later one.
+#[test]
+fn adopt_news_leaver_of_earlier_start() {
+    let (mut peer, now) = listed_world();
+    say_leaving(&mut peer, now);
+    list(&mut peer, Vec::new(), 35, now);
+    let (mut world, _) = listed_world();
+    list(&mut world, vec![heartbeat(7, 1, 40)], 40, now);
+    say_leaving(&mut world, now);
+    list(&mut world, Vec::new(), 45, now);
+    tell(&peer, &mut world, now);
+    list(&mut world, vec![heartbeat(7, 1, 50)], 50, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+}
+
+// Guards against DRAIN: a gateway that had read only the late heartbeat of an earlier start didn't believe that
+// the target leaves.
+#[test]
+fn adopt_news_leaver_of_later_start() {
+    let (mut peer, now) = listed_world();
+    list(&mut peer, vec![heartbeat(7, 1, 40)], 40, now);
+    say_leaving(&mut peer, now);
+    let mut world = world();
+    let late = || vec![heartbeat(5, 9, 50)];
+    list(&mut world, late(), 50, now);
+    tell(&peer, &mut world, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+    list(&mut world, late(), 51, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+}
+
 #[test]
 fn adopt_registry_late_heartbeat_hides_none() {
     let (mut world, now) = listed_world();
@@ -162,14 +260,7 @@
         list(&mut peer, Vec::new(), 40, now);
     }
     say_leaving(&mut world, now);
-    let (log, _known_at) = world.registry_log().expect("log");
-    let told = log.news_after(
-        peer.registry_as_of(),
-        world.registry_as_of(),
-        Duration::ZERO,
-    );
-    assert!(told.changes.is_empty());
-    peer.adopt_news(told, now, now);
+    tell(&world, &mut peer, now);
     assert!(routed_targets(&mut peer, now).is_empty());
     list(&mut peer, vec![heartbeat(5, 4, 50)], 50, now);
     assert!(routed_targets(&mut peer, now).is_empty());
@@ -209,7 +300,7 @@
 
 proptest! {
     // Heartbeats of some starts of a target are executed in any order, late ones too. Once a start is known
-    // to drain or to leave, nothing is sent to it.
+    // to drain or to leave, nothing is sent to it until a later start is known.
     #[test]
     fn adopt_heartbeats_of_any_order(steps in store_steps()) {
         let (mut world, now) = (world(), Instant::now());
@@ -227,7 +318,10 @@
                     stored = Some(if drains { draining(written) } else { written });
                     let born = StartMark::new(born);
                     let was_over = known.is_some_and(|(last, is_over)| last == born && is_over);
-                    known = Some((born, was_over || drains));
+                    // A write of an earlier start than the last one is late.
+                    if known.is_none_or(|(last, _is_over)| last <= born) {
+                        known = Some((born, was_over || drains));
+                    }
                 }
                 StoreStep::Remove => stored = None,
                 StoreStep::Leave if world.targets.is_empty() => {}
