Gateways tell peers what they know of targets with outdated entries

What callers saw: nothing yet; a gateway that starts after a late heartbeat was executed, or reads the registry only after it, sends requests to a target that its peers know to drain, to be gone or to be cold (DRAIN, FAILBACK).

The entry is all that the store has, and peers told changes by the store's revisions only, below that of the late entry.

Why it works: the order of heartbeats is the target's own, whoever tells them.

--- a/crates/amaranthgw/tests/it/gateway/leaving.rs
+++ b/crates/amaranthgw/tests/it/gateway/leaving.rs
@@ -265,6 +265,36 @@
     assert_eq!(draining.arrivals(), before);
 }
 
+// Guards against DRAIN: a gateway that started after the late heartbeat had been executed used the target, although its
+// peer knew that it drains.
+#[tokio::test]
+async fn follow_peers_heartbeat_of_earlier_start() {
+    let mut site = TestSite::with_routes();
+    let draining = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    site.add_target("i-2", "desk", TargetBehaviour::Answer(200));
+    let mut entry = site.entry("i-1");
+    entry["born"] = 5.into();
+    site.store.put("servers/i-1", &entry);
+    let late = entry.clone();
+    let first = site.start_gateway().await;
+    entry["born"] = 6.into();
+    entry["state"] = "draining".into();
+    site.store.put("servers/i-1", &entry);
+    sleep(DRAIN_TIME).await;
+    site.store.put("servers/i-1", &late);
+    sleep(DRAIN_TIME).await;
+    let second = site.start_process(&[first.node_address()], &json!({ "vm": "gateway-2" }));
+    let ready = || async { is_ready(second.ready_address()).await.then_some(()) };
+    eventually("readiness", ready).await;
+    sleep(TOUCH_TIME).await;
+    let before = draining.arrivals();
+    for _ in 0..50 {
+        let answer = call(second.address(), request("GET", "/look/", "")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(draining.arrivals(), before);
+}
+
 // Guards against BUDGET: targets that asked for a pause got requests during it.
 #[tokio::test]
 async fn run_call_held_target() {
--- a/crates/fleet/src/gateway/departed.rs
+++ b/crates/fleet/src/gateway/departed.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{StoreRevision, TargetId};
+use amaranthgw_core::{MilliSpan, StoreRevision, TargetId};
 use tokio::time::Instant;
 
 use super::{
-    GatewayWorld, HeartbeatMark, LeavingNotice, RegistryChange, RegistryEntry, TargetGauge,
-    TargetRow, TargetTransition,
+    GatewayWorld, HeartbeatMark, LeavingNotice, OutdatedNotice, RegistryChange, RegistryEntry,
+    TargetGauge, TargetRow, TargetTransition,
 };
 
 /// Time after which a heartbeat that was sent is no longer executed; removed targets are remembered for as
@@ -27,13 +27,21 @@
 /// A target that is not registered any more.
 #[derive(Debug)]
 pub(super) struct DepartedTarget {
-    address: SocketAddr,
-    gauge: Arc<TargetGauge>,
-    /// Last heartbeat that was read.
+    /// Where it was, and its gauge; `None` if only peers knew it.
+    seen_at: Option<(SocketAddr, Arc<TargetGauge>)>,
+    /// Last heartbeat that was read or told.
     heartbeat: HeartbeatMark,
     remembered_until: Instant,
 }
 
+impl DepartedTarget {
+    /// Whether the pause that it asked for is not over.
+    fn is_held(&self, now: Instant) -> bool {
+        let gauge = self.seen_at.as_ref().map(|(_address, gauge)| gauge);
+        gauge.is_some_and(|gauge| gauge.is_held(now))
+    }
+}
+
 /// A target that said in an answer that it is leaving, registered or not.
 #[derive(Debug)]
 pub(super) struct LeaverRow {
@@ -77,6 +85,19 @@
 impl GatewayWorld {
     /// Remembers the removed target of `row`.
     pub(super) fn remember_departed(&mut self, target: TargetId, row: TargetRow, now: Instant) {
+        if row.leaving.is_some() {
+            self.record_leaver(target.clone(), row.record.heartbeat, now);
+        }
+        let departed = DepartedTarget {
+            seen_at: Some((row.record.address, row.gauge)),
+            heartbeat: row.record.heartbeat,
+            remembered_until: now + LATE_HEARTBEAT_TIME,
+        };
+        self.insert_departed(target, departed);
+    }
+
+    /// Adds a removed target, in place of the oldest one if there are too many.
+    fn insert_departed(&mut self, target: TargetId, departed: DepartedTarget) {
         if self.departed.len() >= MAX_DEPARTED {
             let oldest = self
                 .departed
@@ -86,15 +107,6 @@
                 self.departed.remove(&oldest);
             }
         }
-        if row.leaving.is_some() {
-            self.record_leaver(target.clone(), row.record.heartbeat, now);
-        }
-        let departed = DepartedTarget {
-            address: row.record.address,
-            gauge: row.gauge,
-            heartbeat: row.record.heartbeat,
-            remembered_until: now + LATE_HEARTBEAT_TIME,
-        };
         self.departed.insert(target, departed);
     }
 
@@ -102,7 +114,7 @@
     /// leaving.
     pub(super) fn forget_departed(&mut self, now: Instant) {
         self.departed
-            .retain(|_, row| row.remembered_until > now || row.gauge.is_held(now));
+            .retain(|_, row| row.remembered_until > now || row.is_held(now));
         if self.leavers.is_empty() {
             return;
         }
@@ -195,9 +207,10 @@
     /// have lapsed while it ran.
     pub(super) fn restore_departed(&mut self, target: &TargetId, row: &TargetRow, now: Instant) {
         if let Some(departed) = self.departed.remove(target)
-            && departed.address == row.record.address
+            && let Some((address, gauge)) = departed.seen_at
+            && address == row.record.address
         {
-            row.gauge.adopt_hold(&departed.gauge, now);
+            row.gauge.adopt_hold(&gauge, now);
         }
     }
 
@@ -226,6 +239,7 @@
         now: Instant,
     ) -> Vec<RegistryEntry> {
         let mut outdated = HashMap::new();
+        let mut notices = Vec::new();
         let mut current = Vec::with_capacity(entries.len());
         for entry in entries {
             if !self.is_outdated(&entry, now) {
@@ -241,9 +255,78 @@
                 let transition = TargetTransition::Outdated(target.clone());
                 self.transitions.push(transition);
             }
+            notices.extend(self.notice_of_outdated(&target, now));
             outdated.insert(target, entry.written);
         }
         self.outdated = outdated;
+        notices.truncate(MAX_TOLD);
+        if self.told_outdated() != notices {
+            self.registry_log_mut().set_outdated(notices);
+        }
         current
     }
+
+    /// What peers are told of a target whose entry is outdated: those that have read only that entry don't know
+    /// better.
+    fn notice_of_outdated(&mut self, target: &TargetId, now: Instant) -> Option<OutdatedNotice> {
+        if let Some(leaver) = self.leavers.get(target).map(|row| row.heartbeat) {
+            self.record_leaver(target.clone(), leaver, now);
+        }
+        let mut notice = OutdatedNotice {
+            target: target.clone(),
+            heartbeat: HeartbeatMark::default(),
+            record: None,
+        };
+        if let Some(row) = self.targets.get(target) {
+            let cold_left = row.cold_until.saturating_duration_since(now);
+            let mut record = row.record.clone();
+            record.cold_left = MilliSpan::from_duration(cold_left);
+            notice.heartbeat = record.heartbeat;
+            notice.record = Some(record);
+        } else {
+            notice.heartbeat = self.departed.get(target)?.heartbeat;
+        }
+        Some(notice)
+    }
+
+    /// Applies what a peer knows of targets whose entries tell of the past.
+    pub(super) fn adopt_outdated(&mut self, notices: Vec<OutdatedNotice>, now: Instant) {
+        for notice in notices {
+            let OutdatedNotice {
+                target,
+                heartbeat,
+                record,
+            } = notice;
+            let Some(row) = self.targets.get(&target) else {
+                self.remember_heartbeat(target, heartbeat, now);
+                continue;
+            };
+            let written = row.written;
+            if !row.record.heartbeat.precedes(heartbeat) {
+                continue;
+            }
+            if let Some(record) = record {
+                self.adopt_entry(&RegistryEntry { record, written }, now);
+            } else {
+                self.remove_target(target.clone(), written, now);
+                self.remember_heartbeat(target, heartbeat, now);
+            }
+        }
+    }
+
+    /// Remembers the last heartbeat of a target that is not registered.
+    fn remember_heartbeat(&mut self, target: TargetId, heartbeat: HeartbeatMark, now: Instant) {
+        if let Some(departed) = self.departed.get_mut(&target) {
+            if departed.heartbeat.precedes(heartbeat) {
+                departed.heartbeat = heartbeat;
+            }
+            return;
+        }
+        let departed = DepartedTarget {
+            seen_at: None,
+            heartbeat,
+            remembered_until: now + LATE_HEARTBEAT_TIME,
+        };
+        self.insert_departed(target, departed);
+    }
 }
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -69,7 +69,9 @@
     request_mark,
 };
 pub use registry::{RegistryEntry, RegistryListing, TargetRow, TargetTransition};
-pub use registry_log::{LeavingNotice, RegistryChange, RegistryDigest, RegistryLog, RegistryNews};
+pub use registry_log::{
+    LeavingNotice, OutdatedNotice, RegistryChange, RegistryDigest, RegistryLog, RegistryNews,
+};
 pub use roster::{GatewayRoster, RosterEntry, RosterReading};
 pub use routes::{
     CallLimits, ExpertShape, KeyHolder, LookupError, RouteKind, RouteRow, RouteTable, ServiceRow,
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -9,8 +9,8 @@
 use tokio::time::Instant;
 
 use super::{
-    GatewayWorld, GroupGauge, LeavingMark, LeavingNotice, RegistryChange, RegistryDigest,
-    RegistryLog, RegistryNews, TargetGauge, TargetRecord,
+    GatewayWorld, GroupGauge, LeavingMark, LeavingNotice, OutdatedNotice, RegistryChange,
+    RegistryDigest, RegistryLog, RegistryNews, TargetGauge, TargetRecord,
 };
 
 /// Shortest time without knowledge of the registry in which entries of live targets can expire: an
@@ -250,6 +250,7 @@
             self.adopt_change(change, now);
         }
         self.adopt_leavers(news.leavers, now);
+        self.adopt_outdated(news.outdated, now);
         let is_complete = news.after <= self.registry.as_of && news.as_of >= self.registry.as_of;
         let is_same = news.digest.is_none_or(|digest| digest == self.digest());
         if is_complete && is_same {
@@ -378,7 +379,12 @@
         }
     }
 
-    fn remove_target(&mut self, target: TargetId, revision: StoreRevision, now: Instant) {
+    pub(super) fn remove_target(
+        &mut self,
+        target: TargetId,
+        revision: StoreRevision,
+        now: Instant,
+    ) {
         if let Some(row) = self.targets.remove(&target) {
             self.remember_departed(target.clone(), row, now);
         }
@@ -393,7 +399,7 @@
     }
 
     /// Applies an entry unless a later state of its target is known.
-    fn adopt_entry(&mut self, entry: &RegistryEntry, now: Instant) {
+    pub(super) fn adopt_entry(&mut self, entry: &RegistryEntry, now: Instant) {
         let target = entry.record.target.clone();
         let gone_at = self.registry.log.gone_at(&target);
         if !self.targets.contains(&target) {
@@ -474,6 +480,11 @@
         self.registry.log.leavers()
     }
 
+    /// The targets with outdated entries of which peers are told.
+    pub(super) fn told_outdated(&self) -> &[OutdatedNotice] {
+        self.registry.log.outdated()
+    }
+
     pub(super) fn registry_log_mut(&mut self) -> &mut RegistryLog {
         Arc::make_mut(&mut self.registry.log)
     }
--- a/crates/fleet/src/gateway/registry_log.rs
+++ b/crates/fleet/src/gateway/registry_log.rs
@@ -41,6 +41,17 @@
     pub heartbeat: HeartbeatMark,
 }
 
+/// What is known of a target whose registry entry tells of the past.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutdatedNotice {
+    /// The target.
+    pub target: TargetId,
+    /// Its last known heartbeat.
+    pub heartbeat: HeartbeatMark,
+    /// Its state as of that heartbeat; `None` if it is gone since.
+    pub record: Option<TargetRecord>,
+}
+
 /// Digest of the names of all targets of the registry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -74,6 +85,9 @@
     /// Targets that have lately said that they are leaving, whatever their registration.
     #[serde(default)]
     pub leavers: Vec<LeavingNotice>,
+    /// Targets whose registry entries tell of the past.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub outdated: Vec<OutdatedNotice>,
 }
 
 /// The most recent changes of the registry, oldest first.
@@ -83,6 +97,7 @@
     complete_after: StoreRevision,
     changes: VecDeque<RegistryChange>,
     leavers: Vec<LeavingNotice>,
+    outdated: Vec<OutdatedNotice>,
     /// Digest of all targets in force.
     digest: RegistryDigest,
 }
@@ -95,6 +110,7 @@
             complete_after: revision,
             changes: VecDeque::new(),
             leavers: Vec::new(),
+            outdated: Vec::new(),
             digest: RegistryDigest::default(),
         }
     }
@@ -119,6 +135,16 @@
         self.leavers = leavers;
     }
 
+    /// Targets whose entries in the last listing tell of the past.
+    pub(super) fn outdated(&self) -> &[OutdatedNotice] {
+        &self.outdated
+    }
+
+    /// Sets the targets whose entries in the last listing tell of the past.
+    pub(super) fn set_outdated(&mut self, outdated: Vec<OutdatedNotice>) {
+        self.outdated = outdated;
+    }
+
     /// Adds `change` in place of an earlier one of its target; drops the oldest change beyond
     /// `MAX_CHANGES`.
     pub fn push(&mut self, change: RegistryChange) {
@@ -164,6 +190,7 @@
             changes,
             digest: (up_to == as_of).then_some(self.digest),
             leavers: self.leavers.clone(),
+            outdated: self.outdated.clone(),
         }
     }
 }
--- a/crates/fleet/tests/it/gateway/departed.rs
+++ b/crates/fleet/tests/it/gateway/departed.rs
@@ -226,6 +226,80 @@
     assert!(routed_targets(&mut world, now).is_empty());
 }
 
+// Guards against DRAIN: gateways that had read only the late heartbeat of a target used it as it had been, although
+// others knew better.
+#[parameterized(
+    draining = { true, false },
+    gone = { false, true },
+)]
+fn adopt_news_of_outdated_entry(drains: bool, is_removed: bool) {
+    let (mut peer, now) = listed_world();
+    let mut known = heartbeat(7, 1, 40);
+    known.record.is_draining = drains;
+    list(&mut peer, vec![known], 40, now);
+    if is_removed {
+        list(&mut peer, Vec::new(), 45, now);
+    }
+    let late = || vec![heartbeat(5, 9, 50)];
+    list(&mut peer, late(), 50, now);
+    let mut world = world();
+    list(&mut world, late(), 50, now);
+    assert_eq!(routed_targets(&mut world, now), ["a"]);
+    tell(&peer, &mut world, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+    list(&mut world, late(), 51, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+    // A start that nobody has known yet.
+    list(&mut world, vec![heartbeat(8, 1, 60)], 60, now);
+    assert_eq!(routed_targets(&mut world, now), ["a"]);
+}
+
+#[test]
+fn adopt_news_of_outdated_entry_before_it_is_read() {
+    let (mut peer, now) = listed_world();
+    list(&mut peer, vec![heartbeat(7, 1, 40)], 40, now);
+    list(&mut peer, Vec::new(), 45, now);
+    let mut world = world();
+    list(&mut world, Vec::new(), 45, now);
+    list(&mut peer, vec![heartbeat(5, 9, 50)], 50, now);
+    tell(&peer, &mut world, now);
+    list(&mut world, vec![heartbeat(5, 9, 50)], 50, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+}
+
+// Guards against DRAIN: a target that had said that it leaves long before its late heartbeat was executed.
+#[test]
+fn adopt_news_of_leaver_with_late_heartbeat() {
+    let (mut peer, now) = listed_world();
+    say_leaving(&mut peer, now);
+    list(&mut peer, Vec::new(), 40, now);
+    let later = now + Duration::from_secs(20);
+    tick(&mut peer, later);
+    let late = || vec![heartbeat(5, 9, 50)];
+    list(&mut peer, late(), 50, later);
+    let mut world = world();
+    list(&mut world, late(), 50, later);
+    tell(&peer, &mut world, later);
+    assert!(routed_targets(&mut world, later).is_empty());
+}
+
+// Guards against FAILBACK: what others know of a target that is cold, for as long as it still is.
+#[test]
+fn adopt_news_of_outdated_entry_cold() {
+    let (mut peer, now) = listed_world();
+    let mut restarted = heartbeat(7, 1, 40);
+    restarted.record.cold_left = MilliSpan::new(3_000);
+    list(&mut peer, vec![restarted], 40, now);
+    let later = now + Duration::from_secs(1);
+    list(&mut peer, vec![heartbeat(5, 9, 50)], 50, later);
+    let mut world = world();
+    list(&mut world, vec![heartbeat(5, 9, 50)], 50, later);
+    tell(&peer, &mut world, later);
+    let target: TargetId = "a".parse().expect("target");
+    let row = world.targets.get(&target).expect("row");
+    assert_eq!(row.cold_until, now + Duration::from_secs(3));
+}
+
 #[test]
 fn adopt_registry_late_heartbeat_hides_none() {
     let (mut world, now) = listed_world();
--- a/crates/fleet/tests/it/gateway/registry.rs
+++ b/crates/fleet/tests/it/gateway/registry.rs
@@ -59,6 +59,7 @@
         changes,
         digest: Some(targets.iter().collect()),
         leavers: Vec::new(),
+        outdated: Vec::new(),
     }
 }
 
