--- a/crates/groups/src/rebalance/driver/mod.rs
+++ b/crates/groups/src/rebalance/driver/mod.rs
@@ -8,6 +8,7 @@
 //! higher fencing token, so that orders executed late are rejected, and then the held rank is
 //! released. Incomplete switches of an earlier coordinator are completed or cleared the same way.
 
+mod orders;
 mod phase;
 mod recovery;
 mod row;
@@ -25,7 +26,7 @@
 use tokio::time::Instant;
 
 use self::row::RankRow;
-use super::{ArmedMap, CoordinatorMark, GroupPlacement, OrderReply, RankOrder, RankView};
+use super::{ArmedMap, CoordinatorMark, GroupPlacement, OrderReply, RankView};
 
 /// Steps from the newest one that began to the one at which the map changes. Two suffice, because
 /// an order takes milliseconds and a step tens of milliseconds.
@@ -39,9 +40,6 @@
 /// Map versions reserved for each lease. A rank takes an order to prepare a version that it has
 /// prepared already as done, so two coordinators must never give one version to different maps.
 const VERSIONS_PER_LEASE: u64 = 4_096;
-/// Added to the highest known version to get a version that no rank can be armed with, for orders
-/// that are sent only for their fencing token.
-const UNUSED_VERSION_OFFSET: u64 = 1_000_000;
 /// Age from which a view is too old to begin a switch.
 const VIEW_MAX_AGE: Duration = Duration::from_millis(500);
 /// Time after which fencing is abandoned if not all ranks have answered; ranks may leave orders
@@ -310,45 +308,6 @@
         pending
     }
 
-    fn order_for(&self, rank: RankId) -> Option<RankOrder> {
-        match &self.phase {
-            SwitchPhase::Idle | SwitchPhase::Settling { .. } => None,
-            SwitchPhase::Preparing {
-                version, placement, ..
-            } => Some(RankOrder::Prepare {
-                version: *version,
-                map: Arc::clone(placement),
-            }),
-            SwitchPhase::Holding { armed, held_rank } => {
-                (rank == *held_rank).then_some(RankOrder::Hold { step: armed.step })
-            }
-            SwitchPhase::Arming { armed, .. } => {
-                let may_arm = rank != self.local_rank || self.others_done();
-                may_arm.then_some(RankOrder::Arm(*armed))
-            }
-            SwitchPhase::Releasing { armed, held_rank } => {
-                (rank == *held_rank).then_some(RankOrder::Go { step: armed.step })
-            }
-            SwitchPhase::Fencing => Some(RankOrder::Disarm {
-                version: self.unused_version(),
-            }),
-            SwitchPhase::Clearing { .. } => Some(RankOrder::Disarm {
-                version: self.disarmed_version(rank),
-            }),
-            SwitchPhase::ReleasingUnarmed { held } => {
-                held.get(&rank).map(|step| RankOrder::Go { step: *step })
-            }
-        }
-    }
-
-    /// Version that the rank is armed with or, if it is not armed, that a late order could arm.
-    fn disarmed_version(&self, rank: RankId) -> MapVersion {
-        let view = self.ranks.get(&rank).map(|row| &row.view);
-        let armed = view.and_then(|view| view.armed).map(|armed| armed.version);
-        let prepared = view.and_then(|view| view.prepared);
-        armed.or(prepared).unwrap_or(self.last_version.next())
-    }
-
     /// Handles the reply to an order.
     pub fn reply(&mut self, order: &PendingOrder, reply: OrderReply, now: Instant) {
         if reply == OrderReply::Fenced {
@@ -426,12 +385,6 @@
         StepNumber::new(last.get().saturating_add(lead))
     }
 
-    /// A version that no rank has or is about to have.
-    fn unused_version(&self) -> MapVersion {
-        let known = self.known_version().get();
-        MapVersion::new(known.saturating_add(UNUSED_VERSION_OFFSET))
-    }
-
     /// Disarms all ranks under a higher fencing token.
     fn clear(&mut self, held: BTreeMap<RankId, StepNumber>, now: Instant, cause: &'static str) {
         self.fencing = self.fencing.next();
--- /dev/null
+++ b/crates/groups/src/rebalance/driver/orders.rs
@@ -0,0 +1,59 @@
+//! Orders of each phase, and which of them wait for others.
+
+use std::sync::Arc;
+
+use amaranthgw_core::{MapVersion, RankId};
+
+use super::super::RankOrder;
+use super::{SwitchDriver, SwitchPhase};
+
+/// Added to the highest known version to get a version that no rank can be armed with, for orders
+/// that are sent only for their fencing token.
+const UNUSED_VERSION_OFFSET: u64 = 1_000_000;
+
+impl SwitchDriver {
+    pub(super) fn order_for(&self, rank: RankId) -> Option<RankOrder> {
+        match &self.phase {
+            SwitchPhase::Idle | SwitchPhase::Settling { .. } => None,
+            SwitchPhase::Preparing {
+                version, placement, ..
+            } => Some(RankOrder::Prepare {
+                version: *version,
+                map: Arc::clone(placement),
+            }),
+            SwitchPhase::Holding { armed, held_rank } => {
+                (rank == *held_rank).then_some(RankOrder::Hold { step: armed.step })
+            }
+            SwitchPhase::Arming { armed, .. } => {
+                let may_arm = rank != self.local_rank || self.others_done();
+                may_arm.then_some(RankOrder::Arm(*armed))
+            }
+            SwitchPhase::Releasing { armed, held_rank } => {
+                (rank == *held_rank).then_some(RankOrder::Go { step: armed.step })
+            }
+            SwitchPhase::Fencing => Some(RankOrder::Disarm {
+                version: self.unused_version(),
+            }),
+            SwitchPhase::Clearing { .. } => Some(RankOrder::Disarm {
+                version: self.disarmed_version(rank),
+            }),
+            SwitchPhase::ReleasingUnarmed { held } => {
+                held.get(&rank).map(|step| RankOrder::Go { step: *step })
+            }
+        }
+    }
+
+    /// Version that the rank is armed with or, if it is not armed, that a late order could arm.
+    fn disarmed_version(&self, rank: RankId) -> MapVersion {
+        let view = self.ranks.get(&rank).map(|row| &row.view);
+        let armed = view.and_then(|view| view.armed).map(|armed| armed.version);
+        let prepared = view.and_then(|view| view.prepared);
+        armed.or(prepared).unwrap_or(self.last_version.next())
+    }
+
+    /// A version that no rank has or is about to have.
+    fn unused_version(&self) -> MapVersion {
+        let known = self.known_version().get();
+        MapVersion::new(known.saturating_add(UNUSED_VERSION_OFFSET))
+    }
+}
