The revision in a coordinator's mark is one at which it held the lease

A coordinator that goes on after its lease has ended could tell agents a revision from after a later coordinator's lease. The next one would then take it for its direct predecessor and conclude from it what another had changed (MAP).

Cause: the revision rose with reads of the registry, which say nothing of the lease.

Evidence: by reading; no test shows it.

Result: the tests of agents pass.

--- a/crates/amaranthgw/src/agent/coordinator/mod.rs
+++ b/crates/amaranthgw/src/agent/coordinator/mod.rs
@@ -26,7 +26,7 @@
 use super::link::{RankReading, SharedLink};
 use super::loads::GatheredLoads;
 use super::message::{ViewQuery, add_selections};
-use super::roster::{RankRoster, list_targets, read_shape};
+use super::roster::{RankRoster, confirm_key, list_targets, read_shape};
 use crate::telemetry::{EventLog, NodeEvent, record_switch};
 
 /// Interval between polls of all ranks while no switch is in progress.
@@ -60,10 +60,9 @@
     /// Selections of some ranks since they were last read.
     Counted(SelectionSample),
     /// The registered targets and the expert shape; `None` for what was not read or could not be.
-    Listed(
-        Option<(Vec<TargetRecord>, StoreRevision)>,
-        Option<ExpertShape>,
-    ),
+    Listed(Option<Vec<TargetRecord>>, Option<ExpertShape>),
+    /// The key of the lease was as it was written, as of a revision.
+    Confirmed(StoreRevision),
     /// A rank replied to an order.
     Replied(PendingOrder, OrderReply),
 }
@@ -95,9 +94,10 @@
     awaiting_reply: HashSet<SocketAddr>,
     /// Time at which to plan even if replies are missing.
     plan_deadline: Option<Instant>,
-    /// Latest store revision read during this term, at first that of the lease. It goes into each
-    /// query, so that the next coordinator can check in the store whether another one held the
-    /// lease since.
+    /// Revision at which the key of the lease was written.
+    written: StoreRevision,
+    /// Latest store revision at which the key was seen as it was written. It goes into each query, so that
+    /// the next coordinator can check in the store whether another one held the lease since.
     known_revision: StoreRevision,
     /// The map in use.
     known_map: Option<KnownMap>,
@@ -141,6 +141,7 @@
             silent: HashSet::new(),
             awaiting_reply: HashSet::new(),
             plan_deadline: None,
+            written: held.written,
             known_revision: held.written,
             known_map: None,
             loads: GatheredLoads::default(),
@@ -195,28 +196,37 @@
     }
 
     /// Applies what was read and schedules the next read; a failed read leaves the known values.
-    fn apply_listing(
-        &mut self,
-        ranks: Option<(Vec<TargetRecord>, StoreRevision)>,
-        shape: Option<ExpertShape>,
-    ) {
+    fn apply_listing(&mut self, ranks: Option<Vec<TargetRecord>>, shape: Option<ExpertShape>) {
         if let Some(shape) = shape {
             self.shape = Some(shape);
             self.demand = Some(ExpertDemand::new(shape.sets, shape.experts));
         }
         let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
-        if let Some((ranks, as_of)) = ranks {
-            self.known_revision = self.known_revision.max(as_of);
+        if let Some(ranks) = ranks {
             self.roster.adopt(&ranks);
             if !is_complete {
                 // A missing rank may be one that was in another group before.
                 self.other_group_ranks.clear();
             }
         }
-        self.refresh(if is_complete {
-            ROSTER_REFRESH_INTERVAL
+        if is_complete {
+            self.confirm_lease();
+            self.refresh(ROSTER_REFRESH_INTERVAL);
         } else {
-            DISCOVERY_INTERVAL
+            self.refresh(DISCOVERY_INTERVAL);
+        }
+    }
+
+    /// Reads the key of the lease: a coordinator that doesn't know yet that its lease has ended must not tell
+    /// others that it held it until now.
+    fn confirm_lease(&self) {
+        let (store, events) = (Arc::clone(&self.store), self.events.clone());
+        let (group, written) = (self.group.clone(), self.written);
+        tokio::spawn(async move {
+            if let Some(as_of) = confirm_key(&store, &group, written).await {
+                // Fails only once the coordinator has ended.
+                drop(events.send(CoordinatorEvent::Confirmed(as_of)));
+            }
         });
     }
 
@@ -313,6 +323,9 @@
                 add_selections(&mut self.selections, Some(&selections));
             }
             CoordinatorEvent::Listed(ranks, shape) => self.apply_listing(ranks, shape),
+            CoordinatorEvent::Confirmed(as_of) => {
+                self.known_revision = self.known_revision.max(as_of);
+            }
             CoordinatorEvent::Replied(order, reply) => self.driver.reply(&order, reply, now),
         }
     }
--- a/crates/amaranthgw/src/agent/roster.rs
+++ b/crates/amaranthgw/src/agent/roster.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthgw_core::{ServiceId, StoreRevision};
+use amaranthgw_core::{GroupId, ServiceId, StoreRevision};
 use amaranthgw_fleet::gateway::{ExpertShape, TargetRecord};
 use amaranthgw_platform::Result;
 use amaranthgw_platform::config::decode_config;
 use amaranthgw_platform::registry::decode_entry;
-use amaranthgw_platform::store::{CONFIG_KEY, PlatformStore, REGISTRY_PREFIX, ReadFreshness};
+use amaranthgw_platform::store::{
+    CONFIG_KEY, PlatformStore, REGISTRY_PREFIX, ReadFreshness, StoreItem, coordinator_key,
+};
 
 use super::link::{RemoteRank, SharedLink};
 use super::local_rank::LocalRank;
@@ -78,10 +80,8 @@
     }
 }
 
-/// Reads the registered targets and the store revision of the read; undecodable entries are skipped.
-pub(super) async fn list_targets(
-    store: &PlatformStore,
-) -> Result<(Vec<TargetRecord>, StoreRevision)> {
+/// Reads the registered targets; undecodable entries are skipped.
+pub(super) async fn list_targets(store: &PlatformStore) -> Result<Vec<TargetRecord>> {
     let listed = store
         .list(REGISTRY_PREFIX, ReadFreshness::MayBeStale, STORE_TIMEOUT)
         .await;
@@ -91,8 +91,24 @@
         .items
         .iter()
         .filter_map(|item| decode_entry(item).ok());
-    let records = decoded.map(|entry| entry.record).collect();
-    Ok((records, listing.as_of))
+    Ok(decoded.map(|entry| entry.record).collect())
+}
+
+/// Reads the key of a coordinator's lease; returns a revision as of which it was last written at `written`, if it
+/// was.
+pub(super) async fn confirm_key(
+    store: &PlatformStore,
+    group: &GroupId,
+    written: StoreRevision,
+) -> Option<StoreRevision> {
+    let key = coordinator_key(group.as_str());
+    let listed = store
+        .list(&key, ReadFreshness::MayBeStale, STORE_TIMEOUT)
+        .await;
+    count_store_call("confirm_lease", &listed);
+    let listing = listed.ok()?;
+    let is_held = |item: &StoreItem| item.key == key && item.revision == written;
+    listing.items.iter().any(is_held).then_some(listing.as_of)
 }
 
 /// Reads the expert shape of `service` from the operators' configuration.
