The agent of a held rank takes over from a silent coordinator

Cause: another agent won the lease only when it ended, after 0.7 to 0.9 s; the new coordinator took 1.2 s until it had found its ranks; and where all ranks but the frozen one's were armed, nothing showed its state until it was back.

Change: an agent whose rank is held and that gets no query for 300 ms ends the lease of the coordinator that last queried it, if orders are fenced. The held rank is armed last but one, so that it shows that the silent one is unarmed. A new coordinator polls once the registry is read, each 50 ms while a rank is held or armed, and fences at once where one is held. No switch begins while a rank hasn't replied for 200 ms.

Why it works: the fencing token keeps the silent coordinator out; one agent alone has this reason to take over.

--- a/crates/amaranthgw/src/agent/coordinator/mod.rs
+++ b/crates/amaranthgw/src/agent/coordinator/mod.rs
@@ -86,6 +86,8 @@
     /// Addresses of the ranks of the service's other groups.
     other_group_ranks: HashSet<SocketAddr>,
     last_discovery_at: Option<Instant>,
+    /// Whether to poll at once, for ranks that may have been found.
+    is_poll_due: bool,
     /// Time of the last poll that read the selections of experts.
     counted_at: Option<Instant>,
     /// Ranks of the group that did not reply to their last query.
@@ -137,6 +139,7 @@
             members: HashMap::new(),
             other_group_ranks: HashSet::new(),
             last_discovery_at: None,
+            is_poll_due: false,
             counted_at: None,
             silent: HashSet::new(),
             awaiting_reply: HashSet::new(),
@@ -161,7 +164,7 @@
         self.refresh(Duration::ZERO);
         while !self.driver.is_superseded() {
             let now = Instant::now();
-            if now >= poll_at {
+            if now >= poll_at || self.is_poll_due {
                 self.poll_ranks(now);
                 poll_at = now + self.poll_interval();
             }
@@ -204,6 +207,7 @@
         let is_complete = self.driver.is_complete(Instant::now()) && self.shape.is_some();
         if let Some(ranks) = ranks {
             self.roster.adopt(&ranks);
+            self.is_poll_due |= !is_complete;
             if !is_complete {
                 // A missing rank may be one that was in another group before.
                 self.other_group_ranks.clear();
@@ -232,7 +236,7 @@
 
     fn poll_interval(&self) -> Duration {
         match self.driver.phase() {
-            SwitchPhase::Idle => IDLE_POLL_INTERVAL,
+            SwitchPhase::Idle if !self.driver.has_leftovers() => IDLE_POLL_INTERVAL,
             _ => SWITCH_POLL_INTERVAL,
         }
     }
@@ -244,7 +248,8 @@
         if is_counting {
             self.counted_at = Some(now);
         }
-        let is_discovery = is_due(self.last_discovery_at, DISCOVERY_INTERVAL, now);
+        let is_discovery = std::mem::take(&mut self.is_poll_due)
+            || is_due(self.last_discovery_at, DISCOVERY_INTERVAL, now);
         if is_discovery {
             self.last_discovery_at = Some(now);
         }
--- a/crates/amaranthgw/src/agent/election.rs
+++ b/crates/amaranthgw/src/agent/election.rs
@@ -7,8 +7,8 @@
 use amaranthgw_groups::rebalance::CoordinatorMark;
 use amaranthgw_platform::PlatformError;
 use amaranthgw_platform::rank::RankReport;
-use amaranthgw_platform::store::{PlatformStore, StoreChange, coordinator_key};
-use compact_str::ToCompactString;
+use amaranthgw_platform::store::{PlatformStore, StoreChange, StoreItem, coordinator_key};
+use compact_str::{CompactString, ToCompactString};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -19,6 +19,9 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without a coordinator's query after which an agent tries to acquire the lease.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(700);
+/// The same while this agent's rank is held: the coordinator then sends a query each 50 ms, and the group
+/// stands still.
+const HELD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between checks whether the group has a coordinator.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay per rank number modulo 16, so that not all agents try to acquire the lease at once.
@@ -78,20 +81,25 @@
     /// Waits until this agent holds the lease of its group, and returns it.
     pub(super) async fn acquire(&self) -> HeldLease {
         loop {
-            sleep(LEASE_CHECK_INTERVAL).await;
-            let is_recent = |at: Instant| at.elapsed() < COORDINATOR_TIMEOUT;
-            if self.rank.queried_at().is_some_and(is_recent) {
+            sleep(self.check_delay()).await;
+            if self.is_queried_within(HELD_TIMEOUT) {
                 continue;
             }
             // A rank that is not up yet has no group to coordinate.
             let Ok(RankReport { view, .. }) = self.rank.report().await else {
                 continue;
             };
-            sleep(RANK_STAGGER_DELAY * u32::from(view.rank.get() % 16)).await;
-            if self.rank.queried_at().is_some_and(is_recent) {
-                continue;
+            let is_held = self.is_fenced && view.held.is_some();
+            if !is_held {
+                if self.is_queried_within(COORDINATOR_TIMEOUT) {
+                    continue;
+                }
+                sleep(RANK_STAGGER_DELAY * u32::from(view.rank.get() % 16)).await;
+                if self.is_queried_within(COORDINATOR_TIMEOUT) {
+                    continue;
+                }
             }
-            match self.try_acquire(&view.group, view.rank).await {
+            match self.try_acquire(&view.group, view.rank, is_held).await {
                 Ok(Some(held)) => return held,
                 Ok(None) => {}
                 Err(error) => self.log.record(NodeEvent::LeaseFailed {
@@ -102,16 +110,48 @@
         }
     }
 
+    /// Time until the next check, at which a coordinator that is silent by then has been so for long enough to
+    /// look at the rank.
+    fn check_delay(&self) -> Duration {
+        let elapsed = self.rank.queried_at().map(|at| at.elapsed());
+        let left = elapsed.and_then(|elapsed| HELD_TIMEOUT.checked_sub(elapsed));
+        left.unwrap_or(LEASE_CHECK_INTERVAL)
+    }
+
+    fn is_queried_within(&self, time: Duration) -> bool {
+        let queried_at = self.rank.queried_at();
+        queried_at.is_some_and(|at| at.elapsed() < time)
+    }
+
+    /// Ends the lease of the coordinator that last queried this rank, if it is the one in `item`; returns whether it
+    /// did. Its orders are refused once those of this agent have come.
+    async fn end_silent(&self, item: &StoreItem) -> Result<bool, PlatformError> {
+        let known_at = self.rank.coordinator().map(|mark| mark.known_at);
+        if known_at.is_none_or(|known_at| known_at < item.revision) {
+            // Another one has taken over already.
+            return Ok(false);
+        }
+        let ended = self.store.end(item.lease, STORE_TIMEOUT).await;
+        count_store_call("end_silent_lease", &ended);
+        ended.map(|()| true)
+    }
+
+    /// Tries to win the lease; while the rank is held, also from a coordinator that has fallen silent.
     async fn try_acquire(
         &self,
         group: &GroupId,
         rank: RankId,
+        is_held: bool,
     ) -> Result<Option<HeldLease>, PlatformError> {
         let key = coordinator_key(group.as_str());
-        let held = self.store.read(&key, STORE_TIMEOUT).await;
-        count_store_call("read_lease", &held);
-        if held?.is_some() {
-            return Ok(None);
+        let read = self.store.read(&key, STORE_TIMEOUT).await;
+        count_store_call("read_lease", &read);
+        let mut taken_from = CompactString::default();
+        if let Some(item) = read? {
+            if !is_held || !self.end_silent(&item).await? {
+                return Ok(None);
+            }
+            taken_from = CompactString::from_utf8_lossy(&item.value);
         }
         let requested_at = Instant::now();
         let granted = self.store.grant(self.ttl, STORE_TIMEOUT).await;
@@ -140,6 +180,7 @@
             group: group.clone(),
             rank,
             fence,
+            taken_from,
         });
         Ok(Some(HeldLease {
             group: group.clone(),
--- a/crates/amaranthgw/src/agent/local_rank.rs
+++ b/crates/amaranthgw/src/agent/local_rank.rs
@@ -240,6 +240,11 @@
         self.last_query().as_ref().map(|query| query.queried_at)
     }
 
+    /// The coordinator that sent the last query.
+    pub(super) fn coordinator(&self) -> Option<CoordinatorMark> {
+        self.last_query().as_ref().map(|query| query.mark)
+    }
+
     fn last_query(&self) -> MutexGuard<'_, Option<CoordinatorQuery>> {
         self.last_query
             .lock()
--- a/crates/amaranthgw/src/telemetry/group_event.rs
+++ b/crates/amaranthgw/src/telemetry/group_event.rs
@@ -13,6 +13,8 @@
                 rank: RankId,
                 /// Fencing token of the lease.
                 fence: FencingNumber,
+                /// VM of the silent coordinator whose lease was ended for it; empty if the lease was free.
+                taken_from: CompactString,
             }
             /// An agent lost the lease and stopped being the coordinator of its group.
             3202 Warning LeaseLost "lease lost" {
--- a/crates/groups/src/rebalance/driver/mod.rs
+++ b/crates/groups/src/rebalance/driver/mod.rs
@@ -44,6 +44,9 @@
 const VERSIONS_PER_LEASE: u64 = 4_096;
 /// Age from which a view is too old to begin a switch.
 const VIEW_MAX_AGE: Duration = Duration::from_millis(500);
+/// Age from which a rank's last reply is too old to hold the group: a rank that has fallen silent could not be
+/// armed.
+const HOLD_REPLY_MAX_AGE: Duration = Duration::from_millis(200);
 /// Time after which fencing is abandoned if not all ranks have answered; ranks may leave orders
 /// unanswered meanwhile.
 const FENCING_TIMEOUT: Duration = Duration::from_secs(6);
@@ -203,6 +206,20 @@
             })
     }
 
+    /// Whether the group is complete and all ranks have replied just now, so that it is worth to hold one.
+    fn are_all_replying(&self, now: Instant) -> bool {
+        let is_recent =
+            |row: &RankRow| now.saturating_duration_since(row.replied_at) <= HOLD_REPLY_MAX_AGE;
+        self.is_complete(now) && self.ranks.values().all(is_recent)
+    }
+
+    /// Whether views show a rank as held or armed although no switch is in progress.
+    #[must_use]
+    pub fn has_leftovers(&self) -> bool {
+        let is_left = |row: &RankRow| row.view.held.is_some() || row.view.armed.is_some();
+        self.phase == SwitchPhase::Idle && self.ranks.values().any(is_left)
+    }
+
     /// Map that all ranks use with nothing armed or held; `None` if they differ, a switch is in
     /// progress, or a rank has no recent view from after the last phase change.
     #[must_use]
@@ -421,6 +438,11 @@
         self.others().all(|row| row.is_done)
     }
 
+    fn others_done_except(&self, rank: RankId) -> bool {
+        let mut others = self.others().filter(|row| row.view.rank != rank);
+        others.all(|row| row.is_done)
+    }
+
     /// Rank to hold in a switch of this coordinator: one that others can still reach if this VM
     /// becomes unreachable.
     fn select_held_rank(&self) -> RankId {
@@ -489,6 +511,7 @@
         // earlier coordinator.
         let fenced_at = self.fenced_at;
         let is_after_fencing = |row: &RankRow| fenced_at.is_some_and(|at| row.is_viewed_after(at));
+        let is_fenced = self.ranks.values().all(is_after_fencing) && self.is_complete(now);
         let is_prepared =
             |row: &RankRow| row.view.prepared == Some(version) && is_after_fencing(row);
         let has_switch_state = |row: &RankRow| row.view.armed.is_some() || row.view.held.is_some();
@@ -498,12 +521,16 @@
             .any(|row| is_after_fencing(row) && has_switch_state(row))
         {
             self.enter(SwitchPhase::Idle, now, "leftovers");
-        } else if self.ranks.values().all(is_prepared) && self.is_complete(now) {
+            return;
+        }
+        if is_fenced {
+            self.fenced_generation = self.ranks.values().next().map(|row| row.view.generation);
+        }
+        if self.ranks.values().all(is_prepared) && self.are_all_replying(now) {
             let last_step = self.ranks.values().map(|row| row.view.step).max();
             let step = self.step_ahead(last_step.unwrap_or_default(), now);
             let armed = ArmedMap { version, step };
             let held_rank = self.select_held_rank();
-            self.fenced_generation = self.ranks.values().next().map(|row| row.view.generation);
             self.enter(SwitchPhase::Holding { armed, held_rank }, now, "prepared");
         } else if is_overdue {
             self.enter(SwitchPhase::Idle, now, "prepare_slow");
--- a/crates/groups/src/rebalance/driver/orders.rs
+++ b/crates/groups/src/rebalance/driver/orders.rs
@@ -26,8 +26,14 @@
             SwitchPhase::Holding { armed, held_rank } => {
                 (rank == *held_rank).then_some(RankOrder::Hold { step: armed.step })
             }
-            SwitchPhase::Arming { armed, .. } => {
-                let may_arm = rank != self.local_rank || self.others_done();
+            SwitchPhase::Arming { armed, held_rank } => {
+                // The agent of the held rank follows if this coordinator falls silent. While that rank is
+                // unarmed, it knows that the local rank is, too.
+                let may_arm = if rank == self.local_rank {
+                    self.others_done()
+                } else {
+                    rank != *held_rank || self.others_done_except(*held_rank)
+                };
                 may_arm.then_some(RankOrder::Arm(*armed))
             }
             SwitchPhase::Releasing { armed, held_rank } => {
--- a/crates/groups/src/rebalance/driver/recovery.rs
+++ b/crates/groups/src/rebalance/driver/recovery.rs
@@ -88,16 +88,21 @@
                 .armed
                 .map_or(self.last_version, |armed| armed.version);
             self.enter(SwitchPhase::Settling { version }, now, "armed_before");
-        } else if !snapshot.held.is_empty() || snapshot.armed.is_some() {
-            self.after_skew(now, |driver| {
-                driver.fencing = driver.fencing.next();
-                driver.enter(SwitchPhase::Fencing, now, "leftovers");
-            });
+        } else if !snapshot.held.is_empty() {
+            // However the times of the views differ, a rank is held in an incomplete switch only.
+            self.begin_fencing(now);
+        } else if snapshot.armed.is_some() {
+            self.after_skew(now, |driver| driver.begin_fencing(now));
         } else {
             self.inconsistent_since = None;
         }
     }
 
+    fn begin_fencing(&mut self, now: Instant) {
+        self.fencing = self.fencing.next();
+        self.enter(SwitchPhase::Fencing, now, "leftovers");
+    }
+
     /// Completes or clears the incomplete switch once no earlier coordinator can change the ranks.
     pub(super) fn advance_fencing(&mut self, elapsed: Duration, now: Instant) {
         let unreachable = self.unreachable_rank(self.is_previous_unreachable(now));
