A target that says it leaves after its entry is gone stays out

After the key-value service came back from a copy, bookings went to a target whose answers had said that it leaves, and ended with 502 as it exited.

Cause: the answer arrived after the target's entry was gone. The mark was set on a gauge that nobody looked at any more, so that nothing spoke against the entry when the copy brought it back.

Evidence: gateway::departed::note_leaving_of_removed_target failed before.

Why it works: what a target said holds for its start, whenever it was heard.

--- a/crates/fleet/src/gateway/departed.rs
+++ b/crates/fleet/src/gateway/departed.rs
@@ -40,6 +40,12 @@
         let gauge = self.seen_at.as_ref().map(|(_address, gauge)| gauge);
         gauge.is_some_and(|gauge| gauge.is_held(now))
     }
+
+    /// Whether it has said in an answer that it is leaving.
+    fn is_leaving(&self) -> bool {
+        let gauge = self.seen_at.as_ref().map(|(_address, gauge)| gauge);
+        gauge.is_some_and(|gauge| gauge.is_leaving())
+    }
 }
 
 /// A target that said in an answer that it is leaving, registered or not.
@@ -173,6 +179,20 @@
         })
     }
 
+    /// Records removed targets that have said in an answer since that they are leaving: their entries may come
+    /// back.
+    pub(super) fn note_departed_leaving(&mut self, now: Instant) {
+        let said = self.departed.iter().filter(|(_, row)| row.is_leaving());
+        let said: Vec<_> = said
+            .map(|(target, row)| (target.clone(), row.heartbeat))
+            .collect();
+        for (target, heartbeat) in said {
+            if !self.is_known_leaver(&target, heartbeat) {
+                self.record_leaver(target, heartbeat, now);
+            }
+        }
+    }
+
     fn record_leaver(&mut self, target: TargetId, heartbeat: HeartbeatMark, now: Instant) {
         let known = self.leavers.get(&target).map(|row| row.heartbeat);
         let is_superseded = known.is_some_and(|known| heartbeat.is_of_earlier_start(known));
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -293,7 +293,8 @@
         self.note_in_force();
     }
 
-    /// Takes targets that said in an answer that they are leaving out of service, and tells peers of them.
+    /// Takes targets that said in an answer that they are leaving out of service, and tells peers of them and of
+    /// those that said so after their entries were gone.
     pub(super) fn note_leaving(&mut self, now: Instant) {
         let is_new = |row: &&TargetRow| row.gauge.is_leaving() && row.leaving.is_none();
         let leavers = self.targets.rows().filter(is_new);
@@ -301,6 +302,7 @@
         for target in leavers {
             self.take_leaver_out(&target, now);
         }
+        self.note_departed_leaving(now);
     }
 
     /// The transitions since the last call.
--- a/crates/fleet/tests/it/gateway/departed.rs
+++ b/crates/fleet/tests/it/gateway/departed.rs
@@ -1,9 +1,10 @@
 //! Targets that left, and old heartbeats that the store executes late.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthgw_core::{
-    HeartbeatNumber, MilliSpan, StartMark, StoreRevision, TargetId, TickSchedule,
+    HeartbeatNumber, MilliSpan, StartMark, StoreEra, StoreRevision, TargetId, TickSchedule,
 };
 use amaranthgw_fleet::gateway::{
     GatewayWorld, HeartbeatMark, RegistryEntry, RegistryListing, TargetTransition, gateway_schedule,
@@ -119,6 +120,38 @@
     assert_eq!(routed_targets(&mut world, now), ["a"]);
 }
 
+// Guards against DRAIN: an answer that said that its target leaves arrived after the target's entry was gone, and
+// the entry came back with an older copy of the key-value service.
+#[test]
+fn note_leaving_of_removed_target() {
+    let (mut world, now) = listed_world();
+    let target: TargetId = "a".parse().expect("target");
+    let gauge = Arc::clone(&world.targets.get(&target).expect("row").gauge);
+    list(&mut world, Vec::new(), 40, now);
+    gauge.record_leaving(true);
+    tick(&mut world, now);
+    let mut copied = heartbeat(5, 3, 30);
+    copied.written = StoreRevision::in_era(StoreEra::new(1), 30);
+    let listing = RegistryListing {
+        entries: vec![copied],
+        as_of: StoreRevision::in_era(StoreEra::new(1), 31),
+        asked_at: now,
+    };
+    world.adopt_registry(listing, now);
+    assert!(routed_targets(&mut world, now).is_empty());
+    // Peers that had no such answer learn of it.
+    let mut peer = self::world();
+    list(&mut peer, vec![heartbeat(5, 3, 30)], 30, now);
+    let (log, _known_at) = world.registry_log().expect("log");
+    let told = log.news_after(
+        peer.registry_as_of(),
+        world.registry_as_of(),
+        Duration::ZERO,
+    );
+    peer.adopt_news(told, now, now);
+    assert!(routed_targets(&mut peer, now).is_empty());
+}
+
 #[test]
 fn adopt_registry_late_heartbeat_of_removed() {
     let (mut world, now) = listed_world();
