Gateways tell peers of evacuations that they hold

A gateway that started just after the key-value service had come back from a copy used an evacuated failure domain until operators wrote again; bookings there ended with 502.

Cause: a gateway that had known the evacuation held it for itself, but told peers only the set that it had read last, which is the copy's.

Evidence: gateway::store_return::follow_peers_evacuation_lost_before_start (five gateways) failed with the news ignored, 200 for 503.

Change: news carry the held domains with the time left and the revision read up to; a gateway of the same era holds them, too, except those that it has read itself since the return.

Why it works: who knew the evacuation tells it to all that start later, for as long as it holds it itself; what operators have taken back stays so.

--- a/crates/amaranthgw/src/gateway/control.rs
+++ b/crates/amaranthgw/src/gateway/control.rs
@@ -5,8 +5,8 @@
 
 use amaranthgw_core::{DemandShare, DomainId, GroupId, ServiceId, TargetId, TickSchedule, VmId};
 use amaranthgw_fleet::gateway::{
-    FleetBounds, GatewaySnapshot, GatewayWorld, RegistryListing, RegistryNews, RosterReading,
-    TargetTransition,
+    FleetBounds, GatewaySnapshot, GatewayWorld, HeldEvacuations, RegistryListing, RegistryNews,
+    RosterReading, TargetTransition,
 };
 use compact_str::{CompactString, ToCompactString};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -32,6 +32,8 @@
     KeysRequired,
     /// The failure domains taken out of service, and the source of the set.
     Evacuated(EvacuatedDomains, &'static str),
+    /// Evacuations that a peer holds although it doesn't read them.
+    EvacuationsHeld(HeldEvacuations),
     /// A peer gateway sent a query or a reply.
     Peer(VmId),
     /// A read of the registrations of gateways.
@@ -89,6 +91,11 @@
             ControlMessage::Config(config, source) => state.adopt_config(&config, source),
             ControlMessage::KeysRequired => state.require_keys(),
             ControlMessage::Evacuated(domains, source) => state.adopt_evacuated(&domains, source),
+            ControlMessage::EvacuationsHeld(held) => {
+                if state.world.adopt_held(held, Instant::now()) {
+                    state.record_evacuated("peer");
+                }
+            }
             ControlMessage::Peer(vm) => state.world.record_peer(vm, Instant::now()),
             ControlMessage::Roster(reading) => state.world.adopt_roster(reading),
             ControlMessage::Registry(listing) => {
@@ -134,8 +141,6 @@
     }
 
     fn adopt_evacuated(&mut self, evacuated: &EvacuatedDomains, source: &'static str) {
-        let names: Vec<_> = evacuated.domains.iter().map(DomainId::as_str).collect();
-        let names = CompactString::from(names.join(","));
         let is_changed =
             self.world
                 .adopt_evacuated(evacuated.domains.clone(), evacuated.as_of, Instant::now());
@@ -144,11 +149,17 @@
             self.peer_registry.set_evacuated(evacuated);
         }
         if is_changed {
-            let domains = names;
-            self.log.record(NodeEvent::DomainsOut { domains, source });
+            self.record_evacuated(source);
         }
     }
 
+    /// Logs the failure domains out of service.
+    fn record_evacuated(&self, source: &'static str) {
+        let domains = self.world.evacuated.iter().map(DomainId::as_str);
+        let domains = CompactString::from(domains.collect::<Vec<_>>().join(","));
+        self.log.record(NodeEvent::DomainsOut { domains, source });
+    }
+
     fn record_transitions(&self, transitions: Vec<TargetTransition>, source: &'static str) {
         for transition in transitions {
             let (target, state, address) = match transition {
@@ -216,6 +227,8 @@
     fn publish(&mut self) {
         self.peer_registry
             .set_registry(RegistryKnowledge::new(&self.world));
+        self.peer_registry
+            .set_held(self.world.held_evacuations(Instant::now()));
         if self.world.is_changed {
             let previous = self.world.snapshot_gateway_count();
             let snapshot = Arc::new(self.world.snapshot(Instant::now()));
--- a/crates/amaranthgw/src/gateway/gossip.rs
+++ b/crates/amaranthgw/src/gateway/gossip.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use amaranthgw_core::{ConfigVersion, StoreRevision, VmId};
-use amaranthgw_fleet::gateway::{CallDigest, CallNews, RegistryNews, ReportRefusal};
+use amaranthgw_fleet::gateway::{
+    CallDigest, CallNews, HeldEvacuations, RegistryNews, ReportRefusal,
+};
 use amaranthgw_net::{PooledClient, read_whole};
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -82,6 +84,9 @@
     pub(super) vm: VmId,
     pub(super) peers: Vec<SocketAddr>,
     pub(super) evacuated: EvacuatedDomains,
+    /// Evacuations that the gateway holds although it doesn't read them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) held: Option<HeldEvacuations>,
     /// Whether the gateway knows of a configuration that had workspaces.
     #[serde(default)]
     pub(super) requires_keys: bool,
@@ -226,6 +231,7 @@
             ControlMessage::Peer(gossip.vm),
             ControlMessage::Evacuated(gossip.evacuated, "peer"),
         ];
+        messages.extend(gossip.held.map(ControlMessage::EvacuationsHeld));
         if gossip.requires_keys {
             // Before the configuration, which may have no workspaces any more.
             messages.push(ControlMessage::KeysRequired);
--- a/crates/amaranthgw/src/gateway/peers.rs
+++ b/crates/amaranthgw/src/gateway/peers.rs
@@ -6,7 +6,7 @@
 
 use amaranthgw_core::{ConfigVersion, StoreRevision, VmId};
 use amaranthgw_fleet::gateway::{
-    CallNews, CallQuarantine, GatewayWorld, PEER_TIMEOUT, RegistryLog,
+    CallNews, CallQuarantine, GatewayWorld, HeldEvacuations, PEER_TIMEOUT, RegistryLog,
 };
 use amaranthgw_net::{DialSettings, PooledClient};
 use bytes::Bytes;
@@ -54,6 +54,7 @@
     /// Whether this or an earlier configuration had workspaces.
     requires_keys: bool,
     evacuated: EvacuatedDomains,
+    held: Option<HeldEvacuations>,
     registry: RegistryKnowledge,
     peers: HashMap<SocketAddr, PeerRow>,
 }
@@ -92,6 +93,7 @@
                 config: Vec::new(),
                 requires_keys: false,
                 evacuated: EvacuatedDomains::default(),
+                held: None,
                 registry: RegistryKnowledge::default(),
                 peers: HashMap::new(),
             }),
@@ -116,6 +118,11 @@
         self.state().evacuated.clone_from(evacuated);
     }
 
+    /// Sets the evacuations that are held although they aren't read.
+    pub(super) fn set_held(&self, held: Option<HeldEvacuations>) {
+        self.state().held = held;
+    }
+
     /// Sets what is known of the registry.
     pub(super) fn set_registry(&self, registry: RegistryKnowledge) {
         self.state().registry = registry;
@@ -240,6 +247,7 @@
             demand,
             peers: state.peers.keys().copied().collect(),
             evacuated: state.evacuated.clone(),
+            held: state.held.clone(),
             requires_keys: state.requires_keys,
             config: (state.version > query.version)
                 .then(|| String::from_utf8_lossy(&state.config).into_owned()),
--- a/crates/amaranthgw/tests/it/gateway/store_return.rs
+++ b/crates/amaranthgw/tests/it/gateway/store_return.rs
@@ -17,6 +17,8 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
 /// Time from the return until the gateways are in touch again.
 const TOUCH_BOUND: Duration = Duration::from_secs(3);
+/// Time from the return until all gateways have read the store.
+const READ_BOUND: Duration = Duration::from_millis(1_500);
 /// Writes that the copy lacks.
 const LOST_WRITES: u64 = 300;
 
@@ -95,6 +97,36 @@
     assert_answers(&gateways, StatusCode::OK).await;
 }
 
+// Guards against EVAC: a gateway that starts after the return and reads only the copy learns of held evacuations
+// from its peers.
+#[tokio::test]
+async fn follow_peers_evacuation_lost_before_start() {
+    let mut site = TestSite::with_routes();
+    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    let gateways = start_gateways(&site).await;
+    let evacuate = || site.store.put("op/evacuate/domain-a", &json!({}));
+    return_from_copy(&site, evacuate).await;
+    // The others have read the copy, too.
+    sleep(READ_BOUND).await;
+    let seeds = [gateways[0].node_address()];
+    let late = site.start_process(&seeds, &json!({ "vm": "gateway-5" }));
+    let ready = || async { is_ready(late.ready_address()).await.then_some(()) };
+    eventually("readiness", ready).await;
+    sleep(TOUCH_BOUND).await;
+    let before = target.arrivals();
+    let late = [late];
+    for _ in 0..4 {
+        sleep(Duration::from_millis(500)).await;
+        assert_answers(&late, StatusCode::SERVICE_UNAVAILABLE).await;
+    }
+    assert_eq!(target.arrivals(), before);
+    evacuate();
+    sleep(CONFIG_BOUND).await;
+    site.store.remove("op/evacuate/domain-a");
+    sleep(CONFIG_BOUND).await;
+    assert_answers(&late, StatusCode::OK).await;
+}
+
 // A configuration never goes back, and the next one takes effect.
 #[tokio::test]
 async fn follow_operators_config_lost() {
--- a/crates/fleet/src/gateway/evacuation.rs
+++ b/crates/fleet/src/gateway/evacuation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranthgw_core::{DomainId, MilliSpan, StoreRevision};
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::GatewayWorld;
@@ -12,12 +13,25 @@
 /// stay in force. Operators write again within it what they had written.
 const HOLD_TIME: Duration = Duration::from_secs(10);
 
+/// Evacuations that a gateway holds although the key-value service lacks them, as peers are told of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldEvacuations {
+    /// Revision up to which the gateway knows what operators write.
+    pub as_of: StoreRevision,
+    /// The failure domains.
+    pub domains: BTreeSet<DomainId>,
+    /// Time for which they are still held.
+    pub time: MilliSpan,
+}
+
 /// Evacuations that are read, and those that were in force before the key-value service came back from a copy.
 #[derive(Debug, Default)]
 pub(super) struct EvacuationView {
     read: BTreeSet<DomainId>,
     held: BTreeSet<DomainId>,
     held_until: Option<Instant>,
+    /// Those that were read at any time since the service came back.
+    read_since: BTreeSet<DomainId>,
 }
 
 impl EvacuationView {
@@ -25,12 +39,26 @@
     fn hold(&mut self, in_force: &BTreeSet<DomainId>, until: Instant) {
         self.held.clone_from(in_force);
         self.held_until = Some(until);
+        self.read_since.clear();
+    }
+
+    /// Holds until `until`, too, what a peer holds, except what was read since the service came back: only
+    /// operators end that.
+    fn hold_also(&mut self, domains: BTreeSet<DomainId>, until: Instant) {
+        let unread = domains
+            .into_iter()
+            .filter(|domain| !self.read_since.contains(domain));
+        self.held.extend(unread);
+        if !self.held.is_empty() {
+            self.held_until = self.held_until.max(Some(until));
+        }
     }
 
     /// Sets what is read. A held evacuation that is read again is held no more, so that it ends when operators
     /// take it back.
     fn set_read(&mut self, read: BTreeSet<DomainId>) {
         self.held.retain(|domain| !read.contains(domain));
+        self.read_since.extend(read.iter().cloned());
         self.read = read;
     }
 
@@ -73,6 +101,29 @@
         self.apply_evacuations(now)
     }
 
+    /// Evacuations that are held, for peers; `None` if there are none.
+    #[must_use]
+    pub fn held_evacuations(&self, now: Instant) -> Option<HeldEvacuations> {
+        let view = &self.evacuations;
+        let until = view.held_until.filter(|_| !view.held.is_empty())?;
+        Some(HeldEvacuations {
+            as_of: self.evacuated_as_of,
+            domains: view.held.clone(),
+            time: MilliSpan::from_duration(until.saturating_duration_since(now)),
+        })
+    }
+
+    /// Holds what a peer holds: a gateway that has started since the service came back has read only the copy.
+    /// Returns whether the set in force changed.
+    pub fn adopt_held(&mut self, held: HeldEvacuations, now: Instant) -> bool {
+        if held.as_of.era() != self.evacuated_as_of.era() {
+            return false;
+        }
+        let time = held.time.duration().min(HOLD_TIME);
+        self.evacuations.hold_also(held.domains, now + time);
+        self.apply_evacuations(now)
+    }
+
     /// Ends evacuations that were held and not written again.
     pub(super) fn expire_evacuations(&mut self, now: Instant) {
         if self.evacuations.expire(now) {
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -53,6 +53,7 @@
     ConfigDocument, ConfigFinding, DocumentChange, FindingLevel, UnusableRow, WorkspaceKeys,
     check_document, compare_documents,
 };
+pub use evacuation::HeldEvacuations;
 pub use events::{EventId, EventScanner, OversizedEvent};
 pub use groups::{GroupGauge, GroupStatus, GroupSuspicion, StreamGuard};
 pub use heartbeat::HeartbeatMark;
--- a/crates/fleet/tests/it/gateway/world.rs
+++ b/crates/fleet/tests/it/gateway/world.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use amaranthgw_core::{
-    ConfigVersion, MilliSpan, RequestRate, StoreRevision, TargetId, TickSchedule,
+    ConfigVersion, DomainId, MilliSpan, RequestRate, StoreEra, StoreRevision, TargetId,
+    TickSchedule,
 };
 use amaranthgw_fleet::gateway::{
-    ColdShare, FleetBounds, GatewayWorld, RegistryEntry, RosterReading, RouteTable, ServiceRow,
-    TargetTransition, gateway_schedule,
+    ColdShare, FleetBounds, GatewayWorld, HeldEvacuations, RegistryEntry, RosterReading,
+    RouteTable, ServiceRow, TargetTransition, gateway_schedule,
 };
 use tokio::time::Instant;
 
@@ -245,3 +246,52 @@
     assert_eq!(written, StoreRevision::new(9));
     assert_eq!(since_read, Duration::ZERO);
 }
+
+fn domains(names: &[&str]) -> BTreeSet<DomainId> {
+    let domains = names.iter().map(|name| name.parse().expect("domain"));
+    domains.collect()
+}
+
+fn in_era(era: u64, number: u64) -> StoreRevision {
+    StoreRevision::in_era(StoreEra::new(era), number)
+}
+
+/// What a gateway tells peers that holds `domain-a` since the store has come back in era 1.
+fn held_by_peer(now: Instant) -> HeldEvacuations {
+    let mut peer = world();
+    peer.adopt_evacuated(domains(&["domain-a"]), in_era(0, 9), now);
+    peer.adopt_evacuated(domains(&[]), in_era(1, 5), now);
+    peer.held_evacuations(now).expect("held evacuations")
+}
+
+// Guards against EVAC: a gateway that started after the store's return had read only the copy.
+#[test]
+fn adopt_held_of_peer() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_evacuated(domains(&[]), in_era(1, 5), now);
+    assert!(world.adopt_held(held_by_peer(now), now));
+    assert_eq!(world.evacuated, domains(&["domain-a"]));
+    // It ends like that of the peer, unless operators write it again.
+    let later = now + Duration::from_secs(11);
+    gateway_schedule().run(&mut world, later);
+    assert_eq!(world.evacuated, domains(&[]));
+    assert!(world.held_evacuations(later).is_none());
+}
+
+#[test]
+fn adopt_held_taken_back_since() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_evacuated(domains(&["domain-a"]), in_era(1, 5), now);
+    world.adopt_evacuated(domains(&[]), in_era(1, 6), now);
+    assert!(!world.adopt_held(held_by_peer(now), now));
+    assert_eq!(world.evacuated, domains(&[]));
+}
+
+// A gateway that has not read the store since its return still has what it knew.
+#[test]
+fn adopt_held_of_other_era() {
+    let (mut world, now) = (world(), Instant::now());
+    world.adopt_evacuated(domains(&["domain-b"]), in_era(0, 9), now);
+    assert!(!world.adopt_held(held_by_peer(now), now));
+    assert_eq!(world.evacuated, domains(&["domain-b"]));
+}
