Targets that were found down are limited as cold once they are back

A target that crashed and came back cold got the full rate of all gateways until its entry was read, fell over, and took bookings with it (502).

Cause: the limit for cold targets follows the registry alone; the first success after a crash lifted everything else.

Change: a gateway that meets a closed port at a target, or whose last request in flight to it breaks, limits it for the service's cold time, until an entry of a later start tells how cold it is.

Why it works: a process that ends breaks all its connections. A target that is only cut off is silent, and isn't limited.

--- a/crates/amaranthgw/src/gateway/attempt.rs
+++ b/crates/amaranthgw/src/gateway/attempt.rs
@@ -59,6 +59,14 @@
         matches!(self, Self::Unsent(_) | Self::TooLate | Self::NotRun(_))
     }
 
+    /// Whether no process listened at the target's address.
+    fn is_target_down(&self) -> bool {
+        let Self::Unsent(NetError::Dial { source }) = self else {
+            return false;
+        };
+        source.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+
     /// Details for the log; empty if there are none beyond the name.
     pub(super) fn detail(&self) -> CompactString {
         match self {
@@ -122,7 +130,15 @@
     let flight = TargetGauge::begin_work(&target.gauge, slot_time, Instant::now());
     let opened = send(&thread, &input).await;
     let now = Instant::now();
-    let sent = opened.inspect_err(|failure| record_unopened(target, failure, now))?;
+    let sent = opened.inspect_err(|failure| {
+        record_unopened(target, failure, now);
+        // A process that ends breaks all its connections; this one was the last.
+        let is_last_broken =
+            matches!(failure, AttemptFailure::Broken(_)) && target.gauge.in_flight() <= 1;
+        if is_last_broken || failure.is_target_down() {
+            target.gauge.record_down(cold_time(&thread, target), now);
+        }
+    })?;
     let (parts, body) = sent.response.into_parts();
     let mut head = decode_head(parts.status, &parts.headers, input.request.headers());
     if head.kind == AnswerKind::UnnamedNotRun {
@@ -166,6 +182,13 @@
     }
 }
 
+/// Time for which the target is cold after a start.
+fn cold_time(thread: &GatewayThread, target: &TargetCandidate) -> Duration {
+    let snapshot = thread.shared.snapshot.load();
+    let service = snapshot.routes.services.get(&target.record.service);
+    service.map_or(Duration::ZERO, |service| service.cold_time.duration())
+}
+
 /// Records what the failure of a send says of its target.
 fn record_unopened(target: &TargetCandidate, failure: &AttemptFailure, now: Instant) {
     if matches!(failure, AttemptFailure::TooLate) {
--- a/crates/amaranthgw/tests/it/gateway/cold.rs
+++ b/crates/amaranthgw/tests/it/gateway/cold.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthgw::gateway::GatewayProcess;
-use amaranthgw_standins::site::{SiteTarget, TargetBehaviour};
+use amaranthgw_standins::site::{SiteRun, SiteTarget, TargetBehaviour};
 use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
@@ -74,7 +74,10 @@
 
 /// The most requests that the target ran within any second.
 fn peak_rate(target: &SiteTarget) -> usize {
-    let runs = target.runs();
+    peak_rate_of(&target.runs())
+}
+
+fn peak_rate_of(runs: &[SiteRun]) -> usize {
     let in_second_from = |first: usize| {
         let end = runs[first].arrived_at + Duration::from_secs(1);
         runs[first..]
@@ -148,6 +151,29 @@
     assert_bounded(&target);
 }
 
+// Guards against FAILBACK: a target that had crashed was flooded once it took connections again, until the gateways
+// had read in its entry that it is cold.
+#[tokio::test]
+async fn admit_cold_target_restarted() {
+    let mut site = TestSite::new();
+    site.store.put("op/config", &cold_config(7));
+    let target = site.add_target("i-1", "desk", TargetBehaviour::Answer(200));
+    site.add_target("i-2", "desk", TargetBehaviour::Answer(200));
+    let gateways = start_gateways(&site, seeds);
+    let end = Instant::now() + FLOOD_TIME;
+    let crash = async {
+        sleep(FLOOD_TIME / 2).await;
+        let before = target.runs().len();
+        target.crash();
+        before
+    };
+    let ((), before) = tokio::join!(flood(&gateways, end), crash);
+    let after = &target.runs()[before..];
+    let peak = peak_rate_of(after);
+    assert!(peak <= COLD_BOUND, "{peak}");
+    assert!(!after.is_empty(), "the target was used");
+}
+
 // A request waited for a cold target although its gateway's next slot was known to be too late.
 #[tokio::test]
 async fn run_call_no_slot_in_time_refused_at_once() {
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -443,6 +443,7 @@
         }
         if record.heartbeat.born != row.record.heartbeat.born {
             row.start_seen_at = now;
+            row.gauge.record_start_known();
         }
         row.gauge.record_entry(entry.written, now);
         let cold_until = now + record.cold_left.duration();
--- a/crates/fleet/src/gateway/targets.rs
+++ b/crates/fleet/src/gateway/targets.rs
@@ -59,6 +59,7 @@
     window: SendWindow,
     slow_until_ms: AtomicU64,
     cold_sends: ColdCounter,
+    maybe_cold_until_ms: AtomicU64,
     /// Revision of the registry entry in force.
     entry_written: AtomicU64,
     entry_read_ms: AtomicU64,
@@ -99,6 +100,7 @@
             window: SendWindow::new(),
             slow_until_ms: AtomicU64::new(0),
             cold_sends: ColdCounter::new(),
+            maybe_cold_until_ms: AtomicU64::new(0),
             entry_written: AtomicU64::new(0),
             entry_read_ms: AtomicU64::new(0),
             entry_listed_ms: AtomicU64::new(0),
@@ -258,6 +260,25 @@
         ejection
     }
 
+    /// Records at `now` that the target's process was down: it is cold for `cold_time` when it is back, which its
+    /// registry entry says later than its first answers.
+    pub fn record_down(&self, cold_time: Duration, now: Instant) {
+        let until = self.millis(now + cold_time);
+        self.maybe_cold_until_ms.fetch_max(until, Ordering::Relaxed);
+    }
+
+    /// Records that the registry tells how cold the target is since its last start.
+    pub(super) fn record_start_known(&self) {
+        self.maybe_cold_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Time until which the target may be cold although its entry doesn't say so; long ago if it was never down.
+    fn maybe_cold_until(&self) -> Instant {
+        let until_ms = self.maybe_cold_until_ms.load(Ordering::Relaxed);
+        // One less than stored, since 0 means never.
+        self.started_at + Duration::from_millis(until_ms.saturating_sub(1))
+    }
+
     /// Records that another target answered at its address.
     pub fn record_displacement(&self, now: Instant) {
         let until = self.millis(now + DISPLACEMENT_BACKOFF);
@@ -461,8 +482,7 @@
     pub gauge: Arc<TargetGauge>,
     /// End of its slow start, until which it is cold.
     pub cold_until: Instant,
-    /// Time until which its rate is limited: it is cold, or may be although its entry doesn't say
-    /// so yet.
+    /// Time until which its rate is limited: it is cold, or may be as its failure domain has just returned.
     pub limited_until: Instant,
     /// Its rank group; `None` if it has none or the agent of its rank has not reported it.
     pub group: Option<Arc<GroupGauge>>,
@@ -478,7 +498,12 @@
     /// Whether it gets no more than the rate of a cold target at `now`.
     #[must_use]
     pub fn is_limited(&self, now: Instant) -> bool {
-        now < self.limited_until
+        now < self.limited_until()
+    }
+
+    /// Time until which its rate is limited.
+    fn limited_until(&self) -> Instant {
+        self.limited_until.max(self.gauge.maybe_cold_until())
     }
 
     /// Earliest time from `now` at which the target admits a request, with `share` of a cold target's
@@ -494,7 +519,7 @@
             return Some(at);
         }
         let opens_at = now + self.gauge.cold_opens_in(share?, now);
-        Some(at.max(opens_at.min(self.limited_until)))
+        Some(at.max(opens_at.min(self.limited_until())))
     }
 
     /// Number of requests that the target is expected to admit from `now` until `until`, with `share`
@@ -511,7 +536,7 @@
         if left.is_zero() {
             return Some(0);
         }
-        let (interval, requests) = match share.filter(|_| self.limited_until >= until) {
+        let (interval, requests) = match share.filter(|_| self.limited_until() >= until) {
             Some(share) => (share.slot(), share.sends()),
             None => (self.gauge.retry_interval(now, until)?, 1),
         };
--- a/crates/fleet/tests/it/gateway/departed.rs
+++ b/crates/fleet/tests/it/gateway/departed.rs
@@ -383,6 +383,32 @@
     assert_eq!(routed_targets(&mut world, later), ["a"]);
 }
 
+/// Whether requests to the target `a` are limited as if it were cold.
+fn is_limited(world: &mut GatewayWorld, now: Instant) -> bool {
+    let snapshot = world.snapshot(now);
+    let mut targets = snapshot.targets.values().flatten();
+    targets.next().expect("target").is_limited(now)
+}
+
+// Guards against FAILBACK: a target that has been down may be cold before its entry says so.
+#[test]
+fn record_down_limits_target() {
+    const COLD_TIME: Duration = Duration::from_secs(3);
+    let (mut world, now) = listed_world();
+    let target: TargetId = "a".parse().expect("target");
+    world
+        .targets
+        .get(&target)
+        .expect("row")
+        .gauge
+        .record_down(COLD_TIME, now);
+    assert!(is_limited(&mut world, now + Duration::from_secs(2)));
+    assert!(!is_limited(&mut world, now + COLD_TIME));
+    // The entry of the new start tells how cold it is.
+    list(&mut world, vec![heartbeat(6, 1, 60)], 60, now);
+    assert!(!is_limited(&mut world, now));
+}
+
 /// What the store executes, each followed by a listing.
 #[derive(Clone, Copy, Debug)]
 enum StoreStep {
